--- /dev/null
+++ b/oriolelock/clock.py
@@ -0,0 +1,20 @@
+"""
+oriolelock.clock
+~~~~~~~~~~~~~~~~
+
+    The clocks of the daemons. Functions that decide take ``now`` as an argument instead.
+"""
+
+import time
+
+__all__ = ["monotonic_s", "wall_s"]
+
+
+def monotonic_s() -> float:
+    """Return seconds on a clock that never goes back; only differences have a meaning."""
+    return time.monotonic()
+
+
+def wall_s() -> float:
+    """Return seconds since the Unix epoch."""
+    return time.time()
--- /dev/null
+++ b/oriolelock/metrics.py
@@ -0,0 +1,60 @@
+"""
+oriolelock.metrics
+~~~~~~~~~~~~~~~~~~
+
+    Metrics by statsd over UDP, with a local copy of the counters for state dumps. The names
+    are listed in ``NAMES``; a name outside that table is a programming error.
+"""
+
+import threading
+
+import statsd
+
+__all__ = ["NAMES", "Metrics"]
+
+# name -> (kind, meaning). Kinds: counter, gauge, timer (milliseconds).
+NAMES: dict[str, tuple[str, str]] = {
+    "request.complete": ("counter", "requests answered by an endpoint"),
+    "request.not_run": ("counter", "requests refused without running"),
+    "request.unknown": ("counter", "requests that may have run"),
+    "request.bad": ("counter", "malformed requests from callers"),
+    "request.latency": ("timer", "time from receipt to answer"),
+    "lookup.answered": ("counter", "look-ups answered"),
+    "wire.bad_message": ("counter", "messages between processes that did not decode"),
+}
+
+
+class Metrics:
+    """Counters, gauges and timers of one process. Thread-safe."""
+
+    def __init__(self, host: str | None = None, port: int = 8125, prefix: str = "oriolelock"):
+        self._client = statsd.StatsClient(host, port, prefix) if host else None
+        self._lock = threading.Lock()
+        self._counts: dict[str, int] = {}
+
+    def count(self, name: str, by: int = 1) -> None:
+        """Add ``by`` to a counter."""
+        assert NAMES[name][0] == "counter"
+        with self._lock:
+            self._counts[name] = self._counts.get(name, 0) + by
+        if self._client:
+            self._client.incr(name, by)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge to ``value``."""
+        assert NAMES[name][0] == "gauge"
+        with self._lock:
+            self._counts[name] = value
+        if self._client:
+            self._client.gauge(name, value)
+
+    def timing(self, name: str, elapsed_ms: float) -> None:
+        """Record one duration in milliseconds."""
+        assert NAMES[name][0] == "timer"
+        if self._client:
+            self._client.timing(name, elapsed_ms)
+
+    def dump(self) -> dict[str, float]:
+        """Return a copy of the counters and gauges since the start of the process."""
+        with self._lock:
+            return dict(self._counts)
--- /dev/null
+++ b/oriolelock/settings/__init__.py
@@ -0,0 +1,6 @@
+"""
+oriolelock.settings
+~~~~~~~~~~~~~~~~~~~
+
+    YAML settings, read through typed getters and checked before anything starts.
+"""
--- /dev/null
+++ b/oriolelock/wire/__init__.py
@@ -0,0 +1,6 @@
+"""
+oriolelock.wire
+~~~~~~~~~~~~~~~
+
+    Typed messages between the system's own processes, as CBOR over websockets.
+"""
--- /dev/null
+++ b/oriolelock/wire/channel.py
@@ -0,0 +1,179 @@
+"""
+oriolelock.wire.channel
+~~~~~~~~~~~~~~~~~~~~~~~
+
+    A websocket connection that carries typed messages and notices when it goes silent.
+"""
+
+import collections.abc
+import hmac
+import threading
+
+import websockets.exceptions
+import websockets.sync.client
+import websockets.sync.connection
+import websockets.sync.server
+
+from oriolelock import clock
+from oriolelock.wire import codec, errors, heartbeat, hello
+
+__all__ = ["HEARTBEAT_INTERVAL_S", "SILENCE_LIMIT_S", "Channel", "accept", "connect", "serve"]
+
+HEARTBEAT_INTERVAL_S = 1.0
+SILENCE_LIMIT_S = 3.0
+CONNECT_TIMEOUT_S = 2.0
+MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+
+
+class Channel:
+    """One end of a connection. ``send`` may be called from several threads."""
+
+    def __init__(self, conn: websockets.sync.connection.Connection, peer: hello.Hello | None):
+        self._conn = conn
+        self._send_lock = threading.Lock()
+        self._last_sent_s = clock.monotonic_s()
+        self._last_received_s = clock.monotonic_s()
+        self.peer = peer
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    def send(self, msg: object) -> None:
+        """Send one message; raises ChannelClosed."""
+        self.send_bytes(codec.encode(msg))
+
+    def send_bytes(self, data: bytes) -> None:
+        """Send one message that is encoded already, for fan-out to many peers."""
+        try:
+            with self._send_lock:
+                self._conn.send(data)
+                self._last_sent_s = clock.monotonic_s()
+                self.bytes_sent += len(data)
+        except (websockets.exceptions.ConnectionClosed, OSError) as exc:
+            raise errors.ChannelClosed(str(exc)) from exc
+
+    def recv(self, timeout_s: float | None = None) -> object | None:
+        """Return the next message that is not a heartbeat, or None after ``timeout_s``.
+
+        Sends heartbeats while it waits. Raises ChannelClosed when the peer is gone or has
+        been silent for ``SILENCE_LIMIT_S``, DecodeError for a bad message.
+        """
+        end_s = None if timeout_s is None else clock.monotonic_s() + timeout_s
+        while True:
+            wait_s = HEARTBEAT_INTERVAL_S
+            if end_s is not None:
+                wait_s = max(0.0, min(wait_s, end_s - clock.monotonic_s()))
+            data = self._recv_bytes(wait_s)
+            if data is not None:
+                msg = codec.decode(data)
+                if not isinstance(msg, heartbeat.Heartbeat):
+                    return msg
+            self.keep_alive()
+            if end_s is not None and clock.monotonic_s() >= end_s:
+                return None
+
+    def _recv_bytes(self, wait_s):
+        try:
+            data = self._conn.recv(timeout=wait_s)
+        except TimeoutError:
+            return None
+        except (websockets.exceptions.ConnectionClosed, OSError) as exc:
+            raise errors.ChannelClosed(str(exc)) from exc
+        self._last_received_s = clock.monotonic_s()
+        if isinstance(data, str):
+            raise errors.DecodeError("text frame where a binary one is expected")
+        self.bytes_received += len(data)
+        return data
+
+    def keep_alive(self) -> None:
+        """Send a heartbeat when one is due; raises ChannelClosed for a silent peer."""
+        now = clock.monotonic_s()
+        if now - self._last_received_s > SILENCE_LIMIT_S:
+            self.close()
+            raise errors.ChannelClosed(f"peer silent for {SILENCE_LIMIT_S} s")
+        if now - self._last_sent_s >= HEARTBEAT_INTERVAL_S:
+            self.send(heartbeat.Heartbeat())
+
+    def close(self) -> None:
+        """Close without waiting for a peer that may be gone."""
+        try:
+            self._conn.close_timeout = 0.2
+            self._conn.close()
+        except (websockets.exceptions.WebSocketException, OSError):
+            pass
+
+
+def connect(
+    address: tuple[str, int], greeting: hello.Hello, timeout_s: float = CONNECT_TIMEOUT_S
+) -> Channel:
+    """Open a connection and greet; raises ChannelClosed or HandshakeRefused."""
+    try:
+        conn = websockets.sync.client.connect(
+            f"ws://{address[0]}:{address[1]}/",
+            open_timeout=timeout_s,
+            close_timeout=1,
+            ping_interval=None,
+            compression=None,
+            max_size=MAX_MESSAGE_BYTES,
+            proxy=None,
+        )
+    except (OSError, websockets.exceptions.WebSocketException) as exc:
+        raise errors.ChannelClosed(f"{address[0]}:{address[1]}: {exc}") from exc
+    channel = Channel(conn, None)
+    try:
+        channel.send(greeting)
+        reply = channel.recv(timeout_s)
+    except errors.WireError:
+        channel.close()
+        raise
+    if not isinstance(reply, hello.HelloReply) or reply.error:
+        channel.close()
+        text = reply.error if isinstance(reply, hello.HelloReply) else f"no greeting: {reply!r}"
+        raise errors.HandshakeRefused(text)
+    return channel
+
+
+def accept(conn, name: str, cluster: str, token: str) -> Channel | None:
+    """Check the greeting of an incoming connection; returns None when it was refused."""
+    channel = Channel(conn, None)
+    try:
+        greeting = channel.recv(CONNECT_TIMEOUT_S)
+        error = _refusal(greeting, cluster, token)
+        channel.send(hello.HelloReply(name, error))
+    except errors.ChannelClosed:
+        return None
+    except errors.DecodeError as exc:
+        channel.send(hello.HelloReply(name, str(exc)))
+        error = str(exc)
+    if error:
+        channel.close()
+        return None
+    channel.peer = greeting
+    return channel
+
+
+def _refusal(greeting, cluster, token):
+    if not isinstance(greeting, hello.Hello):
+        return "the first message must be a greeting"
+    if greeting.protocol != hello.PROTOCOL_VERSION:
+        return f"protocol {greeting.protocol}, this process speaks {hello.PROTOCOL_VERSION}"
+    if greeting.cluster != cluster:
+        return "wrong cluster"
+    if not hmac.compare_digest(greeting.token.encode(), token.encode()):
+        return "wrong token"
+    return ""
+
+
+def serve(
+    address: tuple[str, int], handle: collections.abc.Callable[[object], None]
+) -> websockets.sync.server.Server:
+    """Listen at ``address``; ``handle`` runs in a thread per connection."""
+    return websockets.sync.server.serve(
+        handle,
+        address[0],
+        address[1],
+        open_timeout=CONNECT_TIMEOUT_S,
+        close_timeout=1,
+        ping_interval=None,
+        compression=None,
+        max_size=MAX_MESSAGE_BYTES,
+    )
--- /dev/null
+++ b/oriolelock/wire/hello.py
@@ -0,0 +1,36 @@
+"""
+oriolelock.wire.hello
+~~~~~~~~~~~~~~~~~~~~~
+
+    The first message on each connection, and the answer to it.
+"""
+
+import dataclasses
+
+from oriolelock.wire import codec
+
+__all__ = ["PROTOCOL_VERSION", "Hello", "HelloReply"]
+
+PROTOCOL_VERSION = 1
+
+
+@codec.register("hello")
+@dataclasses.dataclass(frozen=True)
+class Hello:
+    """Says who connects. ``role`` is ``entry``, ``control`` or ``tool``."""
+
+    protocol: int
+    cluster: str
+    token: str = dataclasses.field(repr=False)
+    name: str
+    role: str
+    incarnation: str = ""
+
+
+@codec.register("hello-reply")
+@dataclasses.dataclass(frozen=True)
+class HelloReply:
+    """Accepts (``error`` empty) or refuses a connection."""
+
+    name: str
+    error: str = ""
