--- /dev/null
+++ b/oriolelock/consensus/__init__.py
@@ -0,0 +1,6 @@
+"""
+oriolelock.consensus
+~~~~~~~~~~~~~~~~~~~~
+
+    A replicated log without I/O, after Raft (Ongaro and Ousterhout, 2014).
+"""
--- /dev/null
+++ b/oriolelock/distribution/__init__.py
@@ -0,0 +1,6 @@
+"""
+oriolelock.distribution
+~~~~~~~~~~~~~~~~~~~~~~~
+
+    How committed changes reach every entry, and how reports and calls travel back.
+"""
--- /dev/null
+++ b/oriolelock/model/__init__.py
@@ -0,0 +1,6 @@
+"""
+oriolelock.model
+~~~~~~~~~~~~~~~~
+
+    The configuration as frozen data: presets, drains, members, endpoints, and their changes.
+"""
--- /dev/null
+++ b/oriolelock/model/endpoint.py
@@ -0,0 +1,27 @@
+"""
+oriolelock.model.endpoint
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+    An endpoint as the instance list describes it.
+"""
+
+import dataclasses
+
+from oriolelock.wire import codec
+
+__all__ = ["Endpoint"]
+
+
+@codec.register("endpoint")
+@dataclasses.dataclass(frozen=True)
+class Endpoint:
+    """``slots`` requests run at once; ``connections`` is the limit over all entries."""
+
+    name: str
+    service: str
+    address: str
+    region: str
+    failure_domain: str
+    slots: int
+    connections: int
+    state: str = "live"
--- /dev/null
+++ b/oriolelock/once/__init__.py
@@ -0,0 +1,6 @@
+"""
+oriolelock.once
+~~~~~~~~~~~~~~~
+
+    The at-most-once record of idempotency keys.
+"""
