--- /dev/null
+++ b/tests/control/samples.py
@@ -0,0 +1,32 @@
+"""Sample data for the tests of the control replica."""
+
+from oriolelock.model import from_json
+
+__all__ = ["make_preset", "preset_json"]
+
+
+def preset_json(name: str) -> dict:
+    """Return a valid preset as an operator sends it."""
+    operation = {"name": "view", "priority": "normal", "idempotent": True, "timeout_ms": 500}
+    service = {
+        "name": "proof-rendering",
+        "operations": [operation],
+        "region_weights": {"perth": 1.0},
+        "queue_limit": 100,
+        "in_flight_limit": 20,
+    }
+    return {
+        "name": name,
+        "services": [service],
+        "shares": {"urgent": 0.5, "normal": 0.35, "deferrable": 0.15},
+        "shift_cap": 0.1,
+        "shift_interval_ms": 1000,
+        "cold_shift_cap": 0.05,
+        "link_mbits": 4000,
+        "link_share": 0.8,
+    }
+
+
+def make_preset(name: str):
+    """Return a valid preset."""
+    return from_json.preset_from(preset_json(name))
