--- /dev/null
+++ b/oriolelock/control/__init__.py
@@ -0,0 +1,7 @@
+"""
+oriolelock.control
+~~~~~~~~~~~~~~~~~~
+
+    The daemon of a control replica: groups, peers, operator API, instance list, failure
+    detector.
+"""
