Add failure detector and reading of the instance list

Both are functions of the configuration and what was heard or read. When more than half of the live entries are silent at once they are kept.

--- /dev/null
+++ b/oriolelock/control/detector.py
@@ -0,0 +1,47 @@
+"""
+oriolelock.control.detector
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+    Failure detector: entries that stop to report are set down, and live when they return.
+"""
+
+import collections.abc
+import dataclasses
+
+from oriolelock.control import reports
+from oriolelock.model import changes, configuration
+
+__all__ = ["Verdict", "judge"]
+
+
+@dataclasses.dataclass(frozen=True)
+class Verdict:
+    """``held_back``: entries that are silent but stay live, because most are silent."""
+
+    changes: tuple[changes.SetMember, ...]
+    held_back: tuple[str, ...]
+
+
+def judge(
+    cfg: configuration.Configuration, ages: collections.abc.Mapping, watched_s: float
+) -> Verdict:
+    """Return the changes of member states that the reports call for.
+
+    ``ages``: seconds since the latest report by name. ``watched_s``: for how long this
+    replica has led; entries without a report count as heard when that began.
+    """
+    entries = [member for member in cfg.members.values() if member.role == "entry"]
+    live = [member for member in entries if member.state == "live"]
+    silent = [m for m in live if min(ages.get(m.name, watched_s), watched_s) > reports.SEEN_LIMIT_S]
+    back = [
+        m for m in entries if m.state == "down" and ages.get(m.name, 1e9) <= reports.SEEN_LIMIT_S
+    ]
+    held_back: list = []
+    # When most entries fall silent at once, it is probably this replica that is cut off.
+    if 2 * len(silent) > len(live):
+        silent, held_back = [], silent
+    states = [(m, "down") for m in silent] + [(m, "live") for m in back]
+    return Verdict(
+        tuple(changes.SetMember(dataclasses.replace(m, state=state)) for m, state in states),
+        tuple(m.name for m in held_back),
+    )
--- /dev/null
+++ b/tests/control/test_detector.py
@@ -0,0 +1,38 @@
+"""Guards against entries that are set down because the observer itself is cut off."""
+
+import dataclasses
+
+from oriolelock.control import detector
+from oriolelock.model import configuration, member
+
+
+def make(states):
+    members = {
+        name: member.Member(name, "entry", "127.0.0.1:1", "", "perth", "p1", state)
+        for name, state in states.items()
+    }
+    return dataclasses.replace(configuration.EMPTY, members=members)
+
+
+def states(verdict):
+    return {change.member.name: change.member.state for change in verdict.changes}
+
+
+def test_silent_entry_is_down_and_live_again_when_heard():
+    cfg = make({"a": "live", "b": "live", "c": "down", "d": "leaving"})
+    verdict = detector.judge(cfg, {"a": 3.5, "b": 1.0, "c": 0.5}, 60.0)
+    assert states(verdict) == {"a": "down", "c": "live"}
+    assert verdict.held_back == ()
+
+
+def test_most_entries_silent_at_once_are_held_back():
+    cfg = make({"a": "live", "b": "live", "c": "live"})
+    verdict = detector.judge(cfg, {"a": 9.0, "b": 9.0, "c": 1.0}, 60.0)
+    assert states(verdict) == {}
+    assert verdict.held_back == ("a", "b")
+
+
+def test_new_leader_waits_before_it_judges():
+    cfg = make({"a": "live", "b": "live", "c": "live"})
+    assert states(detector.judge(cfg, {"b": 0.1, "c": 0.1, "a": 50.0}, 2.0)) == {}
+    assert states(detector.judge(cfg, {"b": 0.1, "c": 0.1}, 3.5)) == {"a": "down"}
--- /dev/null
+++ b/tests/control/test_instance_list.py
@@ -0,0 +1,81 @@
+"""Guards against instances that vanish because the list lags, stops or is malformed."""
+
+import json
+
+import pytest
+
+from oriolelock.control import envelope, instance_list, state
+from oriolelock.model import changes, member
+
+ENTRY = {
+    "id": "e1",
+    "role": "entry",
+    "address": "127.0.0.1:1",
+    "region": "perth",
+    "failure_domain": "p1",
+    "service": "",
+    "slots": 0,
+    "connections": 0,
+    "state": "live",
+}
+ENDPOINT = {**ENTRY, "id": "p1", "role": "endpoint", "service": "s", "slots": 3, "connections": 9}
+
+
+def find(diff, machine, *items):
+    """Return the changes for a reading and apply them."""
+    listed = instance_list.parse(json.dumps(items).encode())
+    found = diff.find_changes(machine.view(), listed)
+    for change in found:
+        machine.apply(machine.view().index + 1, envelope.Command(1.0, change))
+    return found
+
+
+def test_only_differences_are_changed_and_leaving_is_taken_over():
+    diff, machine = instance_list.InstanceDiff(), state.ConfigState()
+    assert len(find(diff, machine, ENTRY, ENDPOINT)) == 2
+    assert find(diff, machine, ENTRY, ENDPOINT) == []
+    assert len(find(diff, machine, ENTRY, {**ENDPOINT, "state": "leaving"})) == 1
+    assert machine.view().endpoints["p1"].state == "leaving"
+
+
+def test_missing_instance_is_removed_only_after_several_readings():
+    diff, machine = instance_list.InstanceDiff(), state.ConfigState()
+    find(diff, machine, ENTRY, ENDPOINT)
+    for _ in range(instance_list.READINGS_UNTIL_GONE - 1):
+        assert find(diff, machine, ENTRY) == []
+    find(diff, machine, ENTRY, ENDPOINT)
+    for _ in range(instance_list.READINGS_UNTIL_GONE - 1):
+        assert find(diff, machine, ENTRY) == []
+    assert find(diff, machine, ENTRY) == [changes.RemoveEndpoint("p1")]
+
+
+def test_empty_list_changes_nothing():
+    diff, machine = instance_list.InstanceDiff(), state.ConfigState()
+    find(diff, machine, ENTRY, ENDPOINT)
+    for _ in range(2 * instance_list.READINGS_UNTIL_GONE):
+        assert find(diff, machine) == []
+
+
+def test_list_does_not_revive_an_entry_that_is_down():
+    diff, machine = instance_list.InstanceDiff(), state.ConfigState()
+    find(diff, machine, ENTRY)
+    item = member.Member("e1", "entry", "127.0.0.1:1", "", "perth", "p1", "down")
+    down = changes.SetMember(item)
+    machine.apply(50, envelope.Command(1.0, down))
+    assert find(diff, machine, ENTRY) == []
+    assert len(find(diff, machine, {**ENTRY, "state": "leaving"})) == 1
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"{}", b"[1]", json.dumps([{**ENTRY, "role": "x"}]).encode(), b'[{"id": "e1"}]']
+    + [json.dumps([{**ENDPOINT, "slots": value}]).encode() for value in (0, -1, "3", None, True)],
+)
+def test_malformed_list_is_refused_as_a_whole(body):
+    with pytest.raises(instance_list.ListUnreadable):
+        instance_list.parse(body)
+
+
+def test_unreachable_list_is_reported():
+    with pytest.raises(instance_list.ListUnreadable):
+        instance_list.fetch("http://127.0.0.1:1/instances")
