--- /dev/null
+++ b/oriolelock/control/api.py
@@ -0,0 +1,202 @@
+"""
+oriolelock.control.api
+~~~~~~~~~~~~~~~~~~~~~~
+
+    Operator API of a control replica as a WSGI application.
+"""
+
+import collections.abc
+import concurrent.futures
+import dataclasses
+import hmac
+import json
+
+import werkzeug.exceptions
+import werkzeug.wrappers
+
+from oriolelock import clock, logs
+from oriolelock.control import envelope, messages, replica, reports, status_view, unavailable
+from oriolelock.model import errors, from_json, results
+
+__all__ = ["Api", "make_app"]
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_ID_LENGTH = 200
+# Covers one election (3 s) and a commit between far regions.
+CHANGE_TIMEOUT_S = 8.0
+READ_TIMEOUT_S = 1.5
+# A call ends by itself at its deadline; this only guards the thread.
+GRACE_S = 1.0
+ENVELOPE_FIELDS = ("change_id", "expect_version", "operator")
+
+log = logs.get_logger("control.api")
+
+
+@dataclasses.dataclass(frozen=True)
+class Api:
+    """What the operator API needs; ``extra_state()`` adds to the state dump."""
+
+    replica: replica.Replica
+    reports: reports.Reports
+    extra_state: collections.abc.Callable[[], dict]
+
+
+def make_app(api: Api) -> collections.abc.Callable:
+    """Return the WSGI application."""
+
+    @werkzeug.wrappers.Request.application
+    def app(req):
+        try:
+            return _route(api, req)
+        except werkzeug.exceptions.HTTPException as exc:
+            return _json({"result": "error", "reason": exc.description}, exc.code)
+        except Exception:
+            log.exception("Request {} {} failed.", req.method, req.path)
+            return _json({"result": "error", "reason": "internal error"}, 500)
+
+    return app
+
+
+def _route(api, req):
+    path = req.path
+    if path not in _ROUTES:
+        raise werkzeug.exceptions.NotFound("no such path")
+    method, needs_token, view = _ROUTES[path]
+    if req.method != method:
+        raise werkzeug.exceptions.MethodNotAllowed([method], f"only {method}")
+    if needs_token:
+        _check_token(api.replica.cfg.operator_token, req)
+    return view(api, req)
+
+
+def _check_token(token, req):
+    kind, _, given = req.headers.get("Authorization", "").partition(" ")
+    matches = hmac.compare_digest(given.strip().encode("utf-8", "replace"), token.encode())
+    if kind.lower() != "bearer" or not matches:
+        raise werkzeug.exceptions.Unauthorized("a valid bearer token is required")
+
+
+def _json(data, status=200):
+    text = json.dumps(data, allow_nan=False, default=str)
+    return werkzeug.wrappers.Response(text + "\n", status, content_type="application/json")
+
+
+def _wait(fut, timeout_s):
+    try:
+        return fut.result(timeout_s + GRACE_S)
+    except concurrent.futures.TimeoutError:
+        return unavailable.Unavailable("no result in time")
+
+
+def _confirm(api):
+    answer = _wait(
+        api.replica.call("config", messages.ConfirmRead(), READ_TIMEOUT_S), READ_TIMEOUT_S
+    )
+    return isinstance(answer, messages.Confirmed)
+
+
+def _ready(api, req):
+    status = api.replica.status()
+    ready = bool(status.leader)
+    return _json({"ready": ready, "leader": status.leader}, 200 if ready else 503)
+
+
+def _state(api, req):
+    cfg = api.replica.cfg
+    data = {
+        "name": cfg.name,
+        "region": cfg.region,
+        "failure_domain": cfg.failure_domain,
+        **api.replica.dump(),
+        **api.extra_state(),
+    }
+    return _json(data)
+
+
+def _configuration(api, req):
+    confirmed = _confirm(api)
+    data = from_json.to_json(dataclasses.replace(api.replica.configuration(), block_sites=b""))
+    del data["block_sites"]
+    data["last_known_in_force"] = data["in_force"]
+    if not confirmed:
+        data["in_force"] = None
+    leader = api.replica.status().leader
+    return _json({"confirmed": confirmed, "leader": leader, "configuration": data})
+
+
+def _status(api, req):
+    confirmed = _confirm(api)
+    data = status_view.make_status(
+        api.replica.cfg,
+        api.replica.configuration(),
+        api.reports,
+        confirmed,
+        api.replica.status().leader,
+        clock.monotonic_s(),
+    )
+    return _json(data)
+
+
+def _changes(api, req):
+    try:
+        command = _parse_change(_read_json(req))
+    except errors.InvalidData as exc:
+        return _json({"result": "refused", "reason": str(exc)}, 422)
+    fut = api.replica.call("config", command, CHANGE_TIMEOUT_S)
+    result = _wait(fut, CHANGE_TIMEOUT_S)
+    log.info("Change {}: {}.", command.change_id, result)
+    return _answer(result)
+
+
+def _read_json(req):
+    if (req.content_length or 0) > MAX_BODY_BYTES:
+        raise werkzeug.exceptions.RequestEntityTooLarge(f"at most {MAX_BODY_BYTES} bytes")
+    req.max_content_length = MAX_BODY_BYTES
+    try:
+        data = json.loads(req.get_data(), parse_constant=_refuse_constant)
+    except (ValueError, RecursionError) as exc:
+        raise werkzeug.exceptions.BadRequest(f"malformed JSON: {exc}") from exc
+    if not isinstance(data, dict):
+        raise werkzeug.exceptions.BadRequest("a JSON object is required")
+    return data
+
+
+def _refuse_constant(text):
+    raise ValueError(f"{text} is not a JSON number")
+
+
+def _parse_change(data):
+    change_id, version = data.get("change_id"), data.get("expect_version")
+    operator = data.get("operator", "")
+    if not isinstance(change_id, str) or not 0 < len(change_id) <= MAX_ID_LENGTH:
+        raise errors.InvalidData(f"change_id: 1 to {MAX_ID_LENGTH} characters")
+    if version is not None and (type(version) is not int or not 0 <= version < 1 << 63):
+        raise errors.InvalidData("expect_version: a whole number or null")
+    if not isinstance(operator, str) or len(operator) > MAX_ID_LENGTH:
+        raise errors.InvalidData(f"operator: at most {MAX_ID_LENGTH} characters")
+    fields = {key: value for key, value in data.items() if key not in ENVELOPE_FIELDS}
+    return envelope.OperatorChange(change_id, version, operator, from_json.change_from(fields))
+
+
+def _answer(result):
+    if isinstance(result, results.Applied):
+        return _json({"result": "applied", "version": result.version, "index": result.index})
+    if isinstance(result, results.Conflict):
+        return _json({"result": "conflict", "version": result.version}, 409)
+    if isinstance(result, results.Refused):
+        return _json({"result": "refused", "reason": result.reason}, 422)
+    assert isinstance(result, unavailable.Unavailable), result
+    reason = result.reason
+    if not result.retry:
+        reason += "; it may still be applied, send it again with the same change id"
+    return _json({"result": "unavailable", "reason": reason}, 503)
+
+
+# path -> (method, needs the operator's token, view)
+_ROUTES = {
+    "/oriolelock/ready": ("GET", False, _ready),
+    "/oriolelock/state": ("GET", False, _state),
+    "/oriolelock/configuration": ("GET", True, _configuration),
+    "/oriolelock/status": ("GET", True, _status),
+    "/oriolelock/changes": ("POST", True, _changes),
+}
--- /dev/null
+++ b/oriolelock/control/machines.py
@@ -0,0 +1,35 @@
+"""
+oriolelock.control.machines
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+    The state machines of the groups, found by the kind of the group.
+"""
+
+import typing
+
+from oriolelock.control import envelope, record_state, state
+
+__all__ = ["MACHINES", "Machine", "make_machine"]
+
+
+class Machine(typing.Protocol):
+    """A deterministic state machine; ``wall_s`` is the latest time it has seen."""
+
+    wall_s: float
+
+    def apply(self, index: int, command: envelope.Command) -> object:
+        """Apply a committed command and return its result."""
+
+    def encode(self) -> bytes:
+        """Return the whole state."""
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state."""
+
+
+MACHINES = {"config": state.ConfigState, "record": record_state.RecordState}
+
+
+def make_machine(group: str) -> Machine:
+    """Return an empty state machine for ``group``, for example ``record-2``."""
+    return MACHINES[group.partition("-")[0]]()
--- /dev/null
+++ b/oriolelock/control/main.py
@@ -0,0 +1,81 @@
+"""
+oriolelock.control.main
+~~~~~~~~~~~~~~~~~~~~~~~
+
+    The command ``oriolelock-control``.
+"""
+
+import argparse
+import os
+import signal
+import sys
+import threading
+
+from oriolelock import logs
+from oriolelock.control import daemon, replica
+from oriolelock.settings import control as settings
+from oriolelock.settings import loader
+from oriolelock.storage import errors as storage_errors
+
+__all__ = ["main"]
+
+EXIT_BAD_STORAGE = 3
+EXIT_FAILED = 4
+EXIT_CANNOT_LISTEN = 5
+
+log = logs.get_logger("control")
+
+
+def _parse_arguments(argv):
+    parser = argparse.ArgumentParser(
+        prog="oriolelock-control", description="Runs one control replica."
+    )
+    parser.add_argument("settings", help="YAML file")
+    parser.add_argument(
+        "--form", action="store_true", help="create the data folder of an initial replica and exit"
+    )
+    parser.add_argument("--check", action="store_true", help="check the settings and exit")
+    return parser.parse_args(argv)
+
+
+def _fail(text: str) -> None:
+    """End the process at once; a thread calls this and the rest must not go on."""
+    log.critical("Ending: {}.", text)
+    sys.stderr.flush()
+    os._exit(EXIT_FAILED)
+
+
+def _run(cfg):
+    stopping = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopping.set())
+    item = daemon.Daemon(cfg, _fail)
+    item.start()
+    stopping.wait()
+    item.stop()
+    return 0
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the command; returns the exit code."""
+    args = _parse_arguments(argv)
+    cfg = loader.load_or_exit(args.settings, settings.parse)
+    if args.check:
+        print(f"{args.settings}: valid")
+        return 0
+    logs.set_up(cfg.log_level, cfg.log_json)
+    try:
+        if args.form:
+            replica.form(cfg)
+            return 0
+        return _run(cfg)
+    except storage_errors.StorageError as exc:
+        print(f"{cfg.data_folder}: {exc}", file=sys.stderr)
+        return EXIT_BAD_STORAGE
+    except OSError as exc:
+        print(f"{args.settings}: {exc}", file=sys.stderr)
+        return EXIT_CANNOT_LISTEN
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/oriolelock/control/replica.py
@@ -0,0 +1,196 @@
+"""
+oriolelock.control.replica
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+    One control replica: its groups, its peers and the calls between them.
+"""
+
+import collections.abc
+import concurrent.futures
+import pathlib
+import threading
+
+from oriolelock import logs
+from oriolelock.consensus import messages as consensus_messages
+from oriolelock.consensus import node_settings
+from oriolelock.control import (
+    calls,
+    host,
+    host_settings,
+    host_status,
+    machines,
+    messages,
+    peer_link,
+    preferences,
+)
+from oriolelock.distribution import messages as distribution_messages
+from oriolelock.model import configuration
+from oriolelock.settings import control as settings
+from oriolelock.storage import store
+from oriolelock.wire import channel, errors
+
+__all__ = ["Replica", "form"]
+
+# Bounds the wait for another leader at a planned stop.
+HAND_OVER_TIMEOUT_S = 2.0
+HAND_OVER_CHECK_S = 0.05
+
+log = logs.get_logger("control.replica")
+
+
+def _folder(cfg, group):
+    return str(pathlib.Path(cfg.data_folder) / group)
+
+
+class Replica:
+    """The groups of this replica. Public methods may be called from any thread."""
+
+    def __init__(self, cfg: settings.ControlSettings, fail: collections.abc.Callable):
+        self.cfg = cfg
+        self._fail = fail
+        self._listeners: list[collections.abc.Callable] = []
+        self._stores = {group: store.open(_folder(cfg, group), cfg.name) for group in cfg.groups()}
+        self._hosts = {group: self._make_host(group) for group in cfg.groups()}
+        greet = peer_link.make_greeting(cfg, self._stores["config"].incarnation)
+        self._links = {peer.name: peer_link.PeerLink(peer, greet) for peer in cfg.others()}
+        self._calls = calls.Calls(cfg.name, self._hosts, self.send)
+        self.take_reports: collections.abc.Callable = lambda batch: None
+
+    def _make_host(self, group):
+        cfg = self.cfg
+        opened = self._stores[group]
+        preferred = preferences.preferred_leader(group, cfg.peers) == cfg.name
+        node_cfg = node_settings.NodeSettings(cfg.name, opened.incarnation, preferred=preferred)
+
+        def send(target, msg):
+            self.send(target, messages.GroupMessage(group, opened.incarnation, msg))
+
+        return host.Host(
+            host_settings.HostSettings(
+                group, node_cfg, cfg.snapshot_every, send, self._fail, self._notify_listeners
+            ),
+            opened,
+            machines.make_machine(group),
+        )
+
+    def start(self) -> None:
+        """Start to connect and to take part in all groups."""
+        self._calls.start()
+        for link in self._links.values():
+            link.start()
+        for item in self._hosts.values():
+            item.start()
+
+    def hand_over(self) -> None:
+        """Hand leadership of all groups to other replicas; returns after 2 s at the latest."""
+        leading = [item for item in self._hosts.values() if item.status().is_leader]
+        for item in leading:
+            item.transfer()
+        waiter = threading.Event()
+        for _ in range(round(HAND_OVER_TIMEOUT_S / HAND_OVER_CHECK_S)):
+            if not any(item.status().is_leader for item in leading):
+                return
+            waiter.wait(HAND_OVER_CHECK_S)
+
+    def stop(self) -> None:
+        """Stop all threads of the replica."""
+        self._calls.stop()
+        for item in self._hosts.values():
+            item.stop()
+        for link in self._links.values():
+            link.stop()
+
+    def listen(self, listener: collections.abc.Callable) -> None:
+        """Have ``listener(group)`` called after each commit and change of leader."""
+        self._listeners.append(listener)
+
+    def _notify_listeners(self, group):
+        for listener in self._listeners:
+            listener(group)
+
+    def send(self, target: str, msg: object) -> bool:
+        """Send a message to another replica; returns False when it is dropped."""
+        link = self._links.get(target)
+        return link is not None and link.send(msg)
+
+    def broadcast(self, msg: object) -> None:
+        """Send a message to all other replicas."""
+        for link in self._links.values():
+            link.send(msg)
+
+    def configuration(self) -> configuration.Configuration:
+        """Return the configuration as far as it is applied here."""
+        return self._hosts["config"].machine.view()
+
+    def changes_since(self, index: int):
+        """See ``state.ConfigState.changes_since``."""
+        return self._hosts["config"].machine.changes_since(index)
+
+    def status(self, group: str = "config") -> host_status.HostStatus:
+        """Return the state of a group as this replica sees it."""
+        return self._hosts[group].status()
+
+    def dump(self) -> dict:
+        """Return the state of groups and links for a state dump."""
+        return {
+            "groups": {group: vars(item.status()) for group, item in self._hosts.items()},
+            "connected": sorted(name for name, link in self._links.items() if link.connected),
+        }
+
+    def call(self, group: str, payload: object, timeout_s: float) -> concurrent.futures.Future:
+        """Return a future of the result of a command at the leader of ``group``."""
+        return self._calls.call(group, payload, timeout_s)
+
+    def confirm(self, timeout_s: float) -> concurrent.futures.Future:
+        """Return a future of ``Confirmed`` once the configuration here is current.
+
+        The result is ``Unavailable`` when no leader answers in time.
+        """
+        return self._calls.call("config", messages.ConfirmRead(), timeout_s)
+
+    def serve_peer(self, conn: channel.Channel) -> None:
+        """Take the messages of another replica until its connection ends."""
+        sender = conn.peer.name
+        if sender not in self._links:
+            log.warning("{} is not among the peers in the settings.", sender)
+            conn.close()
+            return
+        while True:
+            try:
+                msg = conn.recv(channel.HEARTBEAT_INTERVAL_S)
+            except errors.ChannelClosed:
+                return
+            except errors.DecodeError as exc:
+                log.warning("Bad message from {}: {}.", sender, exc)
+                conn.close()
+                return
+            if msg is not None:
+                self._take(sender, msg)
+
+    def _take(self, sender, msg):
+        if isinstance(msg, messages.GroupMessage):
+            if msg.group in self._hosts:
+                self._hosts[msg.group].receive(sender, msg.incarnation, msg.msg)
+        elif isinstance(msg, messages.Forward):
+            self._serve_forward(sender, msg)
+        elif isinstance(msg, messages.ForwardReply):
+            self._calls.replied(msg)
+        elif isinstance(msg, distribution_messages.StatusBatch):
+            self.take_reports(msg)
+
+    def _serve_forward(self, sender, msg):
+        if msg.group not in self._hosts:
+            return
+
+        def reply(fut):
+            self.send(sender, messages.ForwardReply(msg.call_id, fut.result()))
+
+        self._calls.serve(msg.group, msg.payload).add_done_callback(reply)
+
+
+def form(cfg: settings.ControlSettings) -> None:
+    """Create the data folders of an initial replica; raises StorageError when they exist."""
+    names = sorted(peer.name for peer in cfg.peers)
+    for group in cfg.groups():
+        replicas = tuple(consensus_messages.Replica(name, "", True) for name in names)
+        store.form(_folder(cfg, group), cfg.name, consensus_messages.Membership(replicas))
