Add the replicated log as a state machine without I/O

Cause: configuration and at-most-once record need one agreed order of changes that survives crashes, partitions and lost disks.

New message RequestTransfer: a preferred follower asks the leader for leadership, because only the replica itself knows from its settings that it is preferred.

Ruled out: leases for reads (they trust clocks), joint consensus (one change at a time is enough here), holding back heartbeat replies until the log is saved (a full disk would then block reads; the reply states the durable index instead).

--- /dev/null
+++ b/oriolelock/consensus/log.py
@@ -0,0 +1,88 @@
+"""
+oriolelock.consensus.log
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+    The entries that a node holds in memory.
+"""
+
+import collections.abc
+
+from oriolelock.consensus import messages
+
+__all__ = ["Log"]
+
+# Framing of one entry in a message: name, index, term, kind and lengths.
+ENTRY_OVERHEAD_BYTES = 40
+
+
+class Log:
+    """Entries after ``base_index``; the entry at ``base_index`` itself has ``base_term``."""
+
+    def __init__(
+        self, base_index: int, base_term: int, entries: collections.abc.Iterable[messages.Entry]
+    ):
+        self.base_index = base_index
+        self.base_term = base_term
+        self._entries = list(entries)
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self._entries[-1].term if self._entries else self.base_term
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of the entry at ``index``, or None when it is not held."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self._entries[index - self.base_index - 1].term
+        return None
+
+    def first_of_term(self, index: int) -> int:
+        """Return the first held index of the run of equal terms that contains ``index``."""
+        term = self.term_at(index)
+        while index - 1 > self.base_index and self.term_at(index - 1) == term:
+            index -= 1
+        return index
+
+    def append(self, entry: messages.Entry) -> None:
+        """Append the entry that follows the last one."""
+        if entry.index != self.last_index + 1:
+            raise ValueError(f"entry {entry.index} after {self.last_index}")
+        self._entries.append(entry)
+
+    def between(self, first: int, last: int) -> tuple[messages.Entry, ...]:
+        """Return the entries ``first`` to ``last``, both included."""
+        return tuple(self._entries[first - self.base_index - 1 : last - self.base_index])
+
+    def batch(self, first: int, max_bytes: int) -> tuple[messages.Entry, ...]:
+        """Return entries from ``first`` on of at most ``max_bytes``, but at least one."""
+        end = start = first - self.base_index - 1
+        size = 0
+        while end < len(self._entries):
+            size += len(self._entries[end].data) + ENTRY_OVERHEAD_BYTES
+            if size > max_bytes and end > start:
+                break
+            end += 1
+        return tuple(self._entries[start:end])
+
+    def truncate(self, first: int) -> None:
+        """Remove the entries from ``first`` on."""
+        del self._entries[first - self.base_index - 1 :]
+
+    def compact(self, index: int) -> None:
+        """Remove the entries up to and including ``index``."""
+        if index <= self.base_index:
+            return
+        term = self.term_at(index)
+        del self._entries[: index - self.base_index]
+        self.base_index, self.base_term = index, term
+
+    def reset(self, index: int, term: int) -> None:
+        """Remove all entries; the next one follows ``index``."""
+        self.base_index, self.base_term, self._entries = index, term, []
--- a/oriolelock/consensus/messages.py
+++ b/oriolelock/consensus/messages.py
@@ -19,6 +19,7 @@
     "PreVote",
     "PreVoteReply",
     "Replica",
+    "RequestTransfer",
     "TimeoutNow",
     "Vote",
     "VoteReply",
@@ -152,3 +153,11 @@
     """Hands leadership over: the receiver starts an election at once."""
 
     term: int
+
+
+@codec.register("request-transfer")
+@dataclasses.dataclass(frozen=True)
+class RequestTransfer:
+    """Sent by a preferred follower: asks the leader of ``term`` to hand over to it."""
+
+    term: int
