Add the durable store of one group

Ruled out: one record for each entry (an unsynced save could then leave a valid record after an invalid one, which could not be told from damage); a second sync after a failed one.

--- /dev/null
+++ b/oriolelock/storage/files.py
@@ -0,0 +1,74 @@
+"""
+oriolelock.storage.files
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+    Writing and syncing files, with the errors of this layer.
+"""
+
+import errno
+import os
+import pathlib
+
+from oriolelock.storage import errors
+
+__all__ = ["replace", "sync", "sync_folder", "write"]
+
+
+def write(fd: int, data: bytes) -> None:
+    """Write all of ``data``; raises DiskFull or SyncFailed, with a part possibly written."""
+    view = memoryview(data)
+    try:
+        while view:
+            view = view[os.write(fd, view) :]
+    except OSError as exc:
+        if exc.errno in (errno.ENOSPC, errno.EDQUOT):
+            raise errors.DiskFull(str(exc)) from exc
+        raise errors.SyncFailed(f"write failed: {exc}") from exc
+
+
+def sync(fd: int) -> None:
+    """Sync a file; raises SyncFailed.
+
+    A sync is never repeated: after a failure the kernel may mark the pages clean, and a second
+    sync would succeed without having stored them.
+    """
+    try:
+        os.fsync(fd)
+    except OSError as exc:
+        raise errors.SyncFailed(f"sync failed: {exc}") from exc
+
+
+def sync_folder(folder: pathlib.Path) -> None:
+    """Sync the names in a folder; raises SyncFailed."""
+    fd = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        sync(fd)
+    finally:
+        os.close(fd)
+
+
+def replace(path: pathlib.Path, data: bytes) -> None:
+    """Put a file with ``data`` in the place of ``path``, durably and in one step.
+
+    Raises DiskFull, with ``path`` unchanged, or SyncFailed.
+    """
+    temporary = path.with_name(path.name + ".tmp")
+    try:
+        fd = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+    except OSError as exc:
+        if exc.errno in (errno.ENOSPC, errno.EDQUOT):
+            raise errors.DiskFull(str(exc)) from exc
+        raise errors.SyncFailed(f"{temporary}: {exc}") from exc
+    try:
+        write(fd, data)
+        sync(fd)
+    except errors.DiskFull:
+        temporary.unlink(missing_ok=True)
+        raise
+    finally:
+        os.close(fd)
+    try:
+        os.rename(temporary, path)
+    except OSError as exc:
+        raise errors.SyncFailed(f"rename failed: {exc}") from exc
+    sync_folder(path.parent)
