Count a subscriber's read confirmation for all subscribers

The regular confirmation had started during the election and failed after the subscriber's own one had succeeded; a failure reset the time of the last success. Ruled out: a lost connection to the leader, the change itself went through it.

--- a/oriolelock/distribution/publisher.py
+++ b/oriolelock/distribution/publisher.py
@@ -121,9 +121,12 @@
             # Only a confirmation that starts after the subscription covers everything that
             # the subscriber may have had from another replica before.
             confirmed = fut.result()
+            if confirmed:
+                self._note_confirmed(started_s)
             sub.admit(msg.index, confirmed)
             self._wake.set()
 
+        started_s = clock.monotonic_s()
         with self._lock:
             self._subscribers.add(sub)
         self._source.confirm(CONFIRM_TIMEOUT_S).add_done_callback(admitted)
@@ -156,14 +159,19 @@
         self._confirming = True
 
         def answered(fut):
-            confirmed = fut.result()
-            self._confirmed_s = now if confirmed else None
+            if fut.result():
+                self._note_confirmed(now)
             self._confirming = False
             self._beat_due = True
             self._wake.set()
 
         self._source.confirm(CONFIRM_TIMEOUT_S).add_done_callback(answered)
 
+    def _note_confirmed(self, started_s):
+        # A confirmation that started during an election may fail after a later one succeeds.
+        with self._lock:
+            self._confirmed_s = max(started_s, self._confirmed_s or started_s)
+
     def _publish(self, now):
         beat, self._beat_due = self._beat_due, False
         confirmed = self.confirmed(now)
--- a/tests/distribution/test_publisher.py
+++ b/tests/distribution/test_publisher.py
@@ -11,7 +11,7 @@
 from oriolelock.model import changes, delta
 from oriolelock.once import messages as once_messages
 from oriolelock.wire import codec, errors
-from tests.control import samples
+from tests.control import cluster, samples
 
 TIMEOUT_S = 5.0
 
@@ -53,14 +53,15 @@
 class Rig:
     """A publisher over a state machine; ``confirmable`` stands for the leader's answer."""
 
-    def __init__(self):
+    def __init__(self, unanswered=0):
         self.machine = state.ConfigState()
         self.confirmable = True
+        self.unanswered = unanswered
         self.batches = queue.Queue()
         source = publisher.Source(
             index=lambda: self.machine.view().index,
             changes_since=self.machine.changes_since,
-            confirm=lambda timeout_s: done(self.confirmable),
+            confirm=self.confirm,
             call=lambda payload: done((once_messages.Done(), "")),
             take_reports=self.batches.put,
         )
@@ -68,6 +69,12 @@
         self.publisher.start()
         self.pool = concurrent.futures.ThreadPoolExecutor()
 
+    def confirm(self, timeout_s):
+        self.unanswered -= 1
+        if self.unanswered >= 0:
+            return concurrent.futures.Future()
+        return done(self.confirmable)
+
     def change(self, name):
         put = changes.PutPreset(samples.make_preset(name))
         self.machine.apply(self.machine.view().index + 1, envelope.Command(1.0, put))
@@ -130,6 +137,18 @@
     assert conn.next(lambda msg: msg.confirmed) == messages.Delta(1, 1, (), True)
 
 
+def test_confirmation_for_a_subscriber_holds_while_a_regular_one_waits():
+    rig = Rig(unanswered=1)
+    cluster.wait_for(lambda: rig.unanswered == 0, "the regular confirmation")
+    rig.change("a")
+    conn = rig.connect(1)
+    assert codec.decode(conn.sent.get(timeout=TIMEOUT_S)).confirmed
+    rig.change("b")
+    assert conn.next(is_delta).confirmed
+    rig.publisher.stop()
+    rig.pool.shutdown()
+
+
 def test_subscriber_that_is_ahead_never_goes_back(rig):
     rig.change("a")
     conn = rig.connect(7)
