--- /dev/null
+++ b/tests/control/test_host.py
@@ -0,0 +1,116 @@
+"""Guards against a group that accepts what it can't store, or goes on after a failed sync."""
+
+import itertools
+import queue
+
+import pytest
+
+from oriolelock.consensus import messages, node_settings
+from oriolelock.control import envelope, host, host_settings, machines, unavailable
+from oriolelock.control import messages as control_messages
+from oriolelock.model import changes, results
+from oriolelock.storage import errors, store
+from tests.control import cluster, samples
+
+TIMEOUT_S = 10.0
+
+
+class FailingStore:
+    """A store whose saves raise ``error`` while it is set."""
+
+    def __init__(self, opened):
+        self._store = opened
+        self.error = None
+
+    def __getattr__(self, name):
+        return getattr(self._store, name)
+
+    def save(self, item):
+        if self.error:
+            raise self.error
+        self._store.save(item)
+
+    def save_snapshot(self, *args):
+        if self.error:
+            raise self.error
+        self._store.save_snapshot(*args)
+
+
+class Rig:
+    """A group of one replica on a real store."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.failures = queue.Queue()
+        self.ids = itertools.count(1)
+        replica = messages.Replica("c1", store.INITIAL_INCARNATION, True)
+        store.form(folder, "config", messages.Membership((replica,)))
+        self.start()
+
+    def start(self):
+        self.store = FailingStore(store.open(self.folder, "config"))
+        node_cfg = node_settings.NodeSettings(
+            "c1", self.store.incarnation, 0.02, election_min_s=0.1, election_max_s=0.2
+        )
+        cfg = host_settings.HostSettings(
+            "config", node_cfg, 10, lambda *_: None, self.failures.put, lambda _: None
+        )
+        self.host = host.Host(cfg, self.store, machines.make_machine("config"))
+        self.host.start()
+        cluster.wait_for(lambda: self.host.status().is_leader, "leadership")
+
+    def stop(self):
+        self.host.stop()
+        self.store.close()
+
+    def put(self, change_id=None):
+        change = changes.PutPreset(samples.make_preset("a"))
+        payload = envelope.OperatorChange(change_id or str(next(self.ids)), None, "", change)
+        return self.host.propose(payload)
+
+    def view(self):
+        return self.host.machine.view()
+
+
+@pytest.fixture
+def rig(tmp_path):
+    item = Rig(tmp_path)
+    yield item
+    item.stop()
+
+
+def test_state_and_results_survive_snapshots_and_restart(rig):
+    first = rig.put("same").result(TIMEOUT_S)
+    assert isinstance(first, results.Applied)
+    for fut in [rig.put() for _ in range(35)]:
+        fut.result(TIMEOUT_S)
+    before = rig.view()
+    rig.stop()
+    rig.start()
+    cluster.wait_for(lambda: rig.view().version == 36, "the log to be applied again")
+    assert rig.view() == before
+    assert rig.put("same").result(TIMEOUT_S) == first
+    assert rig.store.load().snapshot_index > 0
+
+
+def test_full_disk_refuses_changes_but_not_reads_until_there_is_room(rig):
+    rig.put().result(TIMEOUT_S)
+    rig.store.error = errors.DiskFull("no space")
+    waiting = rig.put()
+    cluster.wait_for(lambda: rig.host.status().disk_full, "the full disk")
+    assert not waiting.done()
+    assert rig.put().result(0) == unavailable.Unavailable("the disk is full", retry=True)
+    answer = rig.host.confirm_read().result(TIMEOUT_S)
+    assert isinstance(answer, control_messages.Confirmed)
+    assert rig.view().version == 1
+    rig.store.error = None
+    assert waiting.result(TIMEOUT_S).version == 2
+    assert rig.put().result(TIMEOUT_S).version == 3
+    assert rig.failures.empty()
+
+
+def test_failed_sync_ends_the_process(rig):
+    rig.store.error = errors.SyncFailed("device error")
+    fut = rig.put()
+    assert "device error" in rig.failures.get(timeout=TIMEOUT_S)
+    assert not fut.done()
