Send calls with an id to a new leader when the old one is silent

A change sent to a follower while the leader was frozen waited for its whole time-out, because the leader might have taken it. Operator changes, claims and read confirmations carry an id or change nothing, so sending them again is safe; crash reports would count twice and stay as they were. A call that may have been taken is never reported as certainly not applied.

--- a/oriolelock/control/calls.py
+++ b/oriolelock/control/calls.py
@@ -12,13 +12,24 @@
 import threading
 
 from oriolelock import clock, logs
-from oriolelock.control import messages, unavailable
+from oriolelock.control import envelope, messages, unavailable
+from oriolelock.once import messages as once_messages
 
 __all__ = ["Calls"]
 
 # Two rounds of heartbeats after an election, so that a new leader is found soon.
 RETRY_S = 0.1
 CHECK_S = 0.05
+# Commands that carry an id under which their state machine applies them once. They may be sent
+# to a new leader although the old one may have taken them. Others, such as crash reports,
+# would count twice.
+RESENDABLE = (
+    envelope.OperatorChange,
+    messages.ConfirmRead,
+    once_messages.ClaimKey,
+    once_messages.CompleteKey,
+    once_messages.ReleaseKey,
+)
 
 log = logs.get_logger("control.calls")
 
@@ -33,6 +44,14 @@
     target: str = ""
     retry_at_s: float | None = None
     reason: str = "no leader is known"
+    # Some leader may have taken it although no result came back.
+    uncertain: bool = False
+    answered: bool = False
+
+    def retry(self, reason: str) -> None:
+        """Have it sent again a little later."""
+        self.reason = reason
+        self.retry_at_s = clock.monotonic_s() + RETRY_S
 
 
 class Calls:
@@ -90,22 +109,23 @@
         leader = self._hosts[item.group].status().leader
         item.target = leader
         if not leader:
-            item.retry_at_s = clock.monotonic_s() + RETRY_S
+            item.retry("no leader is known")
             return
         item.retry_at_s = None
         if leader == self._name:
             fut = self.serve(item.group, item.payload)
             fut.add_done_callback(lambda done: self._finish(item, done.result()))
         elif not self._send(leader, messages.Forward(item.call_id, item.group, item.payload)):
-            item.reason = f"no connection to the leader {leader}"
-            item.retry_at_s = clock.monotonic_s() + RETRY_S
+            item.retry(f"no connection to the leader {leader}")
 
     def _finish(self, item, result):
-        if isinstance(result, unavailable.Unavailable) and result.retry:
-            item.reason = result.reason
-            item.retry_at_s = clock.monotonic_s() + RETRY_S
-            return
+        if isinstance(result, unavailable.Unavailable):
+            item.uncertain = item.uncertain or not result.retry
+            if result.retry or isinstance(item.payload, RESENDABLE):
+                item.retry(result.reason)
+                return
         if isinstance(result, messages.Confirmed):
+            item.answered = True
             applied = self._hosts[item.group].wait_applied(result.index, result)
             applied.add_done_callback(lambda done: self._resolve(item, done.result()))
             return
@@ -123,12 +143,22 @@
             with self._lock:
                 items = list(self._open.values())
             for item in items:
-                if now >= item.deadline_s:
-                    self._resolve(item, self._expired(item))
-                elif item.retry_at_s is not None and now >= item.retry_at_s:
-                    self._dispatch(item)
+                self._check(item, now)
+
+    def _check(self, item, now):
+        if now >= item.deadline_s:
+            self._resolve(item, self._expired(item))
+        elif item.retry_at_s is not None:
+            if now >= item.retry_at_s:
+                self._dispatch(item)
+        elif isinstance(item.payload, RESENDABLE) and not item.answered:
+            leader = self._hosts[item.group].status().leader
+            if leader not in ("", item.target):
+                # The old leader may be cut off or frozen and need not answer in time.
+                item.uncertain = True
+                self._dispatch(item)
 
     def _expired(self, item):
         if item.retry_at_s is not None:
-            return unavailable.Unavailable(item.reason, retry=True)
+            return unavailable.Unavailable(item.reason, retry=not item.uncertain)
         return unavailable.Unavailable(f"no result from {item.target} in time")
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -104,6 +104,10 @@
         os.kill(process.pid, signal.SIGKILL)
         process.wait()
 
+    def signal(self, name, number):
+        """Send a signal to a replica."""
+        os.kill(self.processes[name].pid, number)
+
     def terminate(self, name):
         """Ask a replica to stop and return its exit code."""
         process = self.processes.pop(name)
--- a/tests/control/test_calls.py
+++ b/tests/control/test_calls.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from oriolelock.control import calls, messages, unavailable
+from oriolelock.control import calls, envelope, messages, unavailable
+from oriolelock.model import changes
 from tests.control import cluster
 
 TIMEOUT_S = 10.0
@@ -76,6 +77,31 @@
     assert len(rig.sent) == 1
 
 
+def test_change_with_an_id_goes_to_a_new_leader_when_the_old_one_is_frozen(rig):
+    change = envelope.OperatorChange("1", None, "", changes.UsePreset("a"))
+    rig.host.leader = "c2"
+    fut, crash = (
+        rig.calls.call("config", payload, timeout_s)
+        for payload, timeout_s in ((change, TIMEOUT_S), (changes.ReportCrash("f", "e"), 0.6))
+    )
+    rig.host.leader = "c3"
+    rig.wait_sent(3)
+    assert [target for target, _ in rig.sent] == ["c2", "c2", "c3"]
+    rig.calls.replied(messages.ForwardReply(rig.sent[2][1].call_id, "done"))
+    assert fut.result(TIMEOUT_S) == "done"
+    # A crash report has no id and would count twice.
+    assert not crash.result(TIMEOUT_S).retry
+    assert len(rig.sent) == 3
+
+
+def test_resent_change_without_a_result_is_not_called_lost(rig):
+    change = envelope.OperatorChange("1", None, "", changes.UsePreset("a"))
+    rig.host.leader = "c2"
+    fut = rig.calls.call("config", change, 0.6)
+    rig.connected, rig.host.leader = False, "c3"
+    assert fut.result(TIMEOUT_S).retry is False
+
+
 def test_call_without_a_connection_was_certainly_not_taken(rig):
     rig.host.leader, rig.connected = "c2", False
     result = rig.calls.call("config", "x", 0.3).result(TIMEOUT_S)
--- a/tests/control/test_cluster.py
+++ b/tests/control/test_cluster.py
@@ -1,7 +1,9 @@
 """Guards against accepted changes that are lost with a replica, and replicas that lie."""
 
 import concurrent.futures
+import contextlib
 import shutil
+import signal
 import subprocess
 import time
 
@@ -118,6 +120,53 @@
     conn.close()
 
 
+def test_leader_that_was_frozen_does_not_vouch_for_its_old_preset(three):
+    old = three.wait_for_leader()
+    assert put(three, old, "normal", "1")[0] == 200
+    assert three.change(old, "2", "use-preset", name="normal")[0] == 200
+    three.signal(old, signal.SIGSTOP)
+    other = next(name for name in three.names if name != old)
+    # Sent while the frozen replica still counts as leader; the new one takes it over.
+    assert put(three, other, "peak", "3")[0] == 200
+    assert three.change(other, "4", "use-preset", name="peak")[0] == 200
+    three.signal(old, signal.SIGCONT)
+    shown = cluster.wait_for(lambda: three.call(old, "status")[1], "an answer")
+    assert shown["in_force"] in (None, "peak")
+    assert cluster.wait_for(lambda: three.in_force(old), "a confirmed read") == "peak"
+
+
+def test_replica_rejoins_by_snapshot_after_hundreds_of_changes(tmp_path):
+    with contextlib.closing(cluster.Cluster(tmp_path, snapshot_every=100)) as three:
+        three.form()
+        for name in three.names:
+            three.start(name)
+        leader = three.wait_for_leader()
+        lost = next(name for name in three.names if name != leader)
+        three.kill(lost)
+        shutil.rmtree(tmp_path / lost)
+        with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            # More than the log keeps before a snapshot, so that the log alone can't do.
+            futs = [pool.submit(put, three, leader, f"p{n % 7}", str(n)) for n in range(1300)]
+            assert {fut.result()[0] for fut in futs} == {200}
+        three.start(lost)
+        cluster.wait_for(lambda: is_voter(three, lost, "config"), f"{lost} counts")
+        assert "restored a snapshot" in (tmp_path / f"{lost}.log").read_text()
+        for name in three.names:
+            if name in three.processes:
+                three.kill(name)
+        for name in three.names:
+            three.start(name)
+        three.wait_for_leader()
+        data = cluster.wait_for(lambda: confirmed_status(three, lost), "a confirmed read")
+        assert data["version"] == 1300
+        assert put(three, lost, "p0", "0")[1]["version"] <= 8
+
+
+def confirmed_status(three, name):
+    data = three.call(name, "status")[1]
+    return data if data and data["confirmed"] else None
+
+
 def test_claim_over_the_uplink_is_granted_once_by_any_replica(three):
     for group in ("config", "record-0", "record-1"):
         three.wait_for_leader(group)
