--- a/oriolelock/control/api.py
+++ b/oriolelock/control/api.py
@@ -14,7 +14,7 @@
 import werkzeug.exceptions
 import werkzeug.wrappers
 
-from oriolelock import clock, logs
+from oriolelock import clock, logs, metrics
 from oriolelock.control import envelope, messages, replica, reports, status_view, unavailable
 from oriolelock.model import errors, from_json, results
 
@@ -37,6 +37,7 @@
     """What the operator API needs; ``extra_state()`` adds to the state dump."""
 
     replica: replica.Replica
+    metrics: metrics.Metrics
     reports: reports.Reports
     extra_state: collections.abc.Callable[[], dict]
 
@@ -142,10 +143,14 @@
         command = _parse_change(_read_json(req))
     except errors.InvalidData as exc:
         return _json({"result": "refused", "reason": str(exc)}, 422)
+    started_s = clock.monotonic_s()
     fut = api.replica.call("config", command, CHANGE_TIMEOUT_S)
     result = _wait(fut, CHANGE_TIMEOUT_S)
-    log.info("Change {}: {}.", command.change_id, result)
-    return _answer(result)
+    data, status = _answer(result)
+    log.info("Change {} of {!r}: {}.", command.change_id, command.operator, result)
+    api.metrics.count(f"control.change.{data['result']}")
+    api.metrics.timing("control.change.latency", (clock.monotonic_s() - started_s) * 1000)
+    return _json(data, status)
 
 
 def _read_json(req):
@@ -180,16 +185,16 @@
 
 def _answer(result):
     if isinstance(result, results.Applied):
-        return _json({"result": "applied", "version": result.version, "index": result.index})
+        return {"result": "applied", "version": result.version, "index": result.index}, 200
     if isinstance(result, results.Conflict):
-        return _json({"result": "conflict", "version": result.version}, 409)
+        return {"result": "conflict", "version": result.version}, 409
     if isinstance(result, results.Refused):
-        return _json({"result": "refused", "reason": result.reason}, 422)
+        return {"result": "refused", "reason": result.reason}, 422
     assert isinstance(result, unavailable.Unavailable), result
     reason = result.reason
     if not result.retry:
         reason += "; it may still be applied, send it again with the same change id"
-    return _json({"result": "unavailable", "reason": reason}, 503)
+    return {"result": "unavailable", "reason": reason}, 503
 
 
 # path -> (method, needs the operator's token, view)
--- a/oriolelock/control/daemon.py
+++ b/oriolelock/control/daemon.py
@@ -11,7 +11,7 @@
 
 import cheroot.wsgi
 
-from oriolelock import clock, logs
+from oriolelock import clock, logs, metrics
 from oriolelock.control import api, messages, overseer, replica, reports, uplink_calls
 from oriolelock.distribution import publisher
 from oriolelock.settings import control as settings
@@ -31,13 +31,15 @@
 
     def __init__(self, cfg: settings.ControlSettings, fail: collections.abc.Callable):
         self._cfg = cfg
+        host, port = cfg.statsd or (None, 0)
+        self._metrics = metrics.Metrics(host, port)
         self._replica = replica.Replica(cfg, fail)
         self._reports = reports.Reports()
-        self._overseer = overseer.Overseer(cfg, self._replica, self._reports)
+        self._overseer = overseer.Overseer(cfg, self._replica, self._reports, self._report_metrics)
         self._replica.take_reports = self._overseer.take_relayed
         self._publisher = publisher.Publisher(self._make_source())
         self._replica.listen(self._on_change)
-        app = api.make_app(api.Api(self._replica, self._reports, self._extra_state))
+        app = api.make_app(api.Api(self._replica, self._metrics, self._reports, self._extra_state))
         self._http = cheroot.wsgi.Server(
             cfg.listen,
             app,
@@ -87,12 +89,17 @@
             take_reports=self._overseer.take_local,
         )
 
+    def _report_metrics(self):
+        self._metrics.gauge("control.index", self._replica.configuration().index)
+        self._metrics.gauge("control.subscribers", len(self._publisher.subscriber_names()))
+
     def _on_change(self, group):
         if group == "config":
             self._publisher.wake()
 
     def _extra_state(self):
         return {
+            "metrics": self._metrics.dump(),
             "subscribers": self._publisher.subscriber_names(),
             "confirmed": self._publisher.confirmed(clock.monotonic_s()),
             "held_back": list(self._overseer.held_back),
--- a/oriolelock/control/instance_list.py
+++ b/oriolelock/control/instance_list.py
@@ -131,6 +131,9 @@
     if isinstance(item, endpoint.Endpoint):
         return [changes.SetEndpoint(item)] if cfg.endpoints.get(item.name) != item else []
     old = cfg.members.get(item.name)
+    if old and not item.link_address:
+        # The platform's list need not know of it.
+        item = dataclasses.replace(item, link_address=old.link_address)
     if old and old.state == "down" and item.state == "live":
         # Only a report of the instance itself ends this state.
         item = dataclasses.replace(item, state="down")
--- a/oriolelock/control/overseer.py
+++ b/oriolelock/control/overseer.py
@@ -6,12 +6,14 @@
     leader of ``config``, watches entries and reads the instance list.
 """
 
+import collections.abc
+import dataclasses
 import threading
 
 from oriolelock import clock, logs
 from oriolelock.control import detector, instance_list, replica, reports, unavailable
 from oriolelock.distribution import messages
-from oriolelock.model import results
+from oriolelock.model import member, results
 from oriolelock.settings import control as settings
 
 __all__ = ["Overseer"]
@@ -27,7 +29,14 @@
 class Overseer:
     """Owns two threads: one for reports and entries, one for the instance list."""
 
-    def __init__(self, cfg: settings.ControlSettings, rep: replica.Replica, heard: reports.Reports):
+    def __init__(
+        self,
+        cfg: settings.ControlSettings,
+        rep: replica.Replica,
+        heard: reports.Reports,
+        report_metrics: collections.abc.Callable[[], None],
+    ):
+        self._report_metrics = report_metrics
         self._cfg = cfg
         self._replica = rep
         self._reports = heard
@@ -69,6 +78,7 @@
     def _watch_once(self, now):
         self.take_local(messages.StatusBatch((self._own_report(),)))
         self._replica.broadcast(self._reports.take_fresh(now))
+        self._report_metrics()
         if not self._replica.status().is_leader:
             self._leading_since_s, self.held_back = None, ()
             return
@@ -100,6 +110,7 @@
                 continue
             try:
                 listed = instance_list.parse(instance_list.fetch(self._cfg.instance_list))
+                listed = {name: self._complete(item) for name, item in listed.items()}
                 self._commit(diff.find_changes(self._replica.configuration(), listed))
                 self._last_error = ""
             except instance_list.ListUnreadable as exc:
@@ -107,6 +118,14 @@
             except Exception:
                 log.exception("Reading the instance list failed.")
 
+    def _complete(self, item):
+        """Add the websocket address of a replica, which only the settings know."""
+        peer = next((peer for peer in self._cfg.peers if peer.name == item.name), None)
+        if peer is None or not isinstance(item, member.Member) or item.link_address:
+            return item
+        host, port = peer.link_address
+        return dataclasses.replace(item, link_address=f"{host}:{port}")
+
     def _report(self, text):
         if text != self._last_error:
             log.warning("The instance list stays as it was: {}.", text)
--- a/oriolelock/metrics.py
+++ b/oriolelock/metrics.py
@@ -20,6 +20,13 @@
     "request.bad": ("counter", "malformed requests from callers"),
     "request.latency": ("timer", "time from receipt to answer"),
     "lookup.answered": ("counter", "look-ups answered"),
+    "control.change.applied": ("counter", "operator changes applied"),
+    "control.change.conflict": ("counter", "operator changes with an outdated version"),
+    "control.change.refused": ("counter", "operator changes that are not allowed"),
+    "control.change.unavailable": ("counter", "operator changes without a result"),
+    "control.change.latency": ("timer", "time from receipt to result of an operator change"),
+    "control.index": ("gauge", "position of the configuration in the log"),
+    "control.subscribers": ("gauge", "subscribers of this replica"),
     "wire.bad_message": ("counter", "messages between processes that did not decode"),
 }
 
--- a/tests/control/test_api.py
+++ b/tests/control/test_api.py
@@ -7,6 +7,7 @@
 import pytest
 import werkzeug.test
 
+from oriolelock import metrics
 from oriolelock.control import api, envelope, messages, reports, state, unavailable
 from oriolelock.distribution import messages as distribution_messages
 from oriolelock.settings import control
@@ -54,7 +55,7 @@
     def __init__(self):
         self.replica = FakeReplica()
         self.reports = reports.Reports()
-        app = api.make_app(api.Api(self.replica, self.reports, dict))
+        app = api.make_app(api.Api(self.replica, metrics.Metrics(), self.reports, dict))
         self.client = werkzeug.test.Client(app)
 
     def get(self, path, token=TOKEN):
