Hold back entries that fall silent one after the other

A replica that is cut off loses its entries within one report interval, not at one instant. The detector compared only those above 3 s with all live ones, so it could set down the first ones until less than half were left. It now counts those above 2 s as well.

--- a/oriolelock/control/detector.py
+++ b/oriolelock/control/detector.py
@@ -13,6 +13,10 @@
 
 __all__ = ["Verdict", "judge"]
 
+# Reports come each second and take up to 0.5 s between replicas. Entries that fall silent
+# together differ by that interval in age, so the first one at 3 s finds the others above 2 s.
+LATE_LIMIT_S = 2.0
+
 
 @dataclasses.dataclass(frozen=True)
 class Verdict:
@@ -32,13 +36,15 @@
     """
     entries = [member for member in cfg.members.values() if member.role == "entry"]
     live = [member for member in entries if member.state == "live"]
-    silent = [m for m in live if min(ages.get(m.name, watched_s), watched_s) > reports.SEEN_LIMIT_S]
+    age_s = {m.name: min(ages.get(m.name, watched_s), watched_s) for m in live}
+    silent = [m for m in live if age_s[m.name] > reports.SEEN_LIMIT_S]
+    late = [m for m in live if age_s[m.name] > LATE_LIMIT_S]
     back = [
         m for m in entries if m.state == "down" and ages.get(m.name, 1e9) <= reports.SEEN_LIMIT_S
     ]
     held_back: list = []
     # When most entries fall silent at once, it is probably this replica that is cut off.
-    if 2 * len(silent) > len(live):
+    if 2 * len(late) > len(live):
         silent, held_back = [], silent
     states = [(m, "down") for m in silent] + [(m, "live") for m in back]
     return Verdict(
--- a/tests/control/test_detector.py
+++ b/tests/control/test_detector.py
@@ -36,3 +36,11 @@
     cfg = make({"a": "live", "b": "live", "c": "live"})
     assert states(detector.judge(cfg, {"b": 0.1, "c": 0.1, "a": 50.0}, 2.0)) == {}
     assert states(detector.judge(cfg, {"b": 0.1, "c": 0.1}, 3.5)) == {"a": "down"}
+
+
+def test_entries_that_fall_silent_within_one_interval_are_held_back():
+    # Setting them down one after the other would leave no majority to hold back.
+    cfg = make({"a": "live", "b": "live", "c": "live"})
+    verdict = detector.judge(cfg, {"a": 3.1, "b": 2.6, "c": 2.2}, 60.0)
+    assert states(verdict) == {}
+    assert verdict.held_back == ("a",)
--- a/tests/control/test_overseer.py
+++ b/tests/control/test_overseer.py
@@ -88,44 +88,45 @@
         follower = next(name for name in item.names if name != leader)
         reporter = Reporter(item.subscribe(follower))
         stack.callback(reporter.close)
-        yield item, instances, reporter, leader
+        yield item, instances, reporter
 
 
-def shown(item, leader):
-    data = item.call(leader, "status")[1]
+def shown(item):
+    """Return the entries as the present leader shows them; leadership may move."""
+    data = item.call(item.wait_for_leader(), "status")[1]
     return {row["name"]: row for row in data["instances"] if row["role"] == "entry"}
 
 
-def states(item, leader):
-    return {name: row["state"] for name, row in shown(item, leader).items()}
+def states(item):
+    return {name: row["state"] for name, row in shown(item).items()}
+
+
+def held_back(item):
+    return item.call(item.wait_for_leader(), "state")[1]["held_back"]
 
 
 def test_entries_follow_list_and_reports(rig):
-    item, instances, reporter, leader = rig
+    item, instances, reporter = rig
     instances.items = [entry(name) for name in ("a", "b", "c")]
     reporter.names = {"a", "b", "c"}
     ready = {"a": "ready", "b": "ready", "c": "ready"}
-    cluster.wait_for(lambda: states(item, leader) == ready, "entries ready")
-    assert all(row["seen"] and row["version"] == 3 for row in shown(item, leader).values())
+    cluster.wait_for(lambda: states(item) == ready, "entries ready")
+    assert all(row["seen"] and row["version"] == 3 for row in shown(item).values())
 
     reporter.names = {"a", "b"}
-    cluster.wait_for(lambda: states(item, leader)["c"] == "down", "c to be down")
+    cluster.wait_for(lambda: states(item)["c"] == "down", "c to be down")
     reporter.names = {"a", "b", "c"}
-    cluster.wait_for(lambda: states(item, leader) == ready, "c to return")
+    cluster.wait_for(lambda: states(item) == ready, "c to return")
 
     reporter.names = set()
-    cluster.wait_for(
-        lambda: len(item.call(leader, "state")[1]["held_back"]) == 3, "silent entries held back"
-    )
-    assert set(states(item, leader).values()) == {"live"}
-    assert not any(row["seen"] for row in shown(item, leader).values())
+    cluster.wait_for(lambda: len(held_back(item)) == 3, "silent entries held back")
+    assert set(states(item).values()) == {"live"}
+    assert not any(row["seen"] for row in shown(item).values())
 
     reporter.names = {"a", "b", "c"}
     instances.items = [entry("a"), entry("b", "leaving")]
-    cluster.wait_for(
-        lambda: states(item, leader) == {"a": "ready", "b": "leaving"}, "b leaves, c is gone"
-    )
+    cluster.wait_for(lambda: states(item) == {"a": "ready", "b": "leaving"}, "b leaves, c is gone")
     for instances.items in ([], None):
         end = instances.reads + 2 * instance_list.READINGS_UNTIL_GONE
         cluster.wait_for(lambda end=end: instances.reads >= end, "readings of the list")
-        assert set(states(item, leader)) == {"a", "b"}
+        assert set(states(item)) == {"a", "b"}
