--- /dev/null
+++ b/oriolelock/lookup/__init__.py
@@ -0,0 +1,6 @@
+"""
+oriolelock.lookup
+~~~~~~~~~~~~~~~~~
+
+    From a client's address to the entries it should use.
+"""
--- /dev/null
+++ b/oriolelock/lookup/packing.py
@@ -0,0 +1,111 @@
+"""
+oriolelock.lookup.packing
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+    The table of client blocks as bytes: 7 bytes a block plus the names of the sites.
+
+    A Python object per block would need over 100 bytes, which the memory limit of an entry
+    rules out at 700,000 blocks.
+"""
+
+import collections.abc
+import ipaddress
+
+import cbor2
+import numpy as np
+
+from oriolelock.lookup import packed_blocks
+from oriolelock.model import errors
+
+__all__ = ["pack", "unpack", "update"]
+
+MAX_SITES = 65_535
+
+
+def pack(table: packed_blocks.PackedBlocks) -> bytes:
+    """Return the byte form of ``table`` for messages and snapshots."""
+    arrays = (table.starts, table.lengths, table.sites)
+    return cbor2.dumps([list(table.names), list(table.regions), *(a.tobytes() for a in arrays)])
+
+
+def unpack(data: bytes) -> packed_blocks.PackedBlocks:
+    """Return the table in ``data``; the arrays are views of it. Raises InvalidData."""
+    if not data:
+        return packed_blocks.EMPTY
+    try:
+        names, regions, starts, lengths, sites = cbor2.loads(data)
+        table = packed_blocks.PackedBlocks(
+            starts=np.frombuffer(starts, dtype="<u4"),
+            lengths=np.frombuffer(lengths, dtype="u1"),
+            sites=np.frombuffer(sites, dtype="<u2"),
+            names=tuple(names),
+            regions=tuple(regions),
+        )
+    except (cbor2.CBORDecodeError, ValueError, TypeError) as exc:
+        raise errors.InvalidData(f"block table does not decode: {exc}") from exc
+    if not len(table.starts) == len(table.lengths) == len(table.sites):
+        raise errors.InvalidData("block table: columns differ in length")
+    return table
+
+
+def _parse(block: str) -> tuple[int, int]:
+    try:
+        network = ipaddress.IPv4Network(block)
+    except ValueError as exc:
+        raise errors.InvalidData(f"block {block!r}: {exc}") from exc
+    return int(network.network_address), network.prefixlen
+
+
+def _site_indexes(table, blocks, site_regions):
+    """Return names and regions with the new sites appended, and the index of each name."""
+    names, regions = list(table.names), list(table.regions)
+    indexes = {name: n for n, name in enumerate(names)}
+    for name in sorted({site for _, site in blocks if site} | set(site_regions)):
+        if name in indexes:
+            regions[indexes[name]] = site_regions.get(name, regions[indexes[name]])
+        elif name in site_regions:
+            indexes[name] = len(names)
+            names.append(name)
+            regions.append(site_regions[name])
+        else:
+            raise errors.InvalidData(f"site {name!r} has no region")
+    if len(names) > MAX_SITES:
+        raise errors.InvalidData(f"{len(names)} sites, at most {MAX_SITES}")
+    return tuple(names), tuple(regions), indexes
+
+
+def _sort_keys(starts, lengths):
+    return (starts.astype(np.uint64) << np.uint64(8)) | lengths.astype(np.uint64)
+
+
+def update(
+    data: bytes,
+    blocks: collections.abc.Sequence[tuple[str, str]],
+    site_regions: collections.abc.Mapping[str, str],
+) -> bytes:
+    """Return the byte form after assigning ``blocks`` (``a.b.c.d/n``, site).
+
+    An empty site removes its block. Raises InvalidData for a bad block or an unknown site.
+    Cost is linear in the size of the table, with small constants (one copy of the arrays).
+    """
+    table = unpack(data)
+    names, regions, indexes = _site_indexes(table, blocks, site_regions)
+    wanted = {_parse(block): site for block, site in blocks}
+    parsed = sorted(wanted)
+    new_starts = np.array([start for start, _ in parsed], dtype="<u4")
+    new_lengths = np.array([length for _, length in parsed], dtype="u1")
+    kept = ~np.isin(_sort_keys(table.starts, table.lengths), _sort_keys(new_starts, new_lengths))
+    stays = np.array([bool(wanted[key]) for key in parsed], dtype=bool)
+    new_sites = np.array([indexes.get(wanted[key], 0) for key in parsed], dtype="<u2")
+    starts, lengths, sites = table.starts[kept], table.lengths[kept], table.sites[kept]
+    at = np.searchsorted(
+        _sort_keys(starts, lengths), _sort_keys(new_starts[stays], new_lengths[stays])
+    )
+    merged = packed_blocks.PackedBlocks(
+        starts=np.insert(starts, at, new_starts[stays]),
+        lengths=np.insert(lengths, at, new_lengths[stays]),
+        sites=np.insert(sites, at, new_sites[stays]),
+        names=names,
+        regions=regions,
+    )
+    return pack(merged)
--- /dev/null
+++ b/tests/lookup/test_blocks.py
@@ -0,0 +1,71 @@
+"""Guards against clients that are steered by a block that does not contain them."""
+
+import ipaddress
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from oriolelock.lookup import blocks, packing
+from oriolelock.model import errors
+
+REGIONS = {"a": "east", "b": "west", "c": "north"}
+
+networks = st.builds(
+    lambda address, length: str(ipaddress.IPv4Network((address, length), strict=False)),
+    st.integers(0x0A000000, 0x0A0000FF),
+    st.integers(22, 32),
+)
+
+
+def naive(assigned, address):
+    inside = [n for n in assigned if ipaddress.IPv4Address(address) in ipaddress.IPv4Network(n)]
+    if not inside:
+        return None
+    return assigned[max(inside, key=lambda n: ipaddress.IPv4Network(n).prefixlen)]
+
+
+@settings(derandomize=True, database=None, deadline=None, max_examples=150)
+@given(
+    st.lists(
+        st.lists(st.tuples(networks, st.sampled_from(["a", "b", "c", ""])), max_size=8),
+        max_size=4,
+    ),
+    st.lists(st.integers(0x09FFFF00, 0x0A0001FF), min_size=1, max_size=30),
+)
+def test_find_agrees_with_a_search_of_all_blocks(updates, addresses):
+    data, assigned = b"", {}
+    for update in updates:
+        data = packing.update(data, update, REGIONS)
+        for block, site in dict(update).items():
+            assigned.pop(block, None)
+            if site:
+                assigned[block] = site
+    table = blocks.BlockTable(data)
+    assert len(table) == len(assigned)
+    for address in addresses:
+        found = table.find(address)
+        assert (found.name if found else None) == naive(assigned, address)
+
+
+def test_whole_range_and_last_address():
+    table = blocks.BlockTable(packing.update(b"", [("0.0.0.0/0", "a")], REGIONS))
+    assert table.find_text("255.255.255.255").region == "east"
+    assert table.find_text("not-an-address") is None
+
+
+@pytest.mark.parametrize("block", ["10.0.0.1/8", "10.0.0.0/33", "x"])
+def test_bad_block_is_refused(block):
+    with pytest.raises(errors.InvalidData, match="block"):
+        packing.update(b"", [(block, "a")], REGIONS)
+
+
+def test_site_without_region_is_refused():
+    with pytest.raises(errors.InvalidData, match="no region"):
+        packing.update(b"", [("10.0.0.0/8", "z")], REGIONS)
+
+
+def test_columns_take_seven_bytes_a_block_on_the_wire():
+    """Guards the memory limit of an entry: 700,000 blocks must not grow into objects."""
+    update = [(f"{n >> 8}.{n & 255}.0.0/16", "a") for n in range(20_000)]
+    assert len(packing.update(b"", update, REGIONS)) < 20_000 * 7 + 200
