--- /dev/null
+++ b/oriolelock/bench/__init__.py
@@ -0,0 +1,6 @@
+"""
+oriolelock.bench
+~~~~~~~~~~~~~~~~
+
+    Load generator, experiments and the measurements behind docs/CAPACITY.md.
+"""
--- /dev/null
+++ b/oriolelock/bench/cmdline.py
@@ -0,0 +1,39 @@
+"""
+oriolelock.bench.cmdline
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+    Finds an experiment by its name and runs it.
+"""
+
+import argparse
+import importlib
+import json
+
+__all__ = ["EXPERIMENTS", "main"]
+
+# name -> (module below oriolelock.bench.experiments, meaning)
+EXPERIMENTS: dict[str, tuple[str, str]] = {
+    "blocks": ("blocks", "table of client blocks: bytes, lookup time, time to apply a change"),
+}
+
+
+def _parser():
+    parser = argparse.ArgumentParser(prog="scripts/bench", description=__doc__)
+    commands = parser.add_subparsers(dest="name", metavar="NAME", required=True)
+    for name, (module, meaning) in EXPERIMENTS.items():
+        command = commands.add_parser(name, help=meaning, description=meaning)
+        command.add_argument("--json", help="also write the figures to this file")
+        experiment = importlib.import_module(f"oriolelock.bench.experiments.{module}")
+        experiment.add_arguments(command)
+        command.set_defaults(run=experiment.run)
+    return parser
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the experiment that ``argv`` names; returns the exit code."""
+    args = _parser().parse_args(argv)
+    figures = args.run(args)
+    if args.json:
+        with open(args.json, "w", encoding="utf-8") as out:
+            json.dump(figures, out, indent=2, sort_keys=True)
+    return 0
