--- a/oriolelock/control/record_state.py
+++ b/oriolelock/control/record_state.py
@@ -28,7 +28,7 @@
 
 def group_of(key: str, groups: int) -> str:
     """Return the name of the group that holds ``key``."""
-    return f"record-{xxhash.xxh64_intdigest(key) % groups}"
+    return f"record-{xxhash.xxh64_intdigest(key.encode()) % groups}"
 
 
 class RecordState:
--- a/oriolelock/control/replica.py
+++ b/oriolelock/control/replica.py
@@ -7,7 +7,6 @@
 
 import collections.abc
 import concurrent.futures
-import pathlib
 import threading
 
 from oriolelock import logs
@@ -38,10 +37,6 @@
 log = logs.get_logger("control.replica")
 
 
-def _folder(cfg, group):
-    return str(pathlib.Path(cfg.data_folder) / group)
-
-
 class Replica:
     """The groups of this replica. Public methods may be called from any thread."""
 
@@ -49,7 +44,7 @@
         self.cfg = cfg
         self._fail = fail
         self._listeners: list[collections.abc.Callable] = []
-        self._stores = {group: store.open(_folder(cfg, group), cfg.name) for group in cfg.groups()}
+        self._stores = {group: store.open(cfg.data_folder, group) for group in cfg.groups()}
         self._hosts = {group: self._make_host(group) for group in cfg.groups()}
         greet = peer_link.make_greeting(cfg, self._stores["config"].incarnation)
         self._links = {peer.name: peer_link.PeerLink(peer, greet) for peer in cfg.others()}
@@ -89,8 +84,10 @@
         waiter = threading.Event()
         for _ in range(round(HAND_OVER_TIMEOUT_S / HAND_OVER_CHECK_S)):
             if not any(item.status().is_leader for item in leading):
+                log.info("Leadership of {} groups is handed over.", len(leading))
                 return
             waiter.wait(HAND_OVER_CHECK_S)
+        log.warning("No other replica took over in time.")
 
     def stop(self) -> None:
         """Stop all threads of the replica."""
@@ -191,6 +188,6 @@
 def form(cfg: settings.ControlSettings) -> None:
     """Create the data folders of an initial replica; raises StorageError when they exist."""
     names = sorted(peer.name for peer in cfg.peers)
+    replicas = [consensus_messages.Replica(n, store.INITIAL_INCARNATION, True) for n in names]
     for group in cfg.groups():
-        replicas = tuple(consensus_messages.Replica(name, "", True) for name in names)
-        store.form(_folder(cfg, group), cfg.name, consensus_messages.Membership(replicas))
+        store.form(cfg.data_folder, group, consensus_messages.Membership(tuple(replicas)))
--- /dev/null
+++ b/tests/control/cluster.py
@@ -0,0 +1,171 @@
+"""Three control replicas as processes on loopback."""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+import yaml
+
+from oriolelock.wire import channel, errors, hello
+
+__all__ = ["CLUSTER_TOKEN", "OPERATOR_TOKEN", "Cluster", "wait_for"]
+
+OPERATOR_TOKEN = "operator-secret"
+CLUSTER_TOKEN = "cluster-secret"
+WAIT_S = 30.0
+CHECK_S = 0.05
+
+
+def wait_for(condition, what, timeout_s=WAIT_S):
+    """Return the first true result of ``condition()``; fails after ``timeout_s``."""
+    end_s = time.monotonic() + timeout_s
+    while time.monotonic() < end_s:
+        found = condition()
+        if found:
+            return found
+        time.sleep(CHECK_S)
+    raise AssertionError(f"not within {timeout_s} s: {what}")
+
+
+def free_ports(count):
+    """Return ports that the kernel chose; all are bound at once, so that they differ."""
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in socks:
+            sock.bind(("127.0.0.1", 0))
+        return [sock.getsockname()[1] for sock in socks]
+
+
+class Cluster:
+    """Settings, processes and HTTP calls of three replicas."""
+
+    def __init__(self, folder: pathlib.Path, **extra):
+        self.folder = folder
+        self.names = ("c1", "c2", "c3")
+        ports = free_ports(6)
+        self.http = dict(zip(self.names, ports[:3], strict=True))
+        self.link = dict(zip(self.names, ports[3:], strict=True))
+        self.processes: dict[str, subprocess.Popen] = {}
+        for name in self.names:
+            self._write_settings(name, extra)
+
+    def _write_settings(self, name, extra):
+        peers = [
+            {
+                "name": peer,
+                "link_address": f"127.0.0.1:{self.link[peer]}",
+                "address": f"127.0.0.1:{self.http[peer]}",
+                "region": f"region-{peer}",
+            }
+            for peer in self.names
+        ]
+        data = {
+            "name": name,
+            "cluster": "test",
+            "region": f"region-{name}",
+            "failure_domain": f"domain-{name}",
+            "listen": f"127.0.0.1:{self.http[name]}",
+            "link_listen": f"127.0.0.1:{self.link[name]}",
+            "data_folder": str(self.folder / name),
+            "peers": peers,
+            "record_groups": 2,
+            "operator_token": OPERATOR_TOKEN,
+            "cluster_token": CLUSTER_TOKEN,
+            **extra,
+        }
+        (self.folder / f"{name}.yaml").write_text(yaml.safe_dump(data))
+
+    def command(self, name, *options):
+        """Return the command line of a replica."""
+        settings = str(self.folder / f"{name}.yaml")
+        return [sys.executable, "-m", "oriolelock.control.main", *options, settings]
+
+    def form(self):
+        """Create all data folders."""
+        for name in self.names:
+            subprocess.run(self.command(name, "--form"), check=True)
+
+    def start(self, name):
+        """Start a replica; its log goes to a file."""
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen(self.command(name), stderr=log)
+
+    def kill(self, name):
+        """End a replica at once."""
+        process = self.processes.pop(name)
+        os.kill(process.pid, signal.SIGKILL)
+        process.wait()
+
+    def terminate(self, name):
+        """Ask a replica to stop and return its exit code."""
+        process = self.processes.pop(name)
+        process.terminate()
+        return process.wait(timeout=WAIT_S)
+
+    def close(self):
+        """End all replicas."""
+        for name in list(self.processes):
+            self.kill(name)
+
+    def call(self, name, path, data=None):
+        """Return status and JSON of a call; (0, None) when the replica does not answer."""
+        body = None if data is None else json.dumps(data).encode()
+        req = urllib.request.Request(
+            f"http://127.0.0.1:{self.http[name]}/oriolelock/{path}",
+            data=body,
+            headers={"Authorization": f"Bearer {OPERATOR_TOKEN}"},
+        )
+        try:
+            with urllib.request.urlopen(req, timeout=12) as res:
+                return res.status, json.load(res)
+        except urllib.error.HTTPError as exc:
+            return exc.code, json.load(exc)
+        except (OSError, ValueError):
+            return 0, None
+
+    def change(self, name, change_id, kind, expect_version=None, /, **fields):
+        """Send a change to a replica."""
+        data = {"change_id": change_id, "expect_version": expect_version, "kind": kind, **fields}
+        return self.call(name, "changes", data)
+
+    def state(self, name, group="config"):
+        """Return what a replica knows of a group, or None."""
+        data = self.call(name, "state")[1]
+        return data["groups"][group] if data else None
+
+    def leader(self, group="config"):
+        """Return the name of the leader that all running replicas agree on, or None."""
+        states = [self.state(name, group) for name in self.processes]
+        names = {item["leader"] if item else "" for item in states}
+        leading = [item for item in states if item and item["is_leader"]]
+        found = names.pop() if len(names) == 1 else ""
+        return found if found in self.processes and len(leading) == 1 else None
+
+    def wait_for_leader(self, group="config"):
+        """Return the name of the leader as soon as all running replicas agree."""
+        return wait_for(lambda: self.leader(group), f"a leader of {group}")
+
+    def in_force(self, name):
+        """Return the preset in force as a replica confirms it, or None."""
+        data = self.call(name, "status")[1]
+        return data["in_force"] if data and data["confirmed"] else None
+
+    def subscribe(self, name, role="entry"):
+        """Return a connection to a replica's websocket port."""
+        greeting = hello.Hello(hello.PROTOCOL_VERSION, "test", CLUSTER_TOKEN, "e1", role)
+
+        def attempt():
+            try:
+                return channel.connect(("127.0.0.1", self.link[name]), greeting)
+            except errors.ChannelClosed:
+                return None
+
+        return wait_for(attempt, f"a connection to {name}")
