Add entry daemon with uplink, endpoint pool and look-ups

Callers need a process that holds the configuration, names entries and forwards requests. The entry takes its configuration from a parent over one websocket, never goes back in index or version, and exchanges requests with endpoints over bounded pools of kept connections.

Ruled out: libcurl's easy interface, whose timers can't bound the wait for a first byte apart from the whole transfer; its multi interface with select(), which stops at descriptor 1024.

Conclusion: a request, a look-up, refusals and a graceful stop work end to end against a scripted parent and endpoint in the tests.

--- /dev/null
+++ b/oriolelock/distribution/uplink.py
@@ -0,0 +1,242 @@
+"""
+oriolelock.distribution.uplink
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+    An entry's connection to its parent: configuration down, reports and calls up.
+"""
+
+import collections.abc
+import queue
+import random
+import threading
+
+from oriolelock import clock, logs
+from oriolelock.distribution import calls, errors, held, messages, stored_copy
+from oriolelock.model import configuration
+from oriolelock.wire import channel, hello
+from oriolelock.wire import errors as wire_errors
+
+__all__ = ["Uplink"]
+
+REPORT_INTERVAL_S = 1.0
+UNCONFIRMED_LIMIT_S = 3.0
+RECV_STEP_S = 0.2
+BACKOFF_MIN_S = 0.1
+BACKOFF_MAX_S = 2.0
+# Calls beyond this number find the connection congested and fail at once.
+MAX_QUEUED_SENDS = 4096
+
+Address = tuple[str, int]
+log = logs.get_logger("uplink")
+
+
+class Uplink:
+    """Thread-safe. ``report`` returns the entry's current StatusReport.
+
+    ``on_config`` runs in the uplink's thread after each change of the configuration.
+    """
+
+    def __init__(
+        self,
+        parents: collections.abc.Sequence[Address],
+        greeting: hello.Hello,
+        report: collections.abc.Callable[[], messages.StatusReport],
+        store: stored_copy.StoredCopy | None = None,
+        on_config: collections.abc.Callable[[configuration.Configuration], None] | None = None,
+        rng: random.Random | None = None,
+    ):
+        self._parents = tuple(parents)
+        self._greeting = greeting
+        self._report = report
+        self._store = store
+        self._on_config = on_config or (lambda cfg: None)
+        self._rng = rng or random.Random()
+        self._calls = calls.Calls()
+        self._held = held.Held()
+        self._has_copy = False
+        self._in_repair = False
+        self._confirmed_s: float | None = None
+        self._parent: Address | None = None
+        self._outbox: queue.Queue | None = None
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="uplink", daemon=True)
+
+    @property
+    def configuration(self) -> configuration.Configuration:
+        """The configuration in use; neither its index nor its version ever decreases."""
+        return self._held.cfg
+
+    @property
+    def is_ready(self) -> bool:
+        """True once a confirmed configuration or an own stored copy is held."""
+        return self._confirmed_s is not None or self._has_copy
+
+    @property
+    def parent(self) -> Address | None:
+        """The address of the connected parent, or None."""
+        return self._parent
+
+    def control_age_s(self, now: float) -> float | None:
+        """Return the seconds since the leader last confirmed the configuration, or None.
+
+        ``now`` is of the monotonic clock. No shift starts while this is large or None.
+        """
+        return None if self._confirmed_s is None else max(0.0, now - self._confirmed_s)
+
+    def start(self) -> None:
+        """Load the stored copy, if any, and connect in the background."""
+        cfg = self._store.load() if self._store else None
+        if cfg is not None:
+            self._held.cfg = cfg
+            self._has_copy = True
+            self._on_config(cfg)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Close the connection; waiting calls end with Disconnected."""
+        self._stopping.set()
+        self._thread.join()
+
+    def send_report(self) -> None:
+        """Send a status report now, for example when the state changes."""
+        self._post(self._report())
+
+    def call(self, payload: object, timeout_s: float) -> object:
+        """Return control's reply to ``payload``, a registered message.
+
+        Raises Disconnected, CallTimeout or CallRefused.
+        """
+        call_id, fut = self._calls.begin()
+        try:
+            if not self._post(messages.UplinkCall(call_id, payload)):
+                raise errors.Disconnected("no connection to a parent")
+            return fut.result(timeout_s)
+        except TimeoutError as exc:
+            raise errors.CallTimeout(f"no reply within {timeout_s:.3f} s") from exc
+        finally:
+            self._calls.end(call_id)
+
+    def _post(self, msg):
+        outbox = self._outbox
+        if outbox is None:
+            return False
+        try:
+            outbox.put_nowait(msg)
+        except queue.Full:
+            return False
+        return True
+
+    def _run(self):
+        failures = 0
+        order = list(self._parents)
+        self._rng.shuffle(order)
+        while not self._stopping.is_set():
+            address = order[failures % len(order)]
+            began_s = clock.monotonic_s()
+            try:
+                self._serve_connection(address)
+            except (wire_errors.WireError, errors.DistributionError) as exc:
+                log.warning("connection to {}:{} ended: {}", *address, exc)
+            failures += 1
+            if clock.monotonic_s() - began_s > 2 * UNCONFIRMED_LIMIT_S:
+                # A connection that lasted ends the back-off, but the next parent is tried first.
+                failures = failures % len(order)
+            longest_s = min(BACKOFF_MAX_S, BACKOFF_MIN_S * 2 ** min(failures, 10))
+            self._stopping.wait(self._rng.uniform(BACKOFF_MIN_S / 2, longest_s))
+
+    def _serve_connection(self, address):
+        link = channel.connect(address, self._greeting)
+        outbox = queue.Queue(MAX_QUEUED_SENDS)
+        # Callers only queue: a send to a peer that does not read would block them.
+        writer = threading.Thread(
+            target=_write_all, args=(link, outbox), name="uplink-writer", daemon=True
+        )
+        writer.start()
+        try:
+            self._parent, self._outbox = address, outbox
+            log.info("connected to {}:{}", *address)
+            self._in_repair = False
+            self._subscribe()
+            self._read_until_broken(link)
+        finally:
+            self._parent = self._outbox = None
+            self._calls.fail_all("connection to the parent ended")
+            link.close()
+            _stop_writer(outbox)
+            writer.join()
+
+    def _subscribe(self):
+        self._post(messages.Subscribe(self._greeting.name, self._held.cfg.index))
+
+    def _read_until_broken(self, link):
+        vouched_s = clock.monotonic_s()
+        report_due_s = 0.0
+        while not self._stopping.is_set():
+            now = clock.monotonic_s()
+            if now >= report_due_s:
+                self._post(self._report())
+                report_due_s = now + REPORT_INTERVAL_S
+            if now - vouched_s > UNCONFIRMED_LIMIT_S:
+                raise errors.Disconnected(f"not confirmed for {UNCONFIRMED_LIMIT_S} s")
+            msg = link.recv(RECV_STEP_S)
+            if msg is not None and self._handle(msg):
+                vouched_s = clock.monotonic_s()
+
+    def _handle(self, msg):
+        """Return True if the message confirms the configuration that is now held."""
+        if isinstance(msg, messages.UplinkReply):
+            self._calls.resolve(msg)
+            return False
+        if not isinstance(msg, messages.Snapshot | messages.Delta):
+            log.info("message {} is not expected from a parent", type(msg).__name__)
+            return False
+        verdict, cfg = self._held.next_after(msg)
+        if verdict is held.Verdict.APPLIED:
+            self._in_repair = False
+            self._replace(cfg)
+            if msg.confirmed:
+                self._confirmed_s = clock.monotonic_s()
+            return msg.confirmed
+        self._repair(verdict, msg)
+        return False
+
+    def _replace(self, cfg):
+        if cfg.index == self._held.cfg.index and cfg.version == self._held.cfg.version:
+            return
+        if self._store:
+            # Stored before use, so that a restart never goes back behind what was served.
+            self._store.save(cfg)
+        self._held.cfg = cfg
+        self._on_config(cfg)
+
+    def _repair(self, verdict, msg):
+        log.warning("{} {} at index {}", verdict.value, msg.wire_name, self._held.cfg.index)
+        if verdict is held.Verdict.BROKEN:
+            self._post(messages.Subscribe(self._greeting.name, 0))
+        elif verdict is held.Verdict.GAP and not self._in_repair:
+            # Deltas that follow a gap arrive before the repair; one request is enough.
+            self._in_repair = True
+            self._subscribe()
+
+
+def _write_all(link, outbox):
+    while True:
+        msg = outbox.get()
+        if msg is None:
+            return
+        try:
+            link.send(msg)
+        except wire_errors.ChannelClosed:
+            return
+
+
+def _stop_writer(outbox):
+    while True:
+        try:
+            outbox.put_nowait(None)
+            return
+        except queue.Full:
+            try:
+                outbox.get_nowait()
+            except queue.Empty:
+                pass
--- /dev/null
+++ b/oriolelock/endpoints/__init__.py
@@ -0,0 +1,6 @@
+"""
+oriolelock.endpoints
+~~~~~~~~~~~~~~~~~~~~
+
+    Exchanges with endpoints over bounded pools of reused connections.
+"""
--- /dev/null
+++ b/oriolelock/entry/body.py
@@ -0,0 +1,37 @@
+"""
+oriolelock.entry.body
+~~~~~~~~~~~~~~~~~~~~~
+
+    Reads the whole body of a caller's request, or says why it can't be used.
+"""
+
+import collections.abc
+
+import cheroot.errors
+
+from oriolelock import outcomes
+
+__all__ = ["read"]
+
+
+def read(environ: collections.abc.Mapping, max_body: int) -> bytes | outcomes.NotRun:
+    """Return the body; a body that is cut short or over ``max_body`` bytes is refused."""
+    length = environ.get("CONTENT_LENGTH", "")
+    chunked = environ.get("wsgi.input_terminated")
+    if length and (chunked or not (length.isascii() and length.isdigit())):
+        # Two lengths, or one that is no number, leave the end of the request in doubt.
+        return outcomes.NotRun("bad-request")
+    if not chunked and not length:
+        return b""
+    try:
+        body = environ["wsgi.input"].read() if chunked else environ["wsgi.input"].read(int(length))
+    except cheroot.errors.MaxSizeExceeded:
+        return outcomes.NotRun("body-too-large")
+    except (ValueError, OSError) as exc:
+        large = "Too Large" in str(exc)
+        return outcomes.NotRun("body-too-large" if large else "bad-request")
+    if len(body) > max_body:
+        return outcomes.NotRun("body-too-large")
+    if not chunked and len(body) != int(length):
+        return outcomes.NotRun("bad-request")
+    return body
--- /dev/null
+++ b/oriolelock/entry/daemon.py
@@ -0,0 +1,206 @@
+"""
+oriolelock.entry.daemon
+~~~~~~~~~~~~~~~~~~~~~~~
+
+    The parts of one entry, put together; start, leave, stop.
+"""
+
+import collections.abc
+import threading
+import uuid
+
+from oriolelock import clock, logs, metrics, outcomes
+from oriolelock.distribution import messages, stored_copy, uplink
+from oriolelock.endpoints import pool
+from oriolelock.entry import app, basic, candidates, flow, http_server, reply
+from oriolelock.model import configuration
+from oriolelock.once import client
+from oriolelock.settings import entry as entry_settings
+from oriolelock.wire import hello
+
+__all__ = ["Entry"]
+
+SWEEP_INTERVAL_S = 5.0
+DRAIN_STEP_S = 0.02
+
+RegionOf = collections.abc.Callable[[configuration.Configuration, str], str | None]
+log = logs.get_logger("entry")
+
+
+class Entry:
+    """One entry. ``start`` binds and returns; ``stop`` finishes what is in flight."""
+
+    def __init__(self, cfg: entry_settings.EntrySettings, region_of: RegionOf = lambda c, ip: None):
+        self._settings = cfg
+        self._region_of = region_of
+        self._incarnation = uuid.uuid4().hex
+        self._lock = threading.Lock()
+        self._in_flight = 0
+        self._state = "live"
+        self._since_s = clock.wall_s()
+        self._is_stopping = False
+        self._stopped = threading.Event()
+        host, port = cfg.statsd or (None, 0)
+        self.counters = metrics.Metrics(host, port)
+        self.uplink = self._make_uplink()
+        self.pool = pool.Pool(
+            lambda item: candidates.connection_limit(self.uplink.configuration, item)
+        )
+        self.once = client.Client(cfg.name, self.uplink.call)
+        self._server: http_server.Server | None = None
+        self._threads: list[threading.Thread] = []
+
+    def _make_uplink(self):
+        cfg = self._settings
+        greeting = hello.Hello(
+            hello.PROTOCOL_VERSION,
+            cfg.cluster,
+            cfg.cluster_token,
+            cfg.name,
+            "entry",
+            self._incarnation,
+        )
+        store = stored_copy.StoredCopy(cfg.data_folder) if cfg.data_folder else None
+        return uplink.Uplink(cfg.control, greeting, self._report, store, self._on_config)
+
+    def _on_config(self, cfg):
+        self._since_s = clock.wall_s()
+        log.info("configuration index {} version {} in use", cfg.index, cfg.version)
+
+    def _report(self):
+        cfg = self.uplink.configuration
+        return messages.StatusReport(
+            self._settings.name,
+            cfg.version,
+            cfg.index,
+            self._state,
+            self._since_s,
+            self.in_flight,
+        )
+
+    @property
+    def in_flight(self) -> int:
+        """The number of requests being answered."""
+        return self._in_flight
+
+    def _count_in_flight(self, by):
+        with self._lock:
+            self._in_flight += by
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """The address that callers connect to, with the port that the kernel chose."""
+        return self._server.bind_addr
+
+    def start(self) -> None:
+        """Connect to control and serve callers; raises OSError when the port is taken."""
+        cfg = self._settings
+        picker = basic.make_picker(cfg.region)
+        steps = flow.Flow(
+            lambda: self.uplink.configuration,
+            lambda: self.uplink.is_ready,
+            self.pool,
+            self.once,
+            picker,
+            self.counters,
+        )
+        self._server = http_server.make(
+            cfg.listen,
+            app.make_app(self._parts(steps)),
+            cfg.threads,
+            cfg.max_headers,
+            cfg.max_body,
+            cfg.drain_timeout_s,
+            self._refusal_headers,
+            self._count_refusal,
+        )
+        self.uplink.start()
+        for target in (self._server.serve, self._sweep):
+            thread = threading.Thread(target=target, daemon=True)
+            thread.start()
+            self._threads.append(thread)
+        log.info("serving callers at {}:{}", *self.address)
+
+    def _parts(self, steps):
+        return app.Parts(
+            serve=steps,
+            config=lambda: self.uplink.configuration,
+            is_ready=lambda: self.uplink.is_ready,
+            is_stopping=lambda: self._is_stopping,
+            in_flight=self._count_in_flight,
+            state=self.dump,
+            region_of=self._region_of,
+            counters=self.counters,
+            region=self._settings.region,
+            lookup_ttl_s=self._settings.lookup_ttl_s,
+            max_body=self._settings.max_body,
+        )
+
+    def _refusal_headers(self, reason):
+        item = reply.Reply(
+            outcomes.NotRun(reason), uuid.uuid4().hex, self.uplink.configuration.version
+        )
+        return reply.outcome_headers(item)
+
+    def _count_refusal(self, reason):
+        self.counters.count("request.not_run")
+        self.counters.count("request.bad")
+
+    def _sweep(self):
+        while not self._stopped.wait(SWEEP_INTERVAL_S):
+            cfg = self.uplink.configuration
+            self.pool.sweep(clock.monotonic_s(), {e.address for e in cfg.endpoints.values()})
+
+    def dump(self) -> dict:
+        """Return the state for operators; it holds no secret."""
+        cfg = self.uplink.configuration
+        parent = self.uplink.parent
+        return {
+            "name": self._settings.name,
+            "region": self._settings.region,
+            "failure_domain": self._settings.failure_domain,
+            "state": self._state,
+            "ready": self.uplink.is_ready,
+            "index": cfg.index,
+            "version": cfg.version,
+            "in_force": cfg.in_force,
+            "parent": f"{parent[0]}:{parent[1]}" if parent else None,
+            "control_age_s": self.uplink.control_age_s(clock.monotonic_s()),
+            "in_flight": self.in_flight,
+            "connections": {a: list(c) for a, c in self.pool.counts().items()},
+            "metrics": self.counters.dump(),
+        }
+
+    def leave(self, aborted: threading.Event | None = None) -> None:
+        """Announce leaving and keep serving until look-ups have stopped naming this entry.
+
+        Returns early when ``aborted`` is set.
+        """
+        self._state = "leaving"
+        self._since_s = clock.wall_s()
+        self._server.is_leaving = True
+        self.uplink.send_report()
+        wait_s = self._settings.lookup_ttl_s + self._settings.leave_lag_s
+        log.info("leaving; serving for another {:.1f} s", wait_s)
+        (aborted or threading.Event()).wait(wait_s)
+
+    def stop(self) -> bool:
+        """Refuse new work, finish what is in flight, close.
+
+        Returns False when requests were still in flight after the drain timeout.
+        """
+        self._is_stopping = True
+        self._server.is_leaving = True
+        end_s = clock.monotonic_s() + self._settings.drain_timeout_s
+        while self.in_flight and clock.monotonic_s() < end_s:
+            self._stopped.wait(DRAIN_STEP_S)
+        drained = self.in_flight == 0
+        self._stopped.set()
+        self._server.stop()
+        self.once.close()
+        self.pool.close()
+        self.uplink.stop()
+        for thread in self._threads:
+            thread.join()
+        log.info("stopped; in flight: {}", self.in_flight)
+        return drained
--- /dev/null
+++ b/oriolelock/entry/http_server.py
@@ -0,0 +1,142 @@
+"""
+oriolelock.entry.http_server
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+    The HTTP server towards callers: bounded threads, limits, graceful stop.
+"""
+
+import collections.abc
+import json
+
+import cheroot.server
+import cheroot.wsgi
+
+from oriolelock import clock, logs
+from oriolelock.entry import http_socket
+
+__all__ = ["RECEIVED_KEY", "Server", "make"]
+
+READ_LIMIT_S = 5.0
+WRITE_LIMIT_S = 10.0
+REFUSAL_LIMIT_S = 1.0
+KEEP_ALIVE_S = 60.0
+LISTEN_BACKLOG = 512
+KEEP_ALIVE_CONNECTIONS = 4096
+REASONS = {"413": "body-too-large", "414": "headers-too-large"}
+HEADERS_TEXT = "headers"
+RECEIVED_KEY = "oriolelock.received_s"
+
+log = logs.get_logger("http")
+
+
+class _Request(cheroot.server.HTTPRequest):
+    """Answers what the server itself refuses in the form of all other refusals."""
+
+    def simple_response(self, status, msg=""):
+        """Send a refusal; the body is short JSON."""
+        code, reason = str(status)[:3], REASONS.get(str(status)[:3], "bad-request")
+        if code in ("413", "414") and HEADERS_TEXT in msg or code == "414":
+            status, reason = "431 Request Header Fields Too Large", "headers-too-large"
+        self.close_connection = True
+        body = json.dumps({"outcome": "not-run", "reason": reason, "detail": str(msg)}).encode()
+        lines = [
+            f"{self.server.protocol} {status}",
+            "Content-Type: application/json",
+            f"Content-Length: {len(body)}",
+            "Connection: close",
+            *(f"{name}: {value}" for name, value in self.server.refusal_headers(reason)),
+        ]
+        self.server.on_refusal(reason)
+        self.conn.socket.set_limit(REFUSAL_LIMIT_S)
+        self.conn.wfile.write("\r\n".join([*lines, "", ""]).encode("latin-1") + body)
+
+    def send_headers(self):
+        """Send status and headers; while the server is leaving, end the connection after."""
+        # What follows a chunked body is not read, so that it can't be taken for a request.
+        if self.server.is_leaving or self.chunked_read:
+            self.close_connection = True
+        # Reads what is left of the request body, still within the limit for reading.
+        if not self.close_connection and not self.chunked_read:
+            remaining = getattr(self.rfile, "remaining", 0)
+            if remaining > 0:
+                self.rfile.read(remaining)
+        self.conn.socket.set_limit(WRITE_LIMIT_S)
+        super().send_headers()
+
+
+class _Gateway(cheroot.wsgi.Gateway_10):
+    def get_environ(self):
+        """Add when the request arrived, which is before a thread was free to read it."""
+        return {**super().get_environ(), RECEIVED_KEY: self.req.conn.received_s}
+
+
+class _Connection(cheroot.server.HTTPConnection):
+    RequestHandlerClass = _Request
+
+    def __init__(self, server, sock, makefile=cheroot.server.MakeFile):
+        super().__init__(server, http_socket.DeadlineSocket(sock), makefile)
+        self.received_s: float | None = None
+
+    def communicate(self):
+        """Read and answer one request."""
+        self.socket.set_limit(READ_LIMIT_S)
+        return super().communicate()
+
+
+class Server(cheroot.wsgi.Server):
+    """``on_refusal(reason)`` is told each request that the application never sees."""
+
+    ConnectionClass = _Connection
+    keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
+    is_leaving = False
+
+    def __init__(self, *args, refusal_headers, on_refusal, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.refusal_headers = refusal_headers
+        self.on_refusal = on_refusal
+
+    def process_conn(self, conn):
+        """Hand a connection to a thread, once it has sent something."""
+        now = clock.monotonic_s()
+        if conn.received_s is None:
+            conn.received_s = now
+            self.put_conn(conn)
+            return
+        conn.received_s = now
+        super().process_conn(conn)
+
+    def error_log(self, msg="", level=20, traceback=False):
+        """Send the server's own messages to the log of the process."""
+        if level >= 40:
+            log.error("{}", msg, exc_info=traceback)
+        else:
+            log.debug("{}", msg)
+
+
+def make(
+    address: tuple[str, int],
+    app: collections.abc.Callable,
+    threads: int,
+    max_headers: int,
+    max_body: int,
+    drain_timeout_s: float,
+    refusal_headers: collections.abc.Callable[[str], list[tuple[str, str]]],
+    on_refusal: collections.abc.Callable[[str], None],
+) -> Server:
+    """Return a server that is bound to ``address`` but does not serve yet."""
+    server = Server(
+        address,
+        app,
+        numthreads=threads,
+        max=threads,
+        request_queue_size=LISTEN_BACKLOG,
+        timeout=KEEP_ALIVE_S,
+        shutdown_timeout=drain_timeout_s,
+        refusal_headers=refusal_headers,
+        on_refusal=on_refusal,
+    )
+    server.gateway = _Gateway
+    server.max_request_header_size = max_headers
+    server.max_request_body_size = max_body
+    server.prepare()
+    return server
--- /dev/null
+++ b/oriolelock/lookup/__init__.py
@@ -0,0 +1,6 @@
+"""
+oriolelock.lookup
+~~~~~~~~~~~~~~~~~
+
+    Which entries a caller is told to use.
+"""
--- a/oriolelock/metrics.py
+++ b/oriolelock/metrics.py
@@ -19,6 +19,8 @@
     "request.unknown": ("counter", "requests that may have run"),
     "request.bad": ("counter", "malformed requests from callers"),
     "request.latency": ("timer", "time from receipt to answer"),
+    "request.retried": ("counter", "further attempts of requests"),
+    "endpoint.silent": ("counter", "kept connections to endpoints that gave no first byte"),
     "lookup.answered": ("counter", "look-ups answered"),
     "wire.bad_message": ("counter", "messages between processes that did not decode"),
 }
--- /dev/null
+++ b/tests/entry/test_daemon.py
@@ -0,0 +1,117 @@
+"""Guards against an entry that answers wrongly, or cuts off work when it stops."""
+
+import json
+import threading
+
+import pytest
+
+from tests import fake_endpoint, waiting
+
+
+def outcome_of(response):
+    return response.getheader("Oriolelock-Outcome"), response.getheader("Oriolelock-Reason")
+
+
+def test_request_reaches_endpoint_and_answer_comes_back(start):
+    item = start().wait_ready()
+    response = item.ask("POST", "/page?x=1", b"abc", {"Content-Type": "text/x"})
+    assert (response.status, response.content) == (200, b"ok")
+    assert outcome_of(response) == ("complete", "ok")
+    seen = item.endpoint.requests[0]
+    assert (seen.method, seen.target, seen.body) == ("POST", "/page?x=1", b"abc")
+    assert seen.headers["oriolelock-operation"] == "view"
+    assert 0 < int(seen.headers["x-deadline-ms"]) <= 3000
+    assert response.getheader("Oriolelock-Request-Id") == seen.request_id
+    assert response.getheader("Oriolelock-Config-Version") == "2"
+    assert response.getheader("X-Load") is None
+
+
+def test_lookup_names_the_entry(start):
+    item = start().wait_ready()
+    response = item.ask(path="/oriolelock/lookup?service=proofs&client=127.0.0.9")
+    data = json.loads(response.content)
+    assert [e["name"] for e in data["entries"]] == ["a"]
+    assert (data["ttl_ms"], data["version"]) == (50, 2)
+    assert response.getheader("Oriolelock-Outcome") == "complete"
+
+
+@pytest.mark.parametrize(
+    ("path", "reason"),
+    [("service=nope", "unknown-service"), ("service=proofs&client=x", "bad-request")],
+)
+def test_bad_lookup_is_refused(start, path, reason):
+    response = start().wait_ready().ask(path="/oriolelock/lookup?" + path)
+    assert outcome_of(response) == ("not-run", reason)
+
+
+@pytest.mark.parametrize(
+    ("headers", "drop", "status", "reason"),
+    [
+        ({"Oriolelock-Service": "nope"}, (), 404, "unknown-service"),
+        ({}, ("Oriolelock-Service",), 400, "bad-request"),
+        ({}, ("Oriolelock-Deadline-Ms",), 400, "deadline-missing"),
+        ({"Oriolelock-Deadline-Ms": "0"}, (), 503, "deadline-passed"),
+        ({"Oriolelock-Deadline-Ms": "soon"}, (), 400, "bad-request"),
+        ({"Oriolelock-Operation": "confirm"}, (), 400, "key-missing"),
+        ({"Oriolelock-Operation": "confirm", "Idempotency-Key": "x-1"}, (), 400, "bad-request"),
+        ({"Oriolelock-Operation": "confirm", "Idempotency-Key": "99-1"}, (), 400, "key-expired"),
+        ({"X-Long": "x" * 5000}, (), 431, "headers-too-large"),
+    ],
+)
+def test_bad_request_is_refused_and_counted(start, headers, drop, status, reason):
+    item = start().wait_ready()
+    response = item.ask(headers=headers, drop=drop)
+    assert (response.status, outcome_of(response)) == (status, ("not-run", reason))
+    assert json.loads(response.content)["reason"] == reason
+    assert item.entry.counters.dump()["request.not_run"] == 1
+    assert item.endpoint.requests == []
+    assert item.ask().status == 200
+
+
+def test_large_body_is_refused(start):
+    item = start().wait_ready()
+    response = item.ask("POST", body=b"x" * 5000)
+    assert (response.status, outcome_of(response)) == (413, ("not-run", "body-too-large"))
+    chunked = item.ask("POST", body=iter([b"x" * 3000, b"y" * 3000]))
+    assert (chunked.status, outcome_of(chunked)) == (413, ("not-run", "body-too-large"))
+    assert item.endpoint.requests == []
+
+
+def test_not_ready_before_first_configuration(start):
+    item = start(control=(("127.0.0.1", 9),))
+    assert outcome_of(item.ask()) == ("not-run", "not-ready")
+    assert item.ask(path="/oriolelock/ready").status == 503
+
+
+def test_state_shows_no_secret(start):
+    item = start().wait_ready()
+    response = item.ask(path="/oriolelock/state")
+    assert json.loads(response.content)["version"] == 2
+    assert b"secret" not in response.content
+
+
+def test_stop_finishes_request_in_flight(start):
+    item = start().wait_ready()
+    release = threading.Event()
+
+    def behave(seen, conn):
+        release.wait(20)
+        return fake_endpoint.answer(seen)
+
+    item.endpoint.behave = behave
+    responses = []
+    caller = threading.Thread(target=lambda: responses.append(item.ask()))
+    caller.start()
+    item.endpoint.wait_for(lambda requests: len(requests) == 1)
+    item.entry.leave()
+    item.parent.wait_for(lambda: any(r.state == "leaving" for r in item.parent.reports))
+    stopped = []
+    stopper = threading.Thread(target=lambda: stopped.append(item.entry.stop()))
+    stopper.start()
+    waiting.until(lambda: item.entry._is_stopping)
+    assert stopped == []
+    release.set()
+    stopper.join(20)
+    caller.join(20)
+    assert stopped == [True]
+    assert [r.status for r in responses] == [200]
