--- a/oriolelock/endpoints/answer.py
+++ b/oriolelock/endpoints/answer.py
@@ -18,6 +18,13 @@
     pycurl.E_OPERATION_TIMEDOUT: "connect-timeout",
 }
 SHORT_ERRORS = (pycurl.E_PARTIAL_FILE, pycurl.E_RECV_ERROR)
+# A refused connection stands here for a kept one that failed and could not be replaced.
+LOST_ERRORS = (
+    pycurl.E_GOT_NOTHING,
+    pycurl.E_SEND_ERROR,
+    pycurl.E_RECV_ERROR,
+    pycurl.E_COULDNT_CONNECT,
+)
 
 
 def _parse_headers(lines):
@@ -50,15 +57,17 @@
     if got.header_lines:
         reason = "short" if got.error in SHORT_ERRORS else "malformed"
         return results.BadAnswer(reason, elapsed_s)
-    if got.error in (pycurl.E_GOT_NOTHING, pycurl.E_SEND_ERROR, pycurl.E_RECV_ERROR):
+    if got.error in LOST_ERRORS:
         return results.ConnectionLost(elapsed_s)
     return results.BadAnswer("malformed", elapsed_s)
 
 
 def judge(req: request.Request, got: connection.Transfer, elapsed_s: float) -> results.Result:
     """Return the result of an attempt; anything but a whole own answer is a failure."""
-    if got.expired or got.silent or got.error or got.too_large:
+    if got.expired or got.silent or got.error or got.too_large or not got.header_lines:
         return _judge_failure(got, elapsed_s)
+    if not got.headers_end:
+        return results.BadAnswer("short", elapsed_s)
     headers = _parse_headers(got.header_lines)
     lowered = {name.lower(): value for name, value in headers}
     if lowered.get("x-request-id") != req.request_id:
--- a/oriolelock/endpoints/connection.py
+++ b/oriolelock/endpoints/connection.py
@@ -31,6 +31,7 @@
 
     header_lines: list[bytes] = dataclasses.field(default_factory=list)
     header_bytes: int = 0
+    headers_end: bool = False
     chunks: list[bytes] = dataclasses.field(default_factory=list)
     body_bytes: int = 0
     error: int = 0
@@ -45,11 +46,14 @@
         """Keep one header line; a new status line starts over, as after ``100 Continue``."""
         if line.startswith(b"HTTP/"):
             self.header_lines.clear()
+            self.headers_end = False
         self.header_bytes += len(line)
         if self.header_bytes > MAX_ANSWER_HEADER_BYTES:
             self.too_large = True
             return 0
-        self.header_lines.append(line)
+        if not self.headers_end:  # else a trailer, after the body
+            self.header_lines.append(line)
+            self.headers_end = line in (b"\r\n", b"\n")
         return len(line)
 
     def add_body(self, data: bytes) -> int:
@@ -128,10 +132,12 @@
             into.reconnected = reused and handle.getinfo(pycurl.NUM_CONNECTS) > 0
             self._kept_fd = handle.getinfo(pycurl.ACTIVESOCKET)
             into.status = handle.getinfo(pycurl.RESPONSE_CODE)
-            # The request size alone could lag behind what the kernel has accepted.
+            # The request size alone could lag behind what the kernel has accepted. The time
+            # before the transfer is no use: libcurl sets it for failed connections too.
             into.sent = (
-                handle.getinfo(pycurl.REQUEST_SIZE) > 0
-                or handle.getinfo(pycurl.PRETRANSFER_TIME) > 0
+                reused
+                or handle.getinfo(pycurl.REQUEST_SIZE) > 0
+                or handle.getinfo(pycurl.CONNECT_TIME) > 0
             )
         finally:
             self._multi.remove_handle(handle)
