--- /dev/null
+++ b/tests/distribution/test_uplink.py
@@ -0,0 +1,206 @@
+"""Guards against configurations that go back, gaps that stay, and calls that never end."""
+
+import random
+import threading
+
+import pytest
+
+from oriolelock.distribution import errors, messages, stored_copy, uplink
+from oriolelock.model import changes, delta
+from oriolelock.once import messages as once
+from oriolelock.wire import hello
+from tests import fake_parent, waiting
+
+
+def use(index, name="day"):
+    return delta.CommittedChange(index, 1000.0 + index, changes.UsePreset(name))
+
+
+def report():
+    return messages.StatusReport("a", 0, 0, "live", 0.0, 0)
+
+
+@pytest.fixture
+def connect():
+    made = []
+
+    def make(*parents, store=None):
+        greeting = hello.Hello(1, fake_parent.CLUSTER, fake_parent.TOKEN, "a", "entry", "i")
+        addresses = [p.address for p in parents]
+        made.append(uplink.Uplink(addresses, greeting, report, store, rng=random.Random(1)))
+        made[-1].start()
+        return made[-1]
+
+    yield make
+    for item in made:
+        item.stop()
+
+
+@pytest.fixture
+def parent():
+    item = fake_parent.FakeParent(fake_parent.make_config())
+    yield item
+    item.close()
+
+
+@pytest.fixture
+def other():
+    item = fake_parent.FakeParent(fake_parent.make_config())
+    yield item
+    item.close()
+
+
+def index_is(link, index):
+    return lambda: link.configuration.index == index
+
+
+def test_snapshot_then_delta_is_applied(connect, parent):
+    link = connect(parent)
+    waiting.until(lambda: link.is_ready)
+    parent.confirms = False
+    parent.send(messages.Delta(5, 6, (use(6),), True))
+    waiting.until(index_is(link, 6))
+    assert (link.configuration.version, parent.subscriptions[0].index) == (3, 0)
+    parent.wait_for(lambda: parent.reports)
+
+
+def test_gap_is_repaired_by_one_subscription(connect, parent):
+    link = connect(parent)
+    waiting.until(lambda: link.is_ready)
+    parent.cfg = fake_parent.make_config(index=9, version=6)
+    parent.confirms = False
+    for index in (8, 9):
+        parent.send(messages.Delta(index - 1, index, (use(index),), True))
+    waiting.until(index_is(link, 9))
+    assert link.configuration.version == 6
+    assert [s.index for s in parent.subscriptions] == [0, 5]
+
+
+@pytest.mark.parametrize(
+    "older",
+    [
+        messages.Snapshot(fake_parent.make_config(index=3, version=1), True),
+        messages.Snapshot(fake_parent.make_config(index=8, version=1), True),
+        messages.Delta(1, 3, (use(2), use(3)), True),
+    ],
+)
+def test_configuration_never_goes_back(connect, parent, older):
+    link = connect(parent)
+    waiting.until(lambda: link.is_ready)
+    parent.confirms = False
+    parent.send(older)
+    parent.send(messages.Delta(5, 6, (use(6),), False))
+    waiting.until(index_is(link, 6))
+    assert link.configuration.version == 3
+
+
+def test_delta_that_fails_asks_for_everything(connect, parent):
+    link = connect(parent)
+    waiting.until(lambda: link.is_ready)
+    parent.confirms = False
+    parent.send(messages.Delta(5, 6, (use(6, "no such preset"),), True))
+    parent.wait_for(lambda: len(parent.subscriptions) == 2)
+    assert (parent.subscriptions[1].index, link.configuration.index) == (0, 5)
+
+
+def test_unconfirmed_parent_is_left_for_another(connect, parent, other):
+    parent.confirms = other.confirms = False
+    link = connect(parent, other)
+    parent.wait_for(lambda: parent.subscriptions)
+    assert not link.is_ready
+    other.confirms = True
+    waiting.until(lambda: link.is_ready)
+    assert link.parent == other.address
+    assert link.control_age_s(float("inf")) is not None
+
+
+def test_lost_parent_is_replaced_and_subscription_continues(connect, parent, other):
+    link = connect(parent, other)
+    waiting.until(lambda: link.is_ready)
+    first, second = (parent, other) if link.parent == parent.address else (other, parent)
+    first.close()
+    second.wait_for(lambda: second.subscriptions)
+    assert second.subscriptions[0].index == 5
+    waiting.until(lambda: link.parent == second.address)
+
+
+def test_call_returns_its_own_reply(connect, parent):
+    parent.on_call = lambda payload: once.Recorded(once.Answer(200, payload.key, b""))
+    link = connect(parent)
+    waiting.until(lambda: link.parent)
+    wrong = []
+
+    def work(thread):
+        for number in range(20):
+            key = f"{thread}-{number}"
+            reply = link.call(once.ReleaseKey(key, "c", False), 10)
+            if reply.answer.content_type != key:
+                wrong.append(key)
+
+    threads = [threading.Thread(target=work, args=(n,)) for n in range(4)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert wrong == []
+
+
+def test_call_without_reply_ends_with_typed_error(connect, parent):
+    parent.on_call = lambda payload: None
+    link = connect(parent)
+    waiting.until(lambda: link.parent)
+    with pytest.raises(errors.CallTimeout):
+        link.call(once.ReleaseKey("k", "c", False), 0.05)
+    caught = []
+
+    def call():
+        try:
+            link.call(once.ReleaseKey("k", "c", False), 30)
+        except errors.Disconnected as exc:
+            caught.append(exc)
+
+    caller = threading.Thread(target=call)
+    caller.start()
+    parent.wait_for(lambda: len(parent.calls) == 2)
+    parent.close()
+    caller.join(10)
+    assert len(caught) == 1
+    with pytest.raises(errors.Disconnected):
+        waiting.until(lambda: link.parent is None)
+        link.call(once.ReleaseKey("k", "c", False), 1)
+
+
+def test_stored_copy_makes_ready_and_is_never_behind(connect, parent, tmp_path):
+    link = connect(parent, store=stored_copy.StoredCopy(str(tmp_path)))
+    waiting.until(lambda: link.is_ready)
+    parent.confirms = False
+    parent.send(messages.Delta(5, 6, (use(6),), False))
+    waiting.until(index_is(link, 6))
+    stored = stored_copy.StoredCopy(str(tmp_path)).load()
+    assert stored == link.configuration
+    alone = connect(type("Gone", (), {"address": ("127.0.0.1", 9)}), store=link._store)
+    assert (alone.is_ready, alone.configuration.index) == (True, 6)
+    assert alone.control_age_s(0.0) is None
+
+
+@pytest.mark.parametrize("damage", [lambda d: d[:-1], lambda d: d[:-1] + b"\xff", lambda d: b""])
+def test_damaged_stored_copy_is_ignored(tmp_path, damage):
+    store = stored_copy.StoredCopy(str(tmp_path))
+    assert store.load() is None
+    store.save(fake_parent.make_config())
+    path = tmp_path / stored_copy.FILE_NAME
+    path.write_bytes(damage(path.read_bytes()))
+    assert store.load() is None
+
+
+def test_copy_that_cannot_be_replaced_is_removed(tmp_path, monkeypatch):
+    """An old copy would take the entry back to it after a restart."""
+    store = stored_copy.StoredCopy(str(tmp_path))
+    store.save(fake_parent.make_config())
+
+    def fail(fd):
+        raise OSError(28, "No space left on device")
+
+    monkeypatch.setattr(stored_copy.os, "fsync", fail)
+    store.save(fake_parent.make_config(index=6))
+    assert store.load() is None
