--- a/oriolelock/once/record.py
+++ b/oriolelock/once/record.py
@@ -12,10 +12,11 @@
 import dataclasses
 import re
 
+import cbor2
 import sortedcontainers
 
 from oriolelock.once import key_record, messages
-from oriolelock.wire import codec
+from oriolelock.wire import codec, errors
 
 __all__ = ["State", "apply", "encode", "restore"]
 
@@ -208,18 +209,24 @@
 
 def encode(state: State) -> bytes:
     """Return the state as CBOR, for a snapshot."""
-    records = tuple(state.records.values())
+    rows = cbor2.dumps([key_record.to_row(item) for item in state.records.values()])
     return codec.encode(
-        key_record.RecordSnapshot(state.horizon_s, state.max_keys, records, tuple(state.free))
+        key_record.RecordSnapshot(state.horizon_s, state.max_keys, rows, tuple(state.free))
     )
 
 
 def restore(data: bytes) -> State:
     """Return the state in a snapshot; raises DecodeError of the wire layer."""
     snapshot = codec.decode(data)
+    if not isinstance(snapshot, key_record.RecordSnapshot):
+        raise errors.DecodeError(f"not a snapshot of the record: {type(snapshot).__name__}")
+    try:
+        records = [key_record.from_row(row) for row in cbor2.loads(snapshot.rows)]
+    except (cbor2.CBORDecodeError, TypeError, ValueError) as exc:
+        raise errors.DecodeError(f"record-snapshot.rows: {exc}") from exc
     state = State(snapshot.max_keys)
     state.horizon_s = snapshot.horizon_s
-    for item in snapshot.records:
+    for item in records:
         state.records[item.key] = item
         state.buckets.setdefault(_created_s(item.key) // BUCKET_S, {})[item.key] = None
         state.answer_bytes += len(item.answer.body) if item.answer else 0
--- a/tests/once/test_record.py
+++ b/tests/once/test_record.py
@@ -1,11 +1,13 @@
 """Guards against a request that runs twice, and against a key that is lost or stuck."""
 
+import cbor2
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from oriolelock.once import key_record, record
 from oriolelock.once import messages as m
-from oriolelock.once import record
+from oriolelock.wire import codec, errors
 
 T0 = 1_000_000.0
 
@@ -80,6 +82,13 @@
     assert answer.too_large and answer.body == b"" and state.answer_bytes == 0
 
 
+def test_damaged_snapshot_is_refused():
+    for rows in (b"", b"\xff", cbor2.dumps([["short"]]), cbor2.dumps(7)):
+        data = codec.encode(key_record.RecordSnapshot(0.0, 1, rows, ()))
+        with pytest.raises(errors.DecodeError):
+            record.restore(data)
+
+
 KEYS = st.sampled_from(["1000000-a", "1000000-b", "1000030-a"])
 IDS = st.sampled_from(["c1", "c2", "c3"])
 COMMANDS = st.one_of(
