--- /dev/null
+++ b/oriolelock/bench/__init__.py
@@ -0,0 +1,6 @@
+"""
+oriolelock.bench
+~~~~~~~~~~~~~~~~
+
+    Fleets of processes on one machine, the demonstration, and experiments.
+"""
