--- a/tests/waiting.py
+++ b/tests/waiting.py
@@ -3,9 +3,9 @@
 import time
 
 
-def until(condition, timeout_s=15):
+def until(condition, timeout_s=15, what="condition"):
     end_s = time.monotonic() + timeout_s
     while not (value := condition()):
-        assert time.monotonic() < end_s, "condition not met in time"
+        assert time.monotonic() < end_s, f"{what} not met in time"
         time.sleep(0.005)
     return value
