Keep cancelled work out of a slot that becomes free in between

Cause: queued work that was cancelled ran when a slot was freed before its thread looked at the cancellation. The cancellation is now checked again when the wait ends.

--- a/oriolelock/standin/slots.py
+++ b/oriolelock/standin/slots.py
@@ -54,7 +54,8 @@
             if is_cancelled():
                 return "shed"
             self._changed.wait(left_s)
-        return ""
+        # A slot may become free between the cancellation and this thread's turn.
+        return "shed" if is_cancelled() else ""
 
     def wake(self) -> None:
         """Let the waiting threads look at their cancellation again."""
