--- a/tests/distribution/test_uplink.py
+++ b/tests/distribution/test_uplink.py
@@ -79,7 +79,7 @@
 @pytest.mark.parametrize(
     "older",
     [
-        messages.Snapshot(fake_parent.make_config(index=3, version=1), True),
+        messages.Snapshot(fake_parent.make_config(index=3, version=2), True),
         messages.Snapshot(fake_parent.make_config(index=8, version=1), True),
         messages.Delta(1, 3, (use(2), use(3)), True),
     ],
@@ -92,6 +92,7 @@
     parent.send(messages.Delta(5, 6, (use(6),), False))
     waiting.until(index_is(link, 6))
     assert link.configuration.version == 3
+    assert len(parent.subscriptions) == 1
 
 
 def test_delta_that_fails_asks_for_everything(connect, parent):
--- a/tests/endpoints/test_pool.py
+++ b/tests/endpoints/test_pool.py
@@ -1,5 +1,6 @@
 """Guards against answers that reach the wrong caller and work that is sent twice."""
 
+import select
 import socket
 import threading
 
@@ -212,6 +213,21 @@
     assert len(endpoint.requests) == 5
 
 
+def test_refused_after_peer_closed_idle_connection_is_not_sent(endpoint, exchanges):
+    """The kept connection must not make an endpoint that is down look like a lost request."""
+
+    def behave(seen, conn):
+        conn.wfile.write(fake_endpoint.answer(seen))
+
+    endpoint.behave = behave
+    exchanges.exchange(make(), endpoint.model(), 5)
+    kept = exchanges._slots[endpoint.address].idle[0]
+    endpoint.close()
+    assert select.select([kept._kept_fd], [], [], 10)[0]
+    result = exchanges.exchange(make("r2"), endpoint.model(), 5)
+    assert (type(result), result.reason) == (results.NotSent, "refused")
+
+
 def test_idle_connection_over_the_limit_is_dropped(endpoint):
     exchanges = pool.Pool(lambda e: 4, idle_limit_s=0.0)
     exchanges.exchange(make(), endpoint.model(), 5)
--- a/tests/entry/test_http.py
+++ b/tests/entry/test_http.py
@@ -64,30 +64,40 @@
     assert item.endpoint.requests == []
 
 
-def test_slow_callers_do_not_hold_all_threads(start, monkeypatch):
-    monkeypatch.setattr(http_server, "READ_LIMIT_S", 0.3)
+def test_callers_that_send_nothing_hold_no_thread(start, monkeypatch):
+    monkeypatch.setattr(http_server, "READ_LIMIT_S", 60.0)
     item = start(threads=2).wait_ready()
     idle = [socket.create_connection(item.entry.address) for _ in range(10)]
-    # Connections that sent nothing hold no thread at all.
     assert item.ask().status == 200
+    for conn in idle:
+        conn.close()
+
+
+def test_slow_callers_do_not_hold_all_threads(start, monkeypatch):
+    """Each byte would restart a timeout per read; the whole request has one limit."""
+    monkeypatch.setattr(http_server, "READ_LIMIT_S", 0.3)
+    item = start(threads=2).wait_ready()
     stop = threading.Event()
 
     def drip(conn):
         try:
-            while not stop.wait(0.02):
+            while not stop.is_set():
                 conn.sendall(b"G")
+                stop.wait(0.02)
         except OSError:
             return
 
-    drippers = [threading.Thread(target=drip, args=(conn,)) for conn in idle[:4]]
+    slow = [socket.create_connection(item.entry.address) for _ in range(4)]
+    drippers = [threading.Thread(target=drip, args=(conn,)) for conn in slow]
     for dripper in drippers:
         dripper.start()
-    # Each byte would restart a timeout per read; the whole request has one limit.
-    assert item.ask().status == 200
-    stop.set()
-    for dripper in drippers:
+    waiting.until(lambda: item.entry._server.requests.idle == 0)
+    try:
+        assert item.ask().status == 200
+    finally:
+        stop.set()
+    for dripper, conn in zip(drippers, slow, strict=True):
         dripper.join()
-    for conn in idle:
         conn.close()
 
 
