Relay the configuration through entries

Cause: at 5,400 nodes control can't hold a connection per entry. An entry with link_listen now serves children with the publisher that control uses; reports and calls go up its uplink. A relay must not call its copy confirmed by its parent's latest word alone: a child that restarts may have served a younger change. Each subscription is confirmed by a leader read that starts after it (ConfirmIndex), and stays unconfirmed until one succeeds. Ruled out: a leader read per relay each 0.5 s, which would load the leader with 900 calls/s at the target size.

--- a/oriolelock/control/state.py
+++ b/oriolelock/control/state.py
@@ -6,24 +6,21 @@
     changes by change id, so that a change that is sent again applies once.
 """
 
-import collections
 import dataclasses
-import threading
 
 import xxhash
 
 from oriolelock import logs
 from oriolelock.control import envelope
+from oriolelock.distribution import recent_changes
 from oriolelock.model import changes, configuration, delta, errors, results
 from oriolelock.wire import codec
 
-__all__ = ["MAX_RESULTS", "RECENT_CHANGES", "RESULT_RETENTION_S", "ConfigState"]
+__all__ = ["MAX_RESULTS", "RESULT_RETENTION_S", "ConfigState"]
 
 RESULT_RETENTION_S = 24 * 3600.0
 # Twice the 26,000 changes a day of the target size, at about 100 bytes each.
 MAX_RESULTS = 52_000
-# At 26,000 changes a day this covers a subscriber that was away for almost four hours.
-RECENT_CHANGES = 4_000
 
 log = logs.get_logger("control.state")
 
@@ -52,16 +49,13 @@
     """Changed by the thread of its group only; ``view`` and ``changes_since`` by any."""
 
     def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self._configuration = configuration.EMPTY
+        self._recent = recent_changes.RecentChanges()
         self._kept: dict[str, KeptResult] = {}
-        self._recent: collections.deque = collections.deque(maxlen=RECENT_CHANGES)
-        self._recent_from = 0
         self.wall_s = 0.0
 
     def view(self) -> configuration.Configuration:
         """Return the current configuration."""
-        return self._configuration
+        return self._recent.view()
 
     def apply(self, index: int, command: envelope.Command) -> results.Result:
         """Apply a committed command and return its result, the same on every replica."""
@@ -81,7 +75,7 @@
         return result
 
     def _apply_operator_change(self, index, payload):
-        version = self._configuration.version
+        version = self.view().version
         if payload.expect_version is not None and payload.expect_version != version:
             return results.Conflict(version)
         return self._apply_change(index, payload.change)
@@ -90,14 +84,10 @@
         if not isinstance(change, changes.Change):
             return results.Refused(f"not a change: {type(change).__name__}")
         try:
-            after = configuration.apply(self._configuration, change, index, self.wall_s)
+            after = configuration.apply(self.view(), change, index, self.wall_s)
         except (errors.ModelError, ValueError) as exc:
             return results.Refused(str(exc))
-        with self._lock:
-            self._configuration = after
-            if len(self._recent) == RECENT_CHANGES:
-                self._recent_from = self._recent[0].index
-            self._recent.append(delta.CommittedChange(index, self.wall_s, change))
+        self._recent.advance(after, (delta.CommittedChange(index, self.wall_s, change),))
         return results.Applied(after.version, after.index)
 
     def _keep(self, change_id, kept):
@@ -116,29 +106,18 @@
 
         The changes are None when they are no longer kept.
         """
-        with self._lock:
-            if index < self._recent_from:
-                return self._configuration, None
-            newer = []
-            for item in reversed(self._recent):
-                if item.index <= index:
-                    break
-                newer.append(item)
-            return self._configuration, tuple(reversed(newer))
+        return self._recent.since(index)
 
     def encode(self) -> bytes:
         """Return the whole state as a snapshot."""
         kept = tuple(self._kept.items())
-        return codec.encode(ConfigSnapshot(self._configuration, self.wall_s, kept))
+        return codec.encode(ConfigSnapshot(self.view(), self.wall_s, kept))
 
     def restore(self, data: bytes) -> None:
         """Replace the state by a snapshot; raises WireError when it does not decode."""
         snapshot = codec.decode(data)
         if not isinstance(snapshot, ConfigSnapshot):
             raise TypeError(f"not a snapshot of the configuration: {type(snapshot).__name__}")
-        with self._lock:
-            self._configuration = snapshot.configuration
-            self._recent.clear()
-            self._recent_from = snapshot.configuration.index
+        self._recent.restart(snapshot.configuration)
         self._kept = dict(snapshot.kept)
         self.wall_s = snapshot.wall_s
--- a/oriolelock/control/uplink_calls.py
+++ b/oriolelock/control/uplink_calls.py
@@ -7,7 +7,9 @@
 
 import concurrent.futures
 
+from oriolelock.control import messages as control_messages
 from oriolelock.control import record_state, replica, unavailable
+from oriolelock.distribution import messages as distribution_messages
 from oriolelock.model import changes, results
 from oriolelock.once import messages
 
@@ -30,15 +32,19 @@
         result = fut.result()
         if isinstance(result, (unavailable.Unavailable, results.Refused)):
             answer.set_result((None, result.reason))
+        elif isinstance(result, control_messages.Confirmed):
+            answer.set_result((distribution_messages.ConfirmedIndex(rep.configuration().index), ""))
         else:
             answer.set_result((result, ""))
 
+    if isinstance(payload, distribution_messages.ConfirmIndex):
+        payload = control_messages.ConfirmRead()
     rep.call(group, payload, CALL_TIMEOUT_S).add_done_callback(finished)
     return answer
 
 
 def _group_of(rep, payload):
-    if isinstance(payload, changes.ReportCrash):
+    if isinstance(payload, (changes.ReportCrash, distribution_messages.ConfirmIndex)):
         return "config"
     if isinstance(payload, RECORD_COMMANDS) and rep.cfg.record_groups:
         return record_state.group_of(payload.key, rep.cfg.record_groups)
--- a/oriolelock/distribution/messages.py
+++ b/oriolelock/distribution/messages.py
@@ -11,6 +11,8 @@
 from oriolelock.wire import codec
 
 __all__ = [
+    "ConfirmIndex",
+    "ConfirmedIndex",
     "Delta",
     "Snapshot",
     "StatusBatch",
@@ -72,6 +74,20 @@
     reports: tuple[StatusReport, ...]
 
 
+@codec.register("confirm-index")
+@dataclasses.dataclass(frozen=True)
+class ConfirmIndex:
+    """A call: at which index is a configuration current now, by the leader's word?"""
+
+
+@codec.register("confirmed-index")
+@dataclasses.dataclass(frozen=True)
+class ConfirmedIndex:
+    """The reply: a configuration at ``index`` or later was current after the call came."""
+
+    index: int
+
+
 @codec.register("call")
 @dataclasses.dataclass(frozen=True)
 class UplinkCall:
--- a/oriolelock/distribution/publisher.py
+++ b/oriolelock/distribution/publisher.py
@@ -23,19 +23,22 @@
 # Deltas between two read confirmations count as confirmed for this long after the start of
 # the last one: an interval, a timeout and some reserve.
 CONFIRMED_MAX_AGE_S = 2.0
+# Two heads for each of 57 failure domains need 114; entries that start connect here first.
+MAX_SUBSCRIBERS = 1000
 
 log = logs.get_logger("distribution.publisher")
 
 
 @dataclasses.dataclass(frozen=True)
 class Source:
-    """What the publisher needs of the replica.
+    """What the publisher needs of the replica, or of the entry that relays.
 
     ``index()`` returns the index of the configuration;
     ``changes_since(index)`` returns the configuration and the changes that lead to it, or
     None for them; ``confirm(timeout_s)`` returns a future that is true when the configuration is
     current and always ends; ``call(payload)`` returns a future of (result, error text);
-    ``take_reports(batch)`` takes status reports.
+    ``take_reports(batch)`` takes status reports; ``renew``, used between deltas in place of
+    ``confirm``, may rely on what was confirmed a moment ago.
     """
 
     index: collections.abc.Callable[[], int]
@@ -43,13 +46,15 @@
     confirm: collections.abc.Callable[[float], concurrent.futures.Future]
     call: collections.abc.Callable[[object], concurrent.futures.Future]
     take_reports: collections.abc.Callable[[messages.StatusBatch], None]
+    renew: collections.abc.Callable[[float], concurrent.futures.Future] | None = None
 
 
 class Publisher:
     """Serves all subscribers of one replica."""
 
-    def __init__(self, source: Source):
+    def __init__(self, source: Source, max_subscribers: int = MAX_SUBSCRIBERS):
         self._source = source
+        self._max_subscribers = max_subscribers
         self._lock = threading.Lock()
         self._subscribers: set[subscriber.Subscriber] = set()
         self._wake = threading.Event()
@@ -128,9 +133,24 @@
 
         started_s = clock.monotonic_s()
         with self._lock:
-            self._subscribers.add(sub)
+            is_known = sub in self._subscribers
+            if is_known or len(self._subscribers) < self._max_subscribers:
+                self._subscribers.add(sub)
+                is_known = True
+        if not is_known:
+            log.warning("Refused {}: {} subscribers already.", sub.name, self._max_subscribers)
+            sub.close()
+            return
         self._source.confirm(CONFIRM_TIMEOUT_S).add_done_callback(admitted)
 
+    def _vouch(self, sub):
+        def answered(fut):
+            sub.vouch(fut.result())
+            self._beat_due = True
+            self._wake.set()
+
+        self._source.confirm(CONFIRM_TIMEOUT_S).add_done_callback(answered)
+
     def _forward(self, sub, msg):
         def answered(fut):
             payload, error = fut.result()
@@ -165,7 +185,8 @@
             self._beat_due = True
             self._wake.set()
 
-        self._source.confirm(CONFIRM_TIMEOUT_S).add_done_callback(answered)
+        renew = self._source.renew or self._source.confirm
+        renew(CONFIRM_TIMEOUT_S).add_done_callback(answered)
 
     def _note_confirmed(self, started_s):
         # A confirmation that started during an election may fail after a later one succeeds.
@@ -180,6 +201,8 @@
         encoded: dict[tuple[int, bool], tuple[int, bytes]] = {}
         current = self._source.index() if subscribers else 0
         for sub in subscribers:
+            if beat and sub.begin_vouching():
+                self._vouch(sub)
             if not sub.is_due(beat, current):
                 continue
             position = sub.take_position(confirmed)
--- a/oriolelock/distribution/subscriber.py
+++ b/oriolelock/distribution/subscriber.py
@@ -27,7 +27,9 @@
         self._queue: queue.Queue[bytes | None] = queue.Queue(MAX_QUEUED)
         self._lock = threading.Lock()
         self._admitted = False
-        self._first_flag: bool | None = None
+        self._is_first_due = False
+        self._vouched = False
+        self._vouching = False
         self._closed = False
         self.name = conn.peer.name
         self.index = 0
@@ -35,23 +37,41 @@
         self._thread.start()
 
     def admit(self, index: int, confirmed: bool) -> None:
-        """Start to publish to it from ``index`` on; ``confirmed`` holds for the first time."""
+        """Start to publish to it from ``index`` on."""
         with self._lock:
             self.index = index
-            self._first_flag = confirmed
+            self._is_first_due = True
+            self._vouched = confirmed
+            self._vouching = False
             self._admitted = True
 
+    def vouch(self, confirmed: bool) -> None:
+        """End an attempt at a confirmation that started after the subscription."""
+        with self._lock:
+            self._vouched = self._vouched or confirmed
+            self._vouching = False
+
+    def begin_vouching(self) -> bool:
+        """Return whether a confirmation is needed now, and count it as started."""
+        with self._lock:
+            if not self._admitted or self._vouched or self._vouching:
+                return False
+            self._vouching = True
+            return True
+
     def is_due(self, beat: bool, index: int) -> bool:
         """Return whether there is something to publish and room for it."""
         if not self._admitted or self._queue.qsize() > MAX_BACKLOG:
             return False
-        return beat or self._first_flag is not None or index > self.index
+        return beat or self._is_first_due or index > self.index
 
     def take_position(self, confirmed: bool) -> tuple[int, bool]:
         """Return the index to publish from and whether that may be called confirmed."""
         with self._lock:
-            first, self._first_flag = self._first_flag, None
-            return self.index, confirmed if first is None else first
+            is_first, self._is_first_due = self._is_first_due, False
+            # Until a confirmation that started after the subscription has succeeded, nothing
+            # covers what the subscriber may have had from another replica before.
+            return self.index, self._vouched and (confirmed or is_first)
 
     def publish(self, from_index: int, to_index: int, data: bytes) -> None:
         """Queue an encoded snapshot or delta that leads to ``to_index``."""
--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -11,7 +11,7 @@
 import threading
 
 from oriolelock import clock, logs
-from oriolelock.distribution import calls, errors, held, messages, stored_copy
+from oriolelock.distribution import calls, errors, held, messages, recent_changes, stored_copy
 from oriolelock.model import configuration
 from oriolelock.wire import channel, hello
 from oriolelock.wire import errors as wire_errors
@@ -26,26 +26,34 @@
 # Calls beyond this number find the connection congested and fail at once.
 MAX_QUEUED_SENDS = 4096
 
+# An entry that starts connects to control first and then moves to its parent in the tree.
+REBALANCE_AFTER_S = 5.0
+AVOID_FAILED_S = 30.0
+
 Address = tuple[str, int]
+Parents = collections.abc.Callable[[configuration.Configuration], collections.abc.Sequence[Address]]
 log = logs.get_logger("uplink")
 
 
 class Uplink:
-    """Thread-safe. ``report`` returns the entry's current StatusReport.
+    """Thread-safe. ``report`` returns the entry's current StatusReport, or a StatusBatch.
+
+    ``parents`` returns the addresses to try for a configuration, best first. An entry that
+    had to use another one goes back to the best after ``REBALANCE_AFTER_S``.
 
     ``on_config`` runs in the uplink's thread after each change of the configuration.
     """
 
     def __init__(
         self,
-        parents: collections.abc.Sequence[Address],
+        parents: Parents,
         greeting: hello.Hello,
-        report: collections.abc.Callable[[], messages.StatusReport],
+        report: collections.abc.Callable[[], messages.StatusReport | messages.StatusBatch],
         store: stored_copy.StoredCopy | None = None,
         on_config: collections.abc.Callable[[configuration.Configuration], None] | None = None,
         rng: random.Random | None = None,
     ):
-        self._parents = tuple(parents)
+        self._parents = parents
         self._greeting = greeting
         self._report = report
         self._store = store
@@ -53,6 +61,9 @@
         self._rng = rng or random.Random()
         self._calls = calls.Calls()
         self._held = held.Held()
+        self.recent = recent_changes.RecentChanges()
+        # Address to the time until which it is not the best choice, after a failure.
+        self._avoid_until_s: dict[Address, float] = {}
         self._has_copy = False
         self._in_repair = False
         self._confirmed_s: float | None = None
@@ -89,6 +100,7 @@
         if cfg is not None:
             self._held.cfg = cfg
             self._has_copy = True
+            self.recent.restart(cfg)
             self._on_config(cfg)
         self._thread.start()
 
@@ -128,22 +140,28 @@
 
     def _run(self):
         failures = 0
-        order = list(self._parents)
-        self._rng.shuffle(order)
         while not self._stopping.is_set():
-            address = order[failures % len(order)]
             began_s = clock.monotonic_s()
+            address = self._choose(began_s)
             try:
                 self._serve_connection(address)
             except (wire_errors.WireError, errors.DistributionError) as exc:
                 log.warning("connection to {}:{} ended: {}", *address, exc)
-            failures += 1
+                self._avoid_until_s[address] = clock.monotonic_s() + AVOID_FAILED_S
             if clock.monotonic_s() - began_s > 2 * UNCONFIRMED_LIMIT_S:
-                # A connection that lasted ends the back-off, but the next parent is tried first.
-                failures = failures % len(order)
+                failures = 0
+            failures += 1
             longest_s = min(BACKOFF_MAX_S, BACKOFF_MIN_S * 2 ** min(failures, 10))
             self._stopping.wait(self._rng.uniform(BACKOFF_MIN_S / 2, longest_s))
 
+    def _choose(self, now):
+        """Return the best parent that has not failed lately, else the one that failed first."""
+        order = list(self._parents(self._held.cfg))
+        free = [a for a in order if self._avoid_until_s.get(a, 0.0) <= now]
+        if free:
+            return free[0]
+        return min(order, key=lambda a: self._avoid_until_s[a])
+
     def _serve_connection(self, address):
         link = channel.connect(address, self._greeting)
         outbox = queue.Queue(MAX_QUEUED_SENDS)
@@ -170,6 +188,7 @@
 
     def _read_until_broken(self, link):
         vouched_s = clock.monotonic_s()
+        rebalance_s = vouched_s + self._rng.uniform(1.0, 2.0) * REBALANCE_AFTER_S
         report_due_s = 0.0
         while not self._stopping.is_set():
             now = clock.monotonic_s()
@@ -178,6 +197,11 @@
                 report_due_s = now + REPORT_INTERVAL_S
             if now - vouched_s > UNCONFIRMED_LIMIT_S:
                 raise errors.Disconnected(f"not confirmed for {UNCONFIRMED_LIMIT_S} s")
+            if now >= rebalance_s:
+                rebalance_s = now + REBALANCE_AFTER_S
+                if self._choose(now) != self._parent:
+                    log.info("moving to a better parent")
+                    return
             msg = link.recv(RECV_STEP_S)
             if msg is not None and self._handle(msg):
                 vouched_s = clock.monotonic_s()
@@ -193,20 +217,24 @@
         verdict, cfg = self._held.next_after(msg)
         if verdict is held.Verdict.APPLIED:
             self._in_repair = False
-            self._replace(cfg)
+            self._replace(cfg, msg)
             if msg.confirmed:
                 self._confirmed_s = clock.monotonic_s()
             return msg.confirmed
         self._repair(verdict, msg)
         return False
 
-    def _replace(self, cfg):
+    def _replace(self, cfg, msg):
         if cfg.index == self._held.cfg.index and cfg.version == self._held.cfg.version:
             return
         if self._store:
             # Stored before use, so that a restart never goes back behind what was served.
             self._store.save(cfg)
         self._held.cfg = cfg
+        if isinstance(msg, messages.Delta):
+            self.recent.advance(cfg, msg.changes)
+        else:
+            self.recent.restart(cfg)
         self._on_config(cfg)
 
     def _repair(self, verdict, msg):
--- a/oriolelock/entry/daemon.py
+++ b/oriolelock/entry/daemon.py
@@ -10,10 +10,10 @@
 import uuid
 
 from oriolelock import clock, logs, metrics, outcomes
-from oriolelock.distribution import messages, stored_copy, uplink
+from oriolelock.distribution import messages, relay, stored_copy, tree, uplink
 from oriolelock.endpoints import pool
 from oriolelock.entry import app, basic, candidates, flow, http_server, reply
-from oriolelock.model import configuration
+from oriolelock.model import configuration, member
 from oriolelock.once import client
 from oriolelock.settings import entry as entry_settings
 from oriolelock.wire import hello
@@ -43,6 +43,7 @@
         host, port = cfg.statsd or (None, 0)
         self.counters = metrics.Metrics(host, port)
         self.uplink = self._make_uplink()
+        self._relay = relay.Relay(cfg.name, cfg.cluster, cfg.cluster_token, self.uplink)
         self.pool = pool.Pool(
             lambda item: candidates.connection_limit(self.uplink.configuration, item)
         )
@@ -61,15 +62,25 @@
             self._incarnation,
         )
         store = stored_copy.StoredCopy(cfg.data_folder) if cfg.data_folder else None
-        return uplink.Uplink(cfg.control, greeting, self._report, store, self._on_config)
+        return uplink.Uplink(self._parents, greeting, self._report, store, self._on_config)
+
+    def _parents(self, cfg):
+        settings = self._settings
+        own = member.Member(
+            settings.name, "entry", "", "", settings.region, settings.failure_domain
+        )
+        control = [f"{host}:{port}" for host, port in settings.control]
+        found = tree.candidates(own, cfg.members.values(), control)
+        return [(host, int(port)) for host, port in (a.split(":") for a in found)]
 
     def _on_config(self, cfg):
+        self._relay.on_config(cfg)
         self._since_s = clock.wall_s()
         log.info("configuration index {} version {} in use", cfg.index, cfg.version)
 
     def _report(self):
         cfg = self.uplink.configuration
-        return messages.StatusReport(
+        own = messages.StatusReport(
             self._settings.name,
             cfg.version,
             cfg.index,
@@ -77,6 +88,8 @@
             self._since_s,
             self.in_flight,
         )
+        below = self._relay.fresh_reports()
+        return messages.StatusBatch((own, *below)) if below else own
 
     @property
     def in_flight(self) -> int:
@@ -115,6 +128,8 @@
             self._count_refusal,
         )
         self.uplink.start()
+        if cfg.link_listen:
+            self._relay.start(cfg.link_listen)
         for target in (self._server.serve, self._sweep):
             thread = threading.Thread(target=target, daemon=True)
             thread.start()
@@ -165,6 +180,7 @@
             "version": cfg.version,
             "in_force": cfg.in_force,
             "parent": f"{parent[0]}:{parent[1]}" if parent else None,
+            "children": self._relay.children(),
             "control_age_s": self.uplink.control_age_s(clock.monotonic_s()),
             "in_flight": self.in_flight,
             "connections": {a: list(c) for a, c in self.pool.counts().items()},
@@ -199,6 +215,7 @@
         self._server.stop()
         self.once.close()
         self.pool.close()
+        self._relay.stop()
         self.uplink.stop()
         for thread in self._threads:
             thread.join()
--- a/tests/control/test_state.py
+++ b/tests/control/test_state.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from oriolelock.control import envelope, state
+from oriolelock.distribution import recent_changes
 from oriolelock.model import changes, configuration, delta, member, results
 from tests.control import samples
 
@@ -88,10 +89,10 @@
 
 def test_changes_that_are_no_longer_kept_need_a_snapshot(monkeypatch):
     machine = state.ConfigState()
-    for n in range(state.RECENT_CHANGES + 2):
+    for n in range(recent_changes.RECENT_CHANGES + 2):
         item = member.Member(f"e{n % 3}", "entry", "127.0.0.1:1", "", "perth", "p1")
         apply_all(machine, changes.SetMember(item), index=n + 1)
     assert machine.changes_since(1)[1] is None
     cfg, found = machine.changes_since(2)
-    assert len(found) == state.RECENT_CHANGES
+    assert len(found) == recent_changes.RECENT_CHANGES
     assert dataclasses.replace(cfg, index=0) != configuration.EMPTY
--- a/tests/distribution/test_uplink.py
+++ b/tests/distribution/test_uplink.py
@@ -27,7 +27,9 @@
     def make(*parents, store=None):
         greeting = hello.Hello(1, fake_parent.CLUSTER, fake_parent.TOKEN, "a", "entry", "i")
         addresses = [p.address for p in parents]
-        made.append(uplink.Uplink(addresses, greeting, report, store, rng=random.Random(1)))
+        made.append(
+            uplink.Uplink(lambda cfg: addresses, greeting, report, store, rng=random.Random(1))
+        )
         made[-1].start()
         return made[-1]
 
