Send heartbeats also on a connection that is busy in one direction

Replicas gave up their connections to each other each 3 s ("peer silent for 3.0 s") while both ends were alive. Each dials the others and only sends on that connection; the receiving end always had a message waiting, and recv() sent a due heartbeat only when it found none. Consensus repeated what was lost, so no test failed. recv() now sends a due heartbeat before it returns a message.

tests/wire/test_channel.py has the case: fails before, passes after.

--- a/oriolelock/wire/channel.py
+++ b/oriolelock/wire/channel.py
@@ -63,11 +63,12 @@
             if end_s is not None:
                 wait_s = max(0.0, min(wait_s, end_s - clock.monotonic_s()))
             data = self._recv_bytes(wait_s)
+            # Also when messages keep coming: a peer that only sends must still hear from here.
+            self.keep_alive()
             if data is not None:
                 msg = codec.decode(data)
                 if not isinstance(msg, heartbeat.Heartbeat):
                     return msg
-            self.keep_alive()
             if end_s is not None and clock.monotonic_s() >= end_s:
                 return None
 
--- /dev/null
+++ b/tests/wire/test_channel.py
@@ -0,0 +1,70 @@
+"""Guards against connections that are given up although both ends are alive."""
+
+import threading
+
+import pytest
+
+from oriolelock import clock
+from oriolelock.wire import channel, errors, heartbeat, hello
+
+GREETING = hello.Hello(hello.PROTOCOL_VERSION, "test", "token", "a", "entry")
+
+
+@pytest.fixture
+def pair(monkeypatch):
+    """A connection with short limits: the dialing end and the accepted one."""
+    monkeypatch.setattr(channel, "HEARTBEAT_INTERVAL_S", 0.05)
+    monkeypatch.setattr(channel, "SILENCE_LIMIT_S", 0.3)
+    accepted = []
+    finished = threading.Event()
+
+    def handle(conn):
+        accepted.append(channel.accept(conn, "b", "test", "token"))
+        finished.wait(10)
+
+    server = channel.serve(("127.0.0.1", 0), handle)
+    thread = threading.Thread(target=server.serve_forever)
+    thread.start()
+    dialed = channel.connect(server.socket.getsockname()[:2], GREETING)
+    while not accepted:
+        finished.wait(0.01)
+    yield dialed, accepted[0]
+    finished.set()
+    dialed.close()
+    server.shutdown()
+    thread.join()
+
+
+def test_peer_that_only_sends_hears_heartbeats(pair):
+    dialed, accepted = pair
+    end_s = clock.monotonic_s() + 3 * channel.SILENCE_LIMIT_S
+    # The receiver always finds a message, so it never waits.
+    stop = threading.Event()
+
+    def receive():
+        while not stop.is_set():
+            accepted.recv(1.0)
+
+    receiver = threading.Thread(target=receive)
+    receiver.start()
+    try:
+        while clock.monotonic_s() < end_s:
+            dialed.send(GREETING)
+            assert dialed.recv(0.01) is None
+    finally:
+        stop.set()
+        dialed.send(GREETING)
+        receiver.join()
+
+
+def test_silent_peer_is_given_up(pair):
+    dialed, _ = pair
+    with pytest.raises(errors.ChannelClosed, match="silent"):
+        dialed.recv(10.0)
+
+
+def test_heartbeats_are_not_messages(pair):
+    dialed, accepted = pair
+    accepted.send(heartbeat.Heartbeat())
+    accepted.send(GREETING)
+    assert dialed.recv(1.0) == GREETING
