Give up a silent peer also while a send to it is stuck

With the socket's buffer full, a send holds the locks that a heartbeat and closing need. The thread that watches for silence then waited for that send, and the connection stayed until TCP gave up. A due heartbeat is now skipped while a send is under way, and closing shuts the socket down first.

tests/wire/test_channel.py has the case; it needs both changes: with either one left out it fails after 10 s, when the other end closes. With both it ends at the limit of silence (0.3 s in the test).

--- a/oriolelock/wire/channel.py
+++ b/oriolelock/wire/channel.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import hmac
+import socket
 import threading
 
 import websockets.exceptions
@@ -43,11 +44,14 @@
 
     def send_bytes(self, data: bytes) -> None:
         """Send one message that is encoded already, for fan-out to many peers."""
+        with self._send_lock:
+            self._send_locked(data)
+
+    def _send_locked(self, data):
         try:
-            with self._send_lock:
-                self._conn.send(data)
-                self._last_sent_s = clock.monotonic_s()
-                self.bytes_sent += len(data)
+            self._conn.send(data)
+            self._last_sent_s = clock.monotonic_s()
+            self.bytes_sent += len(data)
         except (websockets.exceptions.ConnectionClosed, OSError) as exc:
             raise errors.ChannelClosed(str(exc)) from exc
 
@@ -91,12 +95,22 @@
         if now - self._last_received_s > SILENCE_LIMIT_S:
             self.close()
             raise errors.ChannelClosed(f"peer silent for {SILENCE_LIMIT_S} s")
-        if now - self._last_sent_s >= HEARTBEAT_INTERVAL_S:
-            self.send(heartbeat.Heartbeat())
+        if now - self._last_sent_s < HEARTBEAT_INTERVAL_S:
+            return
+        # While another send is under way no heartbeat is needed; waiting for one that is stuck
+        # would hide that the peer is silent.
+        if self._send_lock.acquire(blocking=False):
+            try:
+                self._send_locked(codec.encode(heartbeat.Heartbeat()))
+            finally:
+                self._send_lock.release()
 
     def close(self) -> None:
         """Close without waiting for a peer that may be gone."""
         try:
+            if self._send_lock.locked():
+                # A send that is stuck in a full buffer holds a lock that closing needs.
+                self._conn.socket.shutdown(socket.SHUT_RDWR)
             self._conn.close_timeout = 0.2
             self._conn.close()
         except (websockets.exceptions.WebSocketException, OSError):
--- a/tests/wire/test_channel.py
+++ b/tests/wire/test_channel.py
@@ -68,3 +68,23 @@
     accepted.send(heartbeat.Heartbeat())
     accepted.send(GREETING)
     assert dialed.recv(1.0) == GREETING
+
+
+def test_close_does_not_wait_for_a_send_that_is_stuck(pair):
+    dialed, _ = pair
+    stuck = []
+
+    def send():
+        try:
+            for _ in range(64):
+                dialed.send_bytes(bytes(1_000_000))
+        except errors.ChannelClosed as exc:
+            stuck.append(exc)
+
+    sender = threading.Thread(target=send)
+    sender.start()
+    with pytest.raises(errors.ChannelClosed, match="silent"):
+        while True:
+            dialed.recv(1.0)
+    sender.join(timeout=5.0)
+    assert stuck
