Keep a leaving entry out of its own look-ups; close after doubtful requests

Cause: an entry that got SIGTERM still named itself until control had committed its state. A request with a negative length, or with a transfer encoding under HTTP/1.0, was refused but the connection went on, so that its body could be taken for the next request. The number of entries was counted anew for each exchange.

Change: look-ups take the names known to leave; bodies with a doubtful end are refused and the connection closed; the number of entries is counted once per configuration. The process exits with 1 when its server ends by a fault, and the uplink's thread survives unexpected errors. HEAD answers no longer claim a length of 0.

--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -137,6 +137,9 @@
                 self._serve_connection(address)
             except (wire_errors.WireError, errors.DistributionError) as exc:
                 log.warning("connection to {}:{} ended: {}", *address, exc)
+            except Exception:
+                # Without this thread the entry would never see a change again.
+                log.exception("uplink failed, connecting again")
             failures += 1
             if clock.monotonic_s() - began_s > 2 * UNCONFIRMED_LIMIT_S:
                 # A connection that lasted ends the back-off, but the next parent is tried first.
--- a/oriolelock/entry/app.py
+++ b/oriolelock/entry/app.py
@@ -35,13 +35,15 @@
     """What the application answers from.
 
     ``region_of`` maps a client's IP address to its region, or None if unknown; ``in_flight``
-    is told +1 and -1 around each request.
+    is told +1 and -1 around each request; ``leaving`` names entries that are known to leave
+    before the configuration says so.
     """
 
     serve: flow.Flow
     config: collections.abc.Callable[[], configuration.Configuration]
     is_ready: collections.abc.Callable[[], bool]
     is_stopping: collections.abc.Callable[[], bool]
+    leaving: collections.abc.Callable[[], collections.abc.Set[str]]
     in_flight: collections.abc.Callable[[int], None]
     state: collections.abc.Callable[[], dict]
     region_of: collections.abc.Callable[[configuration.Configuration, str], str | None]
@@ -79,6 +81,10 @@
     response = werkzeug.wrappers.Response(item.outcome.body, status=item.outcome.status)
     # An answer without a type stays without one.
     del response.headers["Content-Type"]
+    # The length that an endpoint would send with GET is not passed on.
+    if method == "HEAD":
+        response.automatically_set_content_length = False
+        response.headers.remove("Content-Length")
     for name, value in item.outcome.headers:
         response.headers.add(name, value)
     response.headers.extend(reply.outcome_headers(item))
@@ -151,7 +157,9 @@
             return self._refuse("unknown-service")
         try:
             region = self._parts.region_of(cfg, client) or self._parts.region
-            chosen = answer.choose(cfg, region, service, clock.wall_s(), client)
+            chosen = answer.choose(
+                cfg, region, service, clock.wall_s(), client, self._parts.leaving()
+            )
         except ValueError:
             return self._refuse("bad-request")
         self._parts.counters.count("lookup.answered")
@@ -180,7 +188,10 @@
     def _forward(self, environ):
         content = body.read(environ, self._parts.max_body)
         if isinstance(content, outcomes.NotRun):
-            return self._refuse(content.reason)
+            response = self._refuse(content.reason)
+            # Where the next request would start is not certain.
+            response.headers["Connection"] = "close"
+            return response
         if self._parts.is_stopping():
             return self._refuse("stopping")
         received_s = environ.get(http_server.RECEIVED_KEY) or clock.monotonic_s()
--- a/oriolelock/entry/body.py
+++ b/oriolelock/entry/body.py
@@ -18,6 +18,8 @@
     """Return the body; a body that is cut short or over ``max_body`` bytes is refused."""
     length = environ.get("CONTENT_LENGTH", "")
     chunked = environ.get("wsgi.input_terminated")
+    if environ.get("HTTP_TRANSFER_ENCODING") and not chunked:
+        return outcomes.NotRun("bad-request")
     if length and (chunked or not (length.isascii() and length.isdigit())):
         # Two lengths, or one that is no number, leave the end of the request in doubt.
         return outcomes.NotRun("bad-request")
--- a/oriolelock/entry/candidates.py
+++ b/oriolelock/entry/candidates.py
@@ -9,7 +9,7 @@
 
 from oriolelock.model import configuration, endpoint
 
-__all__ = ["connection_limit", "of_service"]
+__all__ = ["connection_limit", "count_entries", "of_service"]
 
 
 def of_service(
@@ -43,11 +43,15 @@
     )
 
 
-def connection_limit(cfg: configuration.Configuration, item: endpoint.Endpoint) -> int:
-    """Return how many connections this entry may have to ``item``, at least 1.
+def count_entries(cfg: configuration.Configuration) -> int:
+    """Return the number of configured entries, at least 1."""
+    return max(1, sum(1 for m in cfg.members.values() if m.role == "entry"))
+
+
+def connection_limit(entries: int, item: endpoint.Endpoint) -> int:
+    """Return how many connections one of ``entries`` may have to ``item``, at least 1.
 
     Divided by the configured entries, not the visible ones, so that entries that do not see
     each other still keep to the endpoint's limit together.
     """
-    entries = sum(1 for m in cfg.members.values() if m.role == "entry")
-    return max(1, item.connections // max(1, entries))
+    return max(1, item.connections // entries)
--- a/oriolelock/entry/daemon.py
+++ b/oriolelock/entry/daemon.py
@@ -38,14 +38,13 @@
         self._in_flight = 0
         self._state = "live"
         self._since_s = clock.wall_s()
+        self._entries = 1
         self._is_stopping = False
         self._stopped = threading.Event()
         host, port = cfg.statsd or (None, 0)
         self.counters = metrics.Metrics(host, port)
         self.uplink = self._make_uplink()
-        self.pool = pool.Pool(
-            lambda item: candidates.connection_limit(self.uplink.configuration, item)
-        )
+        self.pool = pool.Pool(lambda item: candidates.connection_limit(self._entries, item))
         self.once = client.Client(cfg.name, self.uplink.call)
         self._server: http_server.Server | None = None
         self._threads: list[threading.Thread] = []
@@ -65,6 +64,7 @@
 
     def _on_config(self, cfg):
         self._since_s = clock.wall_s()
+        self._entries = candidates.count_entries(cfg)
         log.info("configuration index {} version {} in use", cfg.index, cfg.version)
 
     def _report(self):
@@ -78,6 +78,11 @@
             self.in_flight,
         )
 
+    @property
+    def is_serving(self) -> bool:
+        """False once the server has ended, on request or by a fault."""
+        return self._threads[0].is_alive()
+
     @property
     def in_flight(self) -> int:
         """The number of requests being answered."""
@@ -127,6 +132,7 @@
             config=lambda: self.uplink.configuration,
             is_ready=lambda: self.uplink.is_ready,
             is_stopping=lambda: self._is_stopping,
+            leaving=lambda: frozenset([self._settings.name] if self._state == "leaving" else []),
             in_flight=self._count_in_flight,
             state=self.dump,
             region_of=self._region_of,
--- a/oriolelock/entry/http_server.py
+++ b/oriolelock/entry/http_server.py
@@ -20,6 +20,8 @@
 WRITE_LIMIT_S = 10.0
 REFUSAL_LIMIT_S = 1.0
 KEEP_ALIVE_S = 60.0
+# Also the longest time until the accepting thread notices a stop.
+EXPIRATION_INTERVAL_S = 0.2
 LISTEN_BACKLOG = 512
 KEEP_ALIVE_CONNECTIONS = 4096
 REASONS = {"413": "body-too-large", "414": "headers-too-large"}
@@ -53,7 +55,8 @@
     def send_headers(self):
         """Send status and headers; while the server is leaving, end the connection after."""
         # What follows a chunked body is not read, so that it can't be taken for a request.
-        if self.server.is_leaving or self.chunked_read:
+        own = [value.lower() for name, value in self.outheaders if name.lower() == b"connection"]
+        if self.server.is_leaving or self.chunked_read or b"close" in own:
             self.close_connection = True
         # Reads what is left of the request body, still within the limit for reading.
         if not self.close_connection and not self.chunked_read:
@@ -88,6 +91,7 @@
 
     ConnectionClass = _Connection
     keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
+    expiration_interval = EXPIRATION_INTERVAL_S
     is_leaving = False
 
     def __init__(self, *args, refusal_headers, on_refusal, **kwargs):
--- a/oriolelock/entry/main.py
+++ b/oriolelock/entry/main.py
@@ -17,7 +17,11 @@
 
 EXIT_OK = 0
 EXIT_NOT_DRAINED = 1
+EXIT_FAILED = 1
 EXIT_CANNOT_START = 2
+WATCH_INTERVAL_S = 1.0
+
+log = logs.get_logger("entry")
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -50,7 +54,10 @@
     except OSError as exc:
         print(f"{cfg.listen[0]}:{cfg.listen[1]}: {exc}", file=sys.stderr)
         return EXIT_CANNOT_START
-    signalled.wait()
+    while not signalled.wait(WATCH_INTERVAL_S):
+        if not item.is_serving:
+            log.critical("the server ended unexpectedly")
+            return EXIT_FAILED
     item.leave(again)
     return EXIT_OK if item.stop() else EXIT_NOT_DRAINED
 
--- a/oriolelock/lookup/answer.py
+++ b/oriolelock/lookup/answer.py
@@ -5,6 +5,8 @@
     Which entries a caller is told to use, best first.
 """
 
+import collections.abc
+import dataclasses
 import ipaddress
 
 import xxhash
@@ -38,8 +40,12 @@
     return any(d.start_s <= now and names.get(d.scope) == d.target for d in cfg.drains.values())
 
 
-def _usable(cfg, now):
+def _usable(cfg, now, leaving):
     entries = [m for m in cfg.members.values() if m.role == "entry"]
+    entries = [
+        dataclasses.replace(m, state="leaving") if m.name in leaving and m.state == "live" else m
+        for m in entries
+    ]
     live = [m for m in entries if m.state == "live"]
     kept = [m for m in live if not _is_drained(cfg, m, now)]
     if kept or live:
@@ -52,19 +58,27 @@
 
 
 def choose(
-    cfg: configuration.Configuration, client_region: str, service: str, now: float, client: str
+    cfg: configuration.Configuration,
+    client_region: str,
+    service: str,
+    now: float,
+    client: str,
+    leaving: collections.abc.Set[str] = frozenset(),
 ) -> tuple[member.Member, ...]:
     """Return at most 3 entries for ``client`` (an IP address) in ``client_region``.
 
     Two in the client's region, in distinct failure domains where there are two, then one in
     another region. ``now`` is Unix time. Entries that leave, are down or are drained are left
-    out unless there are no others. Entries are ordered by rendezvous hashing (Thaler and
+    out unless there are no others; ``leaving`` names entries that leave although ``cfg`` does
+    not say so yet. Entries are ordered by rendezvous hashing (Thaler and
     Ravishankar, 1996) over the client's block, so that callers spread and a change of
     membership moves few of them. Raises ValueError when ``client`` is not an IP address.
     """
     block = block_of(client)
     ranked = sorted(
-        _usable(cfg, now), key=lambda m: (_weight(block, service, m.name), m.name), reverse=True
+        _usable(cfg, now, leaving),
+        key=lambda m: (_weight(block, service, m.name), m.name),
+        reverse=True,
     )
     near = [m for m in ranked if m.region == client_region]
     chosen = near[:1]
--- a/tests/entry/test_daemon.py
+++ b/tests/entry/test_daemon.py
@@ -68,6 +68,19 @@
     assert item.ask().status == 200
 
 
+def test_head_and_empty_answers_keep_their_form(start):
+    item = start().wait_ready()
+    item.endpoint.behave = lambda seen, conn: fake_endpoint.answer(seen, body=b"", length=9)
+    response = item.ask("HEAD")
+    assert (response.status, response.getheader("Content-Length")) == (200, None)
+    item.endpoint.behave = lambda seen, conn: fake_endpoint.answer(
+        seen, "204 No Content", b"", extra="X-Own: 1\r\n"
+    )
+    response = item.ask("POST", body=b"x")
+    assert (response.status, response.getheader("X-Own"), response.content) == (204, "1", b"")
+    assert response.getheader("Content-Type") is None
+
+
 def test_large_body_is_refused(start):
     item = start().wait_ready()
     response = item.ask("POST", body=b"x" * 5000)
--- a/tests/entry/test_http.py
+++ b/tests/entry/test_http.py
@@ -15,6 +15,9 @@
     b"Oriolelock-Service: proofs\r\nOriolelock-Operation: view\r\nOriolelock-Deadline-Ms: 900\r\n"
 )
 
+# Must not be taken for a request of its own.
+INNER = b"GET /inner HTTP/1.1\r\nHost: a\r\nConnection: close\r\n" + HEAD + b"\r\n"
+
 
 def raw(item, data, close_writing=False):
     with socket.create_connection(item.entry.address, timeout=20) as conn:
@@ -34,9 +37,11 @@
         b"GET / HTTP/9.9\r\n\r\n",
         b"GET / HTTP/1.1\r\nno colon\r\n\r\n",
         b"POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: ten\r\n\r\n",
-        b"POST /p HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: -5\r\n"
+        b"POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: -5\r\n" + HEAD + b"\r\n" + INNER,
+        b"POST /p HTTP/1.0\r\nConnection: Keep-Alive\r\nTransfer-Encoding: chunked\r\n"
         + HEAD
-        + b"\r\n",
+        + b"\r\n"
+        + INNER,
         b"POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n" + HEAD + b"\r\nzz\r\n",
         b"POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n"
         + HEAD
--- a/tests/lookup/test_answer.py
+++ b/tests/lookup/test_answer.py
@@ -68,6 +68,12 @@
     assert [m.name for m in choose(cfg)] == ["x"]
 
 
+def test_entry_known_to_leave_is_left_out_before_it_is_committed():
+    cfg = config(make("x"), make("y"))
+    chosen = answer.choose(cfg, "perth", "proofs", 0.0, "10.1.2.3", {"x"})
+    assert [m.name for m in chosen] == ["y"]
+
+
 def test_drained_entry_is_left_out_from_its_start():
     planned = drain.Drain("d", "entry", "x", 50.0, 60.0)
     cfg = config(make("x"), make("y"), drains=[planned])
