--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -148,6 +148,9 @@
             except (wire_errors.WireError, errors.DistributionError) as exc:
                 log.warning("connection to {}:{} ended: {}", *address, exc)
                 self._avoid_until_s[address] = clock.monotonic_s() + AVOID_FAILED_S
+            except Exception:
+                # Without this thread the entry would never see a change again.
+                log.exception("uplink failed, connecting again")
             if clock.monotonic_s() - began_s > 2 * UNCONFIRMED_LIMIT_S:
                 failures = 0
             failures += 1
--- a/oriolelock/entry/daemon.py
+++ b/oriolelock/entry/daemon.py
@@ -38,15 +38,14 @@
         self._in_flight = 0
         self._state = "live"
         self._since_s = clock.wall_s()
+        self._entries = 1
         self._is_stopping = False
         self._stopped = threading.Event()
         host, port = cfg.statsd or (None, 0)
         self.counters = metrics.Metrics(host, port)
         self.uplink = self._make_uplink()
         self._relay = relay.Relay(cfg.name, cfg.cluster, cfg.cluster_token, self.uplink)
-        self.pool = pool.Pool(
-            lambda item: candidates.connection_limit(self.uplink.configuration, item)
-        )
+        self.pool = pool.Pool(lambda item: candidates.connection_limit(self._entries, item))
         self.once = client.Client(cfg.name, self.uplink.call)
         self._server: http_server.Server | None = None
         self._threads: list[threading.Thread] = []
@@ -76,6 +75,7 @@
     def _on_config(self, cfg):
         self._relay.on_config(cfg)
         self._since_s = clock.wall_s()
+        self._entries = candidates.count_entries(cfg)
         log.info("configuration index {} version {} in use", cfg.index, cfg.version)
 
     def _report(self):
@@ -91,6 +91,11 @@
         below = self._relay.fresh_reports()
         return messages.StatusBatch((own, *below)) if below else own
 
+    @property
+    def is_serving(self) -> bool:
+        """False once the server has ended, on request or by a fault."""
+        return self._threads[0].is_alive()
+
     @property
     def in_flight(self) -> int:
         """The number of requests being answered."""
@@ -142,6 +147,7 @@
             config=lambda: self.uplink.configuration,
             is_ready=lambda: self.uplink.is_ready,
             is_stopping=lambda: self._is_stopping,
+            leaving=lambda: frozenset([self._settings.name] if self._state == "leaving" else []),
             in_flight=self._count_in_flight,
             state=self.dump,
             region_of=self._region_of,
