--- a/oriolelock/bench/__init__.py
+++ b/oriolelock/bench/__init__.py
@@ -2,5 +2,6 @@
 oriolelock.bench
 ~~~~~~~~~~~~~~~~
 
-    Fleets of processes on one machine, the demonstration, and experiments.
+    Load generator, experiments and the measurements behind docs/CAPACITY.md; fleets of
+    processes on one machine, and the demonstration.
 """
--- a/oriolelock/cli/preset_list.py
+++ b/oriolelock/cli/preset_list.py
@@ -24,10 +24,12 @@
 def run(args: argparse.Namespace) -> int:
     """Print one row for each preset."""
     cfg = client.make_client(args).read("/oriolelock/configuration")["configuration"]
+    # Without confirmation there is only the last known one.
+    in_force = cfg["in_force"] or cfg.get("last_known_in_force")
     rows = [
         {
             **item,
-            "in_force": name == cfg["in_force"],
+            "in_force": name == in_force,
             "services": ", ".join(service["name"] for service in item["services"]),
             "version": cfg["version"],
         }
--- a/oriolelock/cli/status.py
+++ b/oriolelock/cli/status.py
@@ -27,7 +27,8 @@
     if args.output == "json":
         output.show_json(data)
         return exit_codes.DONE
-    print(f"preset in force: {data['in_force'] or '-'}")
+    # Without confirmation there is only the last known one.
+    print(f"preset in force: {data['in_force'] or data.get('last_known_in_force') or '-'}")
     print(f"version {data['version']}, index {data['index']}, leader {data['leader'] or '-'}")
     if not data["confirmed"]:
         print("NOT CONFIRMED by a leader: this may be old")
--- a/oriolelock/settings/standin_instances.py
+++ b/oriolelock/settings/standin_instances.py
@@ -18,7 +18,8 @@
 
 @dataclasses.dataclass(frozen=True)
 class Instance:
-    """One line of the list; the last three fields matter for endpoints only."""
+    """One line of the list. ``service``, ``slots`` and ``connections`` are for endpoints,
+    ``link_address`` for instances that others connect to by websocket."""
 
     id: str
     role: str
@@ -29,6 +30,7 @@
     service: str = ""
     slots: int = 0
     connections: int = 0
+    link_address: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,6 +57,7 @@
         getters.get_str(node, "service", ""),
         getters.get_int(node, "slots", 0),
         getters.get_int(node, "connections", 0),
+        getters.get_str(node, "link_address", ""),
     )
 
 
