--- a/oriolelock/lookup/__init__.py
+++ b/oriolelock/lookup/__init__.py
@@ -2,5 +2,5 @@
 oriolelock.lookup
 ~~~~~~~~~~~~~~~~~
 
-    Which entries a caller is told to use.
+    From a client's address to the entries it should use.
 """
