--- a/oriolelock/bench/__init__.py
+++ b/oriolelock/bench/__init__.py
@@ -2,5 +2,6 @@
 oriolelock.bench
 ~~~~~~~~~~~~~~~~
 
-    Load generator, experiments and the measurements behind docs/CAPACITY.md.
+    Load generator, experiments and the measurements behind docs/CAPACITY.md; fleets of
+    processes on one machine, and the demonstration.
 """
