Put routing and admission decisions into the request flow

The flow used a random endpoint and a plain counter. It now asks one Steering object, which holds router, scheduler, retry budget and quarantine behind a lock and wakes queued threads. Loads are polled where no answer has brought a report for 0.9 s, because otherwise the headroom of other regions is unknown and nothing may move there when a region fails. A lost connection followed by a refused connect counts as a death, is reported to control and not retried. Waiting requests hold threads, so each priority may use a part of half of them at most.

--- a/oriolelock/entry/app.py
+++ b/oriolelock/entry/app.py
@@ -200,6 +200,7 @@
             target=environ.get("REQUEST_URI", ""),
             headers=tuple(werkzeug.wrappers.Request(environ).headers.items()),
             body=content,
+            is_gone=environ.get(http_server.IS_GONE_KEY) or (lambda: False),
         )
         item = self._parts.serve.serve(req, received_s, clock.wall_s())
         elapsed_ms = 1000 * (clock.monotonic_s() - received_s)
--- a/oriolelock/entry/caller_request.py
+++ b/oriolelock/entry/caller_request.py
@@ -5,6 +5,7 @@
     A request as the caller sent it, and the checks that need no configuration.
 """
 
+import collections.abc
 import dataclasses
 import re
 
@@ -21,17 +22,21 @@
 TARGET = re.compile(r"^/[\x21-\x7e]*$")
 KEY_RETENTION_S = 24 * 3600.0
 # Callers' clocks may be ahead by this much.
-KEY_FUTURE_LIMIT_S = 300.0
+KEY_FUTURE_LIMIT_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True)
 class CallerRequest:
-    """``headers`` are all of the caller's; ``target`` is path and query, undecoded."""
+    """``headers`` are all of the caller's; ``target`` is path and query, undecoded.
+
+    ``is_gone`` tells whether the caller has closed its connection.
+    """
 
     method: str
     target: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    is_gone: collections.abc.Callable[[], bool] = lambda: False
 
     def header(self, name: str) -> str:
         """Return the value of a header, or an empty string."""
--- a/oriolelock/entry/daemon.py
+++ b/oriolelock/entry/daemon.py
@@ -5,15 +5,23 @@
     The parts of one entry, put together; start, leave, stop.
 """
 
-import collections.abc
+import random
 import threading
 import uuid
 
 from oriolelock import clock, logs, metrics, outcomes
 from oriolelock.distribution import messages, relay, stored_copy, tree, uplink
 from oriolelock.endpoints import pool
-from oriolelock.entry import app, basic, candidates, flow, http_server, reply
-from oriolelock.model import configuration, member
+from oriolelock.entry import (
+    app,
+    background,
+    candidates,
+    flow,
+    http_server,
+    reply,
+    steering,
+)
+from oriolelock.model import member
 from oriolelock.once import client
 from oriolelock.settings import entry as entry_settings
 from oriolelock.wire import hello
@@ -23,16 +31,14 @@
 SWEEP_INTERVAL_S = 5.0
 DRAIN_STEP_S = 0.02
 
-RegionOf = collections.abc.Callable[[configuration.Configuration, str], str | None]
 log = logs.get_logger("entry")
 
 
 class Entry:
     """One entry. ``start`` binds and returns; ``stop`` finishes what is in flight."""
 
-    def __init__(self, cfg: entry_settings.EntrySettings, region_of: RegionOf = lambda c, ip: None):
+    def __init__(self, cfg: entry_settings.EntrySettings):
         self._settings = cfg
-        self._region_of = region_of
         self._incarnation = uuid.uuid4().hex
         self._lock = threading.Lock()
         self._in_flight = 0
@@ -43,7 +49,12 @@
         self._stopped = threading.Event()
         host, port = cfg.statsd or (None, 0)
         self.counters = metrics.Metrics(host, port)
+        self.steering = steering.Steering(
+            cfg.name, cfg.region, cfg.threads, cfg.worker_slots, random.Random()
+        )
+        self._background = background.Background(self.steering)
         self.uplink = self._make_uplink()
+        self._background.link = self.uplink
         self._relay = relay.Relay(cfg.name, cfg.cluster, cfg.cluster_token, self.uplink)
         self.pool = pool.Pool(lambda item: candidates.connection_limit(self._entries, item))
         self.once = client.Client(cfg.name, self.uplink.call)
@@ -76,6 +87,7 @@
         self._relay.on_config(cfg)
         self._since_s = clock.wall_s()
         self._entries = candidates.count_entries(cfg)
+        self._background.on_config(cfg)
         log.info("configuration index {} version {} in use", cfg.index, cfg.version)
 
     def _report(self):
@@ -113,14 +125,14 @@
     def start(self) -> None:
         """Connect to control and serve callers; raises OSError when the port is taken."""
         cfg = self._settings
-        picker = basic.make_picker(cfg.region)
         steps = flow.Flow(
             lambda: self.uplink.configuration,
             lambda: self.uplink.is_ready,
             self.pool,
             self.once,
-            picker,
+            self.steering,
             self.counters,
+            self._background.report_crash,
         )
         self._server = http_server.make(
             cfg.listen,
@@ -133,6 +145,7 @@
             self._count_refusal,
         )
         self.uplink.start()
+        self._background.start()
         if cfg.link_listen:
             self._relay.start(cfg.link_listen)
         for target in (self._server.serve, self._sweep):
@@ -150,7 +163,7 @@
             leaving=lambda: frozenset([self._settings.name] if self._state == "leaving" else []),
             in_flight=self._count_in_flight,
             state=self.dump,
-            region_of=self._region_of,
+            region_of=self._background.region_of,
             counters=self.counters,
             region=self._settings.region,
             lookup_ttl_s=self._settings.lookup_ttl_s,
@@ -190,6 +203,7 @@
             "control_age_s": self.uplink.control_age_s(clock.monotonic_s()),
             "in_flight": self.in_flight,
             "connections": {a: list(c) for a, c in self.pool.counts().items()},
+            "steering": self.steering.dump(),
             "metrics": self.counters.dump(),
         }
 
@@ -221,6 +235,7 @@
         self._server.stop()
         self.once.close()
         self.pool.close()
+        self._background.stop()
         self._relay.stop()
         self.uplink.stop()
         for thread in self._threads:
--- a/oriolelock/entry/flow.py
+++ b/oriolelock/entry/flow.py
@@ -7,13 +7,13 @@
 
 import collections.abc
 import dataclasses
-import random
 import uuid
 
 from oriolelock import clock, metrics, outcomes
-from oriolelock.endpoints import errors, pool, request, results
-from oriolelock.entry import basic, caller_request, candidates, forwarding, recorded, reply
-from oriolelock.model import configuration, endpoint, operation, service_policy
+from oriolelock.admission import work_item
+from oriolelock.endpoints import errors, liveness, pool, request, results
+from oriolelock.entry import caller_request, forwarding, recorded, reply, steering, verdicts
+from oriolelock.model import configuration, operation
 from oriolelock.once import client
 
 __all__ = ["Flow"]
@@ -22,13 +22,10 @@
 # Share of the time left that a kept connection may use up before its first byte.
 FIRST_BYTE_SHARE = 0.3
 MAX_ATTEMPTS = 4
-# A further death would be the request's own doing.
-MAX_DEATHS = 2
+# After two lost connections a third would probably be the request's own doing.
+MAX_LOSSES = 2
 
-Picker = collections.abc.Callable[
-    [collections.abc.Sequence[endpoint.Endpoint], float, random.Random], endpoint.Endpoint
-]
-Observer = collections.abc.Callable[[endpoint.Endpoint, results.Result, str], None]
+Reporter = collections.abc.Callable[[str, str], None]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -38,15 +35,17 @@
     req: caller_request.CallerRequest
     parsed: caller_request.Parsed
     request_id: str
-    cfg: configuration.Configuration
-    policy: service_policy.ServicePolicy
     op: operation.Operation
     fingerprint: str
     end_s: float
 
 
 class Flow:
-    """Thread-safe if its parts are. ``observe`` is told the result of every attempt."""
+    """Thread-safe if its parts are.
+
+    ``report_crash(fingerprint, endpoint name)`` tells control of a death, without waiting;
+    ``is_refusing(address)`` tells whether nothing listens there any more.
+    """
 
     def __init__(
         self,
@@ -54,23 +53,19 @@
         is_ready: collections.abc.Callable[[], bool],
         exchanges: pool.Pool,
         once: client.Client,
-        pick: Picker,
+        decisions: steering.Steering,
         counters: metrics.Metrics,
-        gate: basic.Gate | None = None,
-        budget: basic.RetryBudget | None = None,
-        observe: Observer = lambda item, result, fingerprint: None,
-        rng: random.Random | None = None,
+        report_crash: Reporter = lambda fingerprint, name: None,
+        is_refusing: collections.abc.Callable[[str], bool] = liveness.is_refusing,
     ):
         self._config = config
         self._is_ready = is_ready
         self._pool = exchanges
         self._once = once
-        self._pick = pick
+        self._decisions = decisions
         self._metrics = counters
-        self._gate = gate or basic.Gate()
-        self._budget = budget or basic.RetryBudget()
-        self._observe = observe
-        self._rng = rng or random.Random()
+        self._report_crash = report_crash
+        self._is_refusing = is_refusing
 
     def serve(self, req: caller_request.CallerRequest, now: float, wall_s: float) -> reply.Reply:
         """Return the reply to ``req``, received at ``now`` (monotonic) and ``wall_s`` (Unix)."""
@@ -79,13 +74,20 @@
         work = self._prepare(req, request_id, cfg, now, wall_s)
         if isinstance(work, outcomes.NotRun):
             return reply.Reply(work, request_id, cfg.version)
-        refusal = self._gate.enter(work.policy, work.op, work.end_s)
-        if refusal:
-            return reply.Reply(refusal, request_id, cfg.version)
+        item = self._decisions.admit(
+            work.parsed.service, work.op, work.end_s, clock.monotonic_s(), req.is_gone
+        )
+        if isinstance(item, outcomes.NotRun):
+            return reply.Reply(item, request_id, cfg.version)
+        held = _Held(item)
         try:
-            outcome = self._run_once(work) if not work.op.idempotent else self._run(work, None)[0]
+            if work.op.idempotent:
+                outcome = self._run(work, held, None)[0]
+            else:
+                outcome = self._run_once(work, held)
         finally:
-            self._gate.leave(work.policy)
+            if held.item is not None:
+                self._decisions.leave(held.item, clock.monotonic_s())
         return reply.Reply(outcome, request_id, cfg.version)
 
     def _prepare(self, req, request_id, cfg, now, wall_s):
@@ -104,15 +106,16 @@
         if not op.idempotent and not parsed.key:
             return outcomes.NotRun("key-missing")
         fingerprint = forwarding.fingerprint(parsed, req)
-        crash = cfg.crashes.get(fingerprint)
-        if crash and crash.until_s > wall_s:
-            return outcomes.NotRun("quarantined", 1000 * (crash.until_s - wall_s))
+        if self._decisions.is_blocked(fingerprint, now, wall_s):
+            crash = cfg.crashes.get(fingerprint)
+            left_s = crash.until_s - wall_s if crash else 0.0
+            return outcomes.NotRun("quarantined", 1000 * max(1.0, left_s))
         end_s = now + min(parsed.deadline_ms, op.timeout_ms) / 1000
-        return _Work(req, parsed, request_id, cfg, policy, op, fingerprint, end_s)
+        return _Work(req, parsed, request_id, op, fingerprint, end_s)
 
-    def _run_once(self, work):
+    def _run_once(self, work, held):
         """Run work that must not run twice, under a claim on its key."""
-        if not candidates.of_service(work.cfg, work.parsed.service, clock.wall_s()):
+        if not self._decisions.has_endpoint(work.parsed.service):
             return outcomes.NotRun("no-endpoint")
         digest = forwarding.body_digest(work.parsed, work.req)
         claim = self._once.claim(work.parsed.key, digest, work.end_s)
@@ -120,7 +123,7 @@
             return recorded.outcome_of(claim)
         ran = True
         try:
-            outcome, ran = self._run(work, claim)
+            outcome, ran = self._run(work, held, claim)
         except BaseException:
             self._once.release(claim, ran)
             raise
@@ -132,33 +135,58 @@
             self._once.release(claim, ran)
         return outcome
 
-    def _run(self, work, claim):
+    def _run(self, work, held, claim):
         """Return the outcome, and whether the request may have run."""
-        tried = set()
-        outcome = outcomes.NotRun("no-endpoint")
-        deaths = 0
-        self._budget.add_first()
-        for attempt in range(1, MAX_ATTEMPTS + 1):
-            left = candidates.of_service(self._config(), work.parsed.service, clock.wall_s(), tried)
+        service = work.parsed.service
+        tried: set[str] = set()
+        outcome = None
+        attempt, losses = 1, 0
+        self._decisions.first_attempt(service, clock.monotonic_s())
+        while True:
             now = clock.monotonic_s()
             refusal = _refusal(work, claim, now)
-            if refusal or not left:
-                return (refusal if attempt == 1 and refusal else outcome), _may_have_run(outcome)
-            if attempt > 1:
-                if not self._budget.take():
+            if refusal:
+                break
+            target = self._decisions.choose(service, work.op.name, now, tried)
+            if target is None:
+                refusal = self._wait_for_endpoint(work, held, now)
+                if refusal:
                     break
-                self._metrics.count("request.retried")
-            target = self._pick(left, now, self._rng)
-            tried.add(target.name)
+                tried.clear()
+                continue
+            tried.add(target.endpoint.name)
             try:
                 result = self._attempt(work, target, attempt, claim, now)
             except errors.UnsendableRequest:
                 return outcomes.NotRun("bad-request"), False
-            outcome = _worse(outcome, _outcome_of(result))
-            deaths += isinstance(result, results.ConnectionLost)
-            if not _may_retry(result, work.op.idempotent) or deaths >= MAX_DEATHS:
-                break
-        return outcome, _may_have_run(outcome)
+            latest = verdicts.outcome_of(result)
+            outcome = latest if outcome is None else verdicts.worse(outcome, latest)
+            attempt += 1
+            losses += isinstance(result, results.ConnectionLost)
+            is_last = attempt > MAX_ATTEMPTS or losses >= MAX_LOSSES
+            if is_last or not self._may_retry(work, result):
+                return outcome, not isinstance(outcome, outcomes.NotRun)
+            self._metrics.count("request.retried")
+        # An earlier attempt that may have run outweighs the refusal of a further one.
+        final = refusal if outcome is None else outcome
+        return final, not isinstance(final, outcomes.NotRun)
+
+    def _wait_for_endpoint(self, work, held, now):
+        """Wait until an endpoint may be free; return why not, or None."""
+        if not self._decisions.has_endpoint(work.parsed.service):
+            return outcomes.NotRun("no-endpoint", 100.0)
+        item, held.item = held.item, None
+        again = self._decisions.wait_again(item, now, work.req.is_gone)
+        if isinstance(again, outcomes.NotRun):
+            return again
+        held.item = again
+        return None
+
+    def _may_retry(self, work, result):
+        if not verdicts.may_retry(result, work.op.idempotent):
+            return False
+        now, wall_s = clock.monotonic_s(), clock.wall_s()
+        return self._decisions.may_retry(work.parsed.service, work.fingerprint, now, wall_s)
 
     def _attempt(self, work, target, attempt, claim, now):
         left_s = work.end_s - now
@@ -174,12 +202,32 @@
             # The connection must stand while the lease still allows sending.
             connect_s=claim.lease_end_s - now if claim else None,
         )
-        result = self._pool.exchange(item, target, left_s)
+        try:
+            result = self._pool.exchange(item, target.endpoint, left_s)
+        except BaseException:
+            self._note(work, target, results.NotSent("no-connection", 0.0))
+            raise
         if result.silent:
             self._metrics.count("endpoint.silent", result.silent)
-        self._observe(target, result, work.fingerprint)
+        self._note(work, target, result)
         return result
 
+    def _note(self, work, target, result):
+        is_lost = isinstance(result, results.ConnectionLost)
+        is_death = is_lost and self._is_refusing(target.endpoint.address)
+        size = len(work.req.body)
+        now = clock.monotonic_s()
+        if self._decisions.finished(target, result, size, work.fingerprint, is_death, now):
+            self._metrics.count("endpoint.crashed")
+            self._report_crash(work.fingerprint, target.endpoint.name)
+
+
+class _Held:
+    """The worker slot that a request holds; None while it waits again."""
+
+    def __init__(self, item: work_item.WorkItem):
+        self.item: work_item.WorkItem | None = item
+
 
 def _refusal(work, claim, now):
     if now >= work.end_s:
@@ -187,38 +235,3 @@
     if claim and not claim.may_dispatch(now):
         return outcomes.NotRun("record-unreachable")
     return None
-
-
-def _worse(earlier, latest):
-    # An attempt that was refused says nothing about an earlier one that may have run.
-    if isinstance(earlier, outcomes.Unknown) and isinstance(latest, outcomes.NotRun):
-        return earlier
-    return latest
-
-
-def _may_have_run(outcome):
-    return not isinstance(outcome, outcomes.NotRun)
-
-
-def _may_retry(result, idempotent):
-    if isinstance(result, results.NotSent | results.RefusedByEndpoint):
-        return True
-    return idempotent and isinstance(result, results.ConnectionLost | results.BadAnswer)
-
-
-def _outcome_of(result):
-    match result:
-        case results.Completed():
-            headers = forwarding.to_caller(result.headers)
-            return outcomes.Complete(result.status, headers, result.body)
-        case results.NotSent(reason="no-connection"):
-            return outcomes.NotRun("overloaded", 100.0)
-        case results.NotSent():
-            return outcomes.NotRun("no-endpoint")
-        case results.RefusedByEndpoint():
-            return outcomes.NotRun("endpoint-refused", 100.0)
-        case results.TimedOut():
-            return outcomes.Unknown("timeout")
-        case results.ConnectionLost():
-            return outcomes.Unknown("connection-lost")
-    return outcomes.Unknown("bad-answer")
--- a/oriolelock/entry/http_server.py
+++ b/oriolelock/entry/http_server.py
@@ -14,7 +14,7 @@
 from oriolelock import clock, logs
 from oriolelock.entry import http_socket
 
-__all__ = ["RECEIVED_KEY", "Server", "make"]
+__all__ = ["IS_GONE_KEY", "RECEIVED_KEY", "Server", "make"]
 
 READ_LIMIT_S = 5.0
 WRITE_LIMIT_S = 10.0
@@ -27,6 +27,7 @@
 REASONS = {"413": "body-too-large", "414": "headers-too-large"}
 HEADERS_TEXT = "headers"
 RECEIVED_KEY = "oriolelock.received_s"
+IS_GONE_KEY = "oriolelock.is_gone"
 
 log = logs.get_logger("http")
 
@@ -70,7 +71,12 @@
 class _Gateway(cheroot.wsgi.Gateway_10):
     def get_environ(self):
         """Add when the request arrived, which is before a thread was free to read it."""
-        return {**super().get_environ(), RECEIVED_KEY: self.req.conn.received_s}
+        conn = self.req.conn
+        return {
+            **super().get_environ(),
+            RECEIVED_KEY: conn.received_s,
+            IS_GONE_KEY: conn.socket.is_gone,
+        }
 
 
 class _Connection(cheroot.server.HTTPConnection):
--- a/oriolelock/entry/http_socket.py
+++ b/oriolelock/entry/http_socket.py
@@ -5,6 +5,7 @@
     A caller's socket with a limit on the whole time of reading or writing one message.
 """
 
+import select
 import socket
 
 from oriolelock import clock
@@ -26,6 +27,17 @@
         """Allow ``limit_s`` from now for all reads and writes until the next call."""
         self._end_s = clock.monotonic_s() + limit_s
 
+    def is_gone(self) -> bool:
+        """Return whether the caller has closed the connection."""
+        poller = select.poll()
+        poller.register(self._sock, select.POLLIN)
+        try:
+            if not poller.poll(0):
+                return False
+            return self._sock.recv(1, socket.MSG_PEEK) == b""
+        except (OSError, ValueError):
+            return True
+
     def _arm(self):
         if self._end_s is None:
             return
--- a/oriolelock/metrics.py
+++ b/oriolelock/metrics.py
@@ -21,6 +21,7 @@
     "request.latency": ("timer", "time from receipt to answer"),
     "request.retried": ("counter", "further attempts of requests"),
     "endpoint.silent": ("counter", "kept connections to endpoints that gave no first byte"),
+    "endpoint.crashed": ("counter", "endpoints that died while they ran a request"),
     "lookup.answered": ("counter", "look-ups answered"),
     "control.change.applied": ("counter", "operator changes applied"),
     "control.change.conflict": ("counter", "operator changes with an outdated version"),
--- a/oriolelock/routing/router.py
+++ b/oriolelock/routing/router.py
@@ -9,7 +9,7 @@
 import collections.abc
 
 from oriolelock.admission import limiter
-from oriolelock.model import configuration
+from oriolelock.model import configuration, endpoint
 from oriolelock.routing import (
     bandwidth,
     choice,
@@ -217,12 +217,12 @@
         if res.report:
             self._note_report(routes, route, res.report, now)
 
-    def reported(self, endpoint: str, news: result.LoadReport, now: float) -> None:
+    def reported(self, endpoint_name: str, news: result.LoadReport, now: float) -> None:
         """Take a load report that was asked for; unknown endpoints are ignored."""
-        item = self._cfg.endpoints.get(endpoint)
+        item = self._cfg.endpoints.get(endpoint_name)
         routes = self._services.get(item.service) if item else None
-        if routes and endpoint in routes.routes:
-            self._note_report(routes, routes.routes[endpoint], news, now)
+        if routes and endpoint_name in routes.routes:
+            self._note_report(routes, routes.routes[endpoint_name], news, now)
 
     def _note_report(self, routes, route, news, now):
         if not route.view.report(news, now):
@@ -244,6 +244,20 @@
             routes.room, routes.room_at = self._count_room(routes, now), now
         return routes.room
 
+    def unreported(self, now: float, max_age_s: float) -> list[endpoint.Endpoint]:
+        """Return the endpoints whose last load report is older than ``max_age_s``."""
+        return [
+            route.view.endpoint
+            for routes in self._services.values()
+            for route in routes.routes.values()
+            if now - route.view.reported_at > max_age_s
+        ]
+
+    def has_open(self, service: str) -> bool:
+        """Return whether any endpoint of a service may get new work, or may be probed soon."""
+        routes = self._services.get(service)
+        return routes is not None and any(r.drained > 0.0 for r in routes.routes.values())
+
     def _count_room(self, routes, now):
         total = sum(
             self.limits.limit(route.name, now)
--- a/oriolelock/settings/entry.py
+++ b/oriolelock/settings/entry.py
@@ -34,6 +34,7 @@
     cluster_token: str = dataclasses.field(repr=False)
     data_folder: str | None
     threads: int
+    worker_slots: int
     max_body: int
     max_headers: int
     lookup_ttl_s: float
@@ -73,7 +74,8 @@
         control=_addresses(top, "control"),
         cluster_token=getters.get_str(top, "cluster_token"),
         data_folder=getters.get_str(top, "data_folder", None),
-        threads=getters.get_int(top, "threads", 64, low=1, high=MAX_THREADS),
+        threads=getters.get_int(top, "threads", 192, low=4, high=MAX_THREADS),
+        worker_slots=getters.get_int(top, "worker_slots", 64, low=1, high=MAX_THREADS),
         max_body=getters.get_bytes(top, "max_body", 1 << 20),
         max_headers=_max_headers(top),
         lookup_ttl_s=getters.get_ms(top, "lookup_ttl", 5000.0, low=1) / 1000,
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -30,6 +30,7 @@
             "cluster_token": fake_parent.TOKEN,
             "data_folder": None,
             "threads": 8,
+            "worker_slots": 4,
             "max_body": 4096,
             "max_headers": 4096,
             "lookup_ttl_s": 0.05,
--- a/tests/fake_endpoint.py
+++ b/tests/fake_endpoint.py
@@ -6,6 +6,10 @@
 from oriolelock.model import endpoint
 
 LOAD = "X-Load: in_flight=1;slots=4;queued=0\r\nX-State: serving\r\n"
+# Polls of the load are answered apart, so that they don't count as requests.
+LOAD_TARGET = "/load"
+LOAD_BODY = b'{"in_flight":1,"slots":4,"queued":0,"state":"serving","age_ms":0}'
+LOAD_REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(LOAD_BODY), LOAD_BODY)
 
 
 class Seen:
@@ -86,6 +90,9 @@
             name, _, value = text.partition(":")
             headers[name.lower()] = value.strip()
         body = handler.rfile.read(int(headers.get("content-length", 0)))
+        if target == LOAD_TARGET:
+            handler.wfile.write(LOAD_REPLY)
+            return self.read(handler)
         with self.changed:
             seen = Seen(method, target, headers, body, len(self.requests) + 1)
             self.requests.append(seen)
