--- a/tests/consensus/driver.py
+++ b/tests/consensus/driver.py
@@ -20,10 +20,10 @@
     def __init__(self, name, incarnation, membership, rng):
         self.name, self.incarnation, self.rng = name, incarnation, rng
         self.disk = stored.Stored(0, "", 0, 0, membership, (), b"")
-        self.frozen = False
+        self.frozen = self.preferred = False
 
     def start(self, now):
-        cfg = node_settings.NodeSettings(self.name, self.incarnation)
+        cfg = node_settings.NodeSettings(self.name, self.incarnation, preferred=self.preferred)
         self.node = node.make(cfg, self.disk, now, self.rng)
         self.unsynced = []
         self.applied, self.state = self.disk.snapshot_index, self.disk.snapshot
