--- a/oriolelock/storage/store.py
+++ b/oriolelock/storage/store.py
@@ -209,8 +209,6 @@
         Raises DiskFull, after which it may be repeated, or SyncFailed.
         """
         self._check_usable()
-        if index < self._snapshot.index:
-            return
         with self._failing():
             if index > self._snapshot.index:
                 snapshot = records.SnapshotRecord(index, term, membership, data)
--- a/tests/consensus/test_election.py
+++ b/tests/consensus/test_election.py
@@ -133,3 +133,49 @@
     cluster.crash(target)
     cluster.run_until(lambda: cluster.leader() == target)
     assert node.leader(cluster.replicas[old].node) in ("", target)
+
+
+def test_vote_request_waits_for_the_own_vote():
+    """Guards against a candidate that crashes, forgets its vote and votes for another."""
+    cluster = driver.Cluster(3)
+    leader = cluster.elect()
+    cluster.run(5)
+    item = cluster.replicas[next(name for name in cluster.replicas if name != leader)]
+    request = messages.TimeoutNow(item.node.term)
+    outs = cluster.step(item.name, events.Received(leader, "initial", request))
+    assert not sent(outs, messages.Vote)
+    assert len(sent(cluster.step(item.name, item.sync()), messages.Vote)) == 2
+
+
+def test_transfer_waits_for_the_target():
+    """Guards against a target that cannot win because it lacks entries."""
+    cluster = driver.Cluster(3)
+    leader = cluster.elect()
+    cluster.run(5)
+    cluster.propose(leader)
+    outs = cluster.step(leader, events.Transfer())
+    assert not sent(outs, messages.TimeoutNow)
+    cluster.run(3)
+    assert cluster.leader() not in (None, leader)
+
+
+@pytest.mark.parametrize("voter", [False, True])
+def test_only_voters_campaign(voter):
+    """Guards against learners that ask for votes."""
+    cluster = driver.Cluster(3)
+    item = cluster.replicas["n0"]
+    replicas = (messages.Replica("n0", "initial", voter), *cluster.membership.replicas[1:])
+    item.node.memberships = [(0, messages.Membership(replicas))]
+    cluster.now = 100.0
+    assert bool(sent(cluster.step("n0", events.Tick()), messages.PreVote)) == voter
+
+
+def test_empty_replica_grants_nothing():
+    """Guards against votes of a replica that knows no group."""
+    cluster = driver.Cluster(3)
+    cluster.lose_disk("n0")
+    for msg in (messages.PreVote(5, 9, 4), messages.Vote(5, 9, 4)):
+        cluster.step("n0", events.Received("n1", "initial", msg))
+    while cluster.replicas["n0"].unsynced:
+        cluster.sync_one("n0")
+    assert [message[3].granted for message in cluster.network] == [False, False]
--- a/tests/consensus/test_membership.py
+++ b/tests/consensus/test_membership.py
@@ -142,3 +142,15 @@
         cluster.lose_disk(name)
     cluster.run_until(lambda: is_repaired(cluster, leader, *others))
     assert commits(cluster)
+
+
+def test_promotion_waits_for_catch_up():
+    """Guards against a voter that has no log yet and halts commits."""
+    cluster, leader, (one, _) = started()
+    cluster.step(leader, events.Remove(one))
+    cluster.run(5)
+    cluster.cut.add(one)
+    cluster.step(leader, events.AddLearner(messages.Replica(one, "other", False)))
+    cluster.run(5)
+    cluster.step(leader, events.Promote(one))
+    assert reasons(cluster)[-1] == "not-caught-up"
--- a/tests/consensus/test_replication.py
+++ b/tests/consensus/test_replication.py
@@ -15,6 +15,7 @@
     snapshots,
     stored,
 )
+from oriolelock.wire import codec
 from tests.consensus import driver
 
 
@@ -23,11 +24,13 @@
     return [msg for msg in msgs if isinstance(msg, messages.Append) and msg.entries]
 
 
-def follower(entries=()):
+def make_group(*names):
+    return messages.Membership(tuple(messages.Replica(name, "initial", True) for name in names))
+
+
+def follower(entries=(), group=None):
     """Return a follower n1 with these (index, term) on its disk."""
-    group = messages.Membership(
-        tuple(messages.Replica(name, "initial", True) for name in ("n0", "n1", "n2"))
-    )
+    group = make_group("n0", "n1", "n2") if group is None else group
     held = tuple(messages.Entry(index, term, "command", b"") for index, term in entries)
     disk = stored.Stored(entries[-1][1] if entries else 0, "", 0, 0, group, held, b"")
     return node.make(node_settings.NodeSettings("n1", "initial"), disk, 0.0, random.Random(0))
@@ -177,3 +180,101 @@
     cluster.run(10)
     assert cluster.replicas[behind].applied == cluster.replicas[leader].applied
     assert cluster.replicas[behind].disk.snapshot_index == 0
+
+
+def install(item, offset, data, done, term=9, last=(3, 2)):
+    msg = messages.InstallSnapshot(term, *last, make_group("n0", "n1"), offset, data, done)
+    return node.step(item, events.Received("n0", "initial", msg), 0.0)
+
+
+def restored(outs):
+    return [out for out in outs if isinstance(out, outputs.RestoreSnapshot)]
+
+
+def committed(outs):
+    return [entry for out in outs if isinstance(out, outputs.Commit) for entry in out.entries]
+
+
+def test_single_replica_waits_for_its_own_disk():
+    """Guards against a term, or a commit, that a crash of the only replica forgets."""
+    item = follower(group=make_group("n1"))
+    append(item, (0, 0))
+    node.step(item, events.Tick(), 5.0)
+    node.step(item, events.Saved(1), 5.0)
+    assert not node.is_leader(item)
+    node.step(item, events.Saved(2), 5.0)
+    assert node.is_leader(item)
+    outs = node.step(item, events.Propose("p", b""), 5.0)
+    assert not committed(outs) and item.commit == 0
+    assert [entry.index for entry in committed(node.step(item, events.Saved(4), 5.0))] == [1, 2]
+
+
+def test_delayed_append_removes_nothing():
+    """Guards against an old message that truncates acknowledged entries."""
+    item = follower()
+    append(item, (0, 0), [(1, 9), (2, 9)])
+    append(item, (0, 0), [(1, 9)])
+    assert item.log.last_index == 2
+
+
+def test_commits_only_what_the_leader_has_compared():
+    """Guards against committing a follower's leftover entries of another leader."""
+    item = follower([(1, 1), (2, 1)])
+    outs, _ = append(item, (1, 1), commit=2)
+    assert [entry.index for entry in committed(outs)] == [1]
+
+
+def test_snapshot_keeps_a_matching_log_only():
+    """Guards against lost acknowledged entries, and against entries of another history."""
+    same, other = follower([(1, 1)]), follower([(1, 1), (2, 1), (3, 1), (4, 1)])
+    append(same, (1, 1), [(2, 2), (3, 2), (4, 2)])
+    for item in (same, other):
+        assert restored(install(item, 0, b"state", True))
+    assert (same.log.last_index, same.log.last_term) == (4, 2)
+    assert (other.log.last_index, other.log.last_term) == (3, 2)
+
+
+def test_snapshot_reply_waits_for_the_disk():
+    """Guards against a snapshot that counts before it is stored."""
+    item = follower()
+    assert replies(install(item, 0, b"state", True)) == []
+    assert replies(node.step(item, events.Saved(1), 0.0))[-1].done
+
+
+def test_chunks_of_two_leaders_do_not_mix():
+    """Guards against a state made of two encodings, or of a chunk that came twice."""
+    item = follower()
+    install(item, 0, b"old", False, term=9)
+    install(item, 0, b"new", False, term=10)
+    install(item, 0, b"new", False, term=10)
+    (out,) = restored(install(item, 3, b"er", True, term=10))
+    assert out.data == b"newer"
+
+
+def test_memberships_follow_the_log():
+    """Guards against a truncated membership that stays in force, or a kept one that is lost."""
+    small = codec.encode(make_group("n0", "n1"))
+    entries = (messages.Entry(1, 9, "noop", b""), messages.Entry(2, 9, "membership", small))
+    item = follower()
+    msg = messages.Append(9, 0, 0, 0, 1, entries)
+    node.step(item, events.Received("n0", "initial", msg), 0.0)
+    assert len(item.membership.replicas) == 2
+    snapshot = messages.InstallSnapshot(9, 1, 9, make_group("n0", "n1", "n2"), 0, b"s", True)
+    node.step(item, events.Received("n0", "initial", snapshot), 0.0)
+    assert len(item.membership.replicas) == 2
+    append(item, (1, 9), [(2, 10)], term=10)
+    assert len(item.membership.replicas) == 3
+
+
+def test_read_waits_for_a_commit_of_the_own_term():
+    """Guards against a read at a new leader that has not learned the last commit."""
+    cluster = driver.Cluster(3)
+    old = cluster.elect()
+    cluster.run(5)
+    cluster.cut.add(old)
+    new = cluster.elect()
+    item = cluster.replicas[new].node
+    assert item.log.term_at(item.commit) != item.term
+    cluster.read(new)
+    cluster.run(5, sync=0.0)
+    assert not any(isinstance(out, outputs.ReadReady) for out in cluster.results)
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -192,6 +192,26 @@
     assert [item.index for item in reopened(folder).entries] == [3, 4]
 
 
+def test_save_after_unfinished_snapshot(folder, monkeypatch):
+    """Guards against a hole in the old log when only the snapshot itself found space."""
+    opened = store.open(folder, "config")
+    opened.save(save(1, 2, 3))
+    original, calls = os.write, []
+
+    def replacement(fd, data):
+        calls.append(fd)
+        if len(calls) == 2:
+            raise OSError(errno.ENOSPC, "full")
+        return original(fd, data)
+
+    monkeypatch.setattr(os, "write", replacement)
+    with pytest.raises(errors.DiskFull):
+        opened.save_snapshot(10, 1, GROUP, b"state")
+    opened.save(save(11))
+    opened.close()
+    assert [item.index for item in reopened(folder).entries] == [11]
+
+
 def test_failed_sync_is_final(folder, monkeypatch):
     """Guards against a repeated sync that succeeds although the data is gone."""
     opened = store.open(folder, "config")
