--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -47,17 +47,20 @@
     opened.close()
 
 
-def fail_calls(monkeypatch, name, number, partial=0, count=1):
-    """Let ``count`` calls of ``os.<name>`` fail with ``number``, after ``partial`` bytes."""
+def fail_calls(monkeypatch, name, number, good=0, partial=0, count=1):
+    """Let ``count`` calls of ``os.<name>`` fail with ``number`` after some good ones.
+
+    With ``partial``, one more call before them writes only so many bytes.
+    """
     original = getattr(os, name)
-    calls = []
+    plan = iter([None] * good + [partial] * bool(partial) + [-1] * count)
 
     def replacement(fd, *args):
-        calls.append(fd)
-        if len(calls) > count + bool(partial):
+        todo = next(plan, None)
+        if todo is None:
             return original(fd, *args)
-        if partial and len(calls) == 1:
-            return original(fd, args[0][:partial])
+        if todo > 0:
+            return original(fd, args[0][:todo])
         raise OSError(number, os.strerror(number))
 
     monkeypatch.setattr(os, name, replacement)
@@ -152,7 +155,7 @@
     opened.save(save(1))
     for partial in (0, 5):
         with monkeypatch.context() as patch:
-            fail_calls(patch, "write", errno.ENOSPC, partial)
+            fail_calls(patch, "write", errno.ENOSPC, partial=partial)
             with pytest.raises(errors.DiskFull):
                 opened.save(save(2))
         assert [item.index for item in opened.load().entries] == [1]
@@ -167,16 +170,8 @@
     """Guards against a lost log when the snapshot, or the log after it, finds no space."""
     opened = store.open(folder, "config")
     opened.save(save(1, 2, 3))
-    original, calls = os.write, []
-
-    def replacement(fd, data):
-        calls.append(fd)
-        if len(calls) <= good_writes:
-            return original(fd, data)
-        raise OSError(errno.ENOSPC, "full")
-
     with monkeypatch.context() as patch:
-        patch.setattr(os, "write", replacement)
+        fail_calls(patch, "write", errno.ENOSPC, good=good_writes, count=2)
         with pytest.raises(errors.DiskFull):
             opened.save_snapshot(2, 1, GROUP, b"state")
         with pytest.raises(errors.DiskFull):
@@ -196,15 +191,7 @@
     """Guards against a hole in the old log when only the snapshot itself found space."""
     opened = store.open(folder, "config")
     opened.save(save(1, 2, 3))
-    original, calls = os.write, []
-
-    def replacement(fd, data):
-        calls.append(fd)
-        if len(calls) == 2:
-            raise OSError(errno.ENOSPC, "full")
-        return original(fd, data)
-
-    monkeypatch.setattr(os, "write", replacement)
+    fail_calls(monkeypatch, "write", errno.ENOSPC, good=1)
     with pytest.raises(errors.DiskFull):
         opened.save_snapshot(10, 1, GROUP, b"state")
     opened.save(save(11))
