Hand over leadership before a leader is removed

The three looked at had the same state: of two voters, the leader had appended its own removal and was cut off. It does not campaign as a non-member, and it does not vote for the other, whose log is shorter.

Ruled out: campaigns of non-members as in Ongaro (2014), section 4.2.2; a replica without membership must never start an election here.

Change: Remove of the leader is rejected as "transferring" and starts a hand-over; the new leader then removes it.

--- a/oriolelock/consensus/membership.py
+++ b/oriolelock/consensus/membership.py
@@ -11,13 +11,12 @@
 
 import dataclasses
 
-from oriolelock.consensus import messages, outputs, quorum, replication, state
+from oriolelock.consensus import messages, outputs, quorum, replication, state, transfer
 from oriolelock.wire import codec
 
 __all__ = [
     "CAUGHT_UP_ENTRIES",
     "add_learner",
-    "after_commit",
     "at",
     "is_caught_up",
     "note",
@@ -96,11 +95,20 @@
 
 
 def remove(node: state.Node, event, now: float) -> None:
-    """Remove a replica; a leader that removes itself leads until that is committed."""
+    """Remove a replica; a leader hands over first, its successor can then remove it.
+
+    If a leader could append its own removal and then lost its followers, it would not campaign
+    as a non-member and not vote for those with shorter logs: a group of two would stand still.
+    Other removed replicas never get the entry that removes them, so they still vote.
+    """
     if quorum.find(node.membership, event.name) is None:
         return
+    reason = ""
+    if event.name == node.cfg.name and len(quorum.voters(node.membership)) > 1:
+        transfer.begin(node, "", now)
+        reason = "transferring"
     replicas = [item for item in node.membership.replicas if item.name != event.name]
-    _change(node, event.name, "", replicas, now)
+    _change(node, event.name, reason, replicas, now)
 
 
 def _change(node, name, reason, replicas, now):
@@ -124,10 +132,3 @@
     note(node, entry)
     refresh_progress(node, now)
     replication.send_to_all(node)
-
-
-def after_commit(node: state.Node) -> None:
-    """Step down once a membership without this leader is committed."""
-    index, current = node.memberships[-1]
-    if index <= node.commit and not quorum.is_voter(current, node.cfg.name, node.cfg.incarnation):
-        node.resign = True
--- a/oriolelock/consensus/node.py
+++ b/oriolelock/consensus/node.py
@@ -81,9 +81,6 @@
     """
     election.step_down_if_cut_off(node, now)
     _HANDLERS[type(event)](node, event, now)
-    if node.resign:
-        election.become_follower(node, node.term, "", now)
-        node.resign = False
     reads.start_round(node, now)
     _announce(node)
     saving.flush(node)
--- a/oriolelock/consensus/replication.py
+++ b/oriolelock/consensus/replication.py
@@ -178,7 +178,6 @@
     if index > node.commit and node.log.term_at(index) == node.term:
         emit_committed(node, index)
         reads.confirm(node)
-        membership.after_commit(node)
 
 
 def emit_committed(node: state.Node, index: int) -> None:
--- a/oriolelock/consensus/state.py
+++ b/oriolelock/consensus/state.py
@@ -103,7 +103,6 @@
     transfer_to: str = ""
     transfer_deadline_s: float = 0.0
     transfer_asked_s: float = 0.0
-    resign: bool = False
     # Saves.
     save_number: int = 0
     saved_number: int = 0
