--- a/tests/wire/test_channel.py
+++ b/tests/wire/test_channel.py
@@ -83,8 +83,11 @@
 
     sender = threading.Thread(target=send)
     sender.start()
+    began_s = clock.monotonic_s()
     with pytest.raises(errors.ChannelClosed, match="silent"):
         while True:
             dialed.recv(1.0)
+    # The other end closes after 10 s, which would end the send as well.
+    assert clock.monotonic_s() - began_s < 5.0
     sender.join(timeout=5.0)
     assert stuck
