Keep a replica up on a change that hits a fault, test the command

A change that raised anything but a rule of the model ended the thread of the group and with it the process, on all replicas and again at each start, because the change stands in the log. It is now refused and logged. Memory and recursion errors still end the process: they depend on the replica, and refusing on one alone would make replicas differ. Messages that are no consensus messages are dropped before they reach a node.

--- a/oriolelock/control/replica.py
+++ b/oriolelock/control/replica.py
@@ -34,6 +34,19 @@
 HAND_OVER_TIMEOUT_S = 2.0
 HAND_OVER_CHECK_S = 0.05
 
+CONSENSUS_MESSAGES = (
+    consensus_messages.Append,
+    consensus_messages.AppendReply,
+    consensus_messages.InstallSnapshot,
+    consensus_messages.InstallSnapshotReply,
+    consensus_messages.PreVote,
+    consensus_messages.PreVoteReply,
+    consensus_messages.RequestTransfer,
+    consensus_messages.TimeoutNow,
+    consensus_messages.Vote,
+    consensus_messages.VoteReply,
+)
+
 log = logs.get_logger("control.replica")
 
 
@@ -166,7 +179,7 @@
 
     def _take(self, sender, msg):
         if isinstance(msg, messages.GroupMessage):
-            if msg.group in self._hosts:
+            if msg.group in self._hosts and isinstance(msg.msg, CONSENSUS_MESSAGES):
                 self._hosts[msg.group].receive(sender, msg.incarnation, msg.msg)
         elif isinstance(msg, messages.Forward):
             self._serve_forward(sender, msg)
--- a/oriolelock/control/state.py
+++ b/oriolelock/control/state.py
@@ -85,8 +85,15 @@
             return results.Refused(f"not a change: {type(change).__name__}")
         try:
             after = configuration.apply(self.view(), change, index, self.wall_s)
-        except (errors.ModelError, ValueError) as exc:
+        except errors.ModelError as exc:
             return results.Refused(str(exc))
+        except (MemoryError, RecursionError):
+            # These depend on the replica; refusing here alone would make replicas differ.
+            raise
+        except Exception as exc:
+            # The entry is in every replica's log: raising would end them all, at each start.
+            log.exception("Change {} at {} fails.", type(change).__name__, index)
+            return results.Refused(f"internal error: {type(exc).__name__}")
         self._recent.advance(after, (delta.CommittedChange(index, self.wall_s, change),))
         return results.Applied(after.version, after.index)
 
--- a/tests/control/test_state.py
+++ b/tests/control/test_state.py
@@ -60,6 +60,19 @@
     assert "b" not in machine.view().presets
 
 
+def test_change_that_hits_a_fault_does_not_end_the_replica(monkeypatch):
+    # It would end each replica again at each start, because it is in the log.
+    def fail(*_):
+        raise KeyError("fault")
+
+    machine = state.ConfigState()
+    with monkeypatch.context() as patch:
+        patch.setattr(state.configuration, "apply", fail)
+        [first] = apply_all(machine, put("a", "1"))
+    assert first == results.Refused("internal error: KeyError")
+    assert machine.view() == configuration.EMPTY
+
+
 def test_results_expire_and_are_bounded(monkeypatch):
     machine = state.ConfigState()
     apply_all(machine, put("a", "1"))
