Let sends to a peer that stops reading fail

Cause: a websocket send holds the lock that receiving and closing need. Once the send buffer was full, heartbeat, silence check and close all waited for it, and the uplink hung (the new test ran into its time limit). Ruled out: closing from another thread, which needs the lock.

Change: a send timeout on the socket (SO_SNDTIMEO), in wire/channel.py. Time until the uplink uses another parent, 20 MB of calls queued to a peer that reads nothing, one machine: never before; 9.4 s with a limit of 3 s; 3.3 s (two runs) with 1 s, which is kept.

--- a/oriolelock/wire/channel.py
+++ b/oriolelock/wire/channel.py
@@ -7,6 +7,8 @@
 
 import collections.abc
 import hmac
+import socket
+import struct
 import threading
 
 import websockets.exceptions
@@ -21,6 +23,9 @@
 
 HEARTBEAT_INTERVAL_S = 1.0
 SILENCE_LIMIT_S = 3.0
+# A send takes up to twice this: the kernel first reports what it did accept. With 3 s a stalled
+# connection was left only after 9 s.
+SEND_STALL_LIMIT_S = 1.0
 CONNECT_TIMEOUT_S = 2.0
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 
@@ -30,6 +35,7 @@
 
     def __init__(self, conn: websockets.sync.connection.Connection, peer: hello.Hello | None):
         self._conn = conn
+        _limit_sends(conn.socket)
         self._send_lock = threading.Lock()
         self._last_sent_s = clock.monotonic_s()
         self._last_received_s = clock.monotonic_s()
@@ -102,6 +108,17 @@
             pass
 
 
+def _limit_sends(sock):
+    """Let a send fail when the peer reads nothing for a while.
+
+    A send that blocks holds a lock that receiving and closing need, so that nothing else could
+    end the connection.
+    """
+    seconds = int(SEND_STALL_LIMIT_S)
+    limit = struct.pack("@ll", seconds, int((SEND_STALL_LIMIT_S - seconds) * 1e6))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, limit)
+
+
 def connect(
     address: tuple[str, int], greeting: hello.Hello, timeout_s: float = CONNECT_TIMEOUT_S
 ) -> Channel:
--- a/tests/distribution/test_uplink.py
+++ b/tests/distribution/test_uplink.py
@@ -8,7 +8,7 @@
 from oriolelock.distribution import errors, messages, stored_copy, uplink
 from oriolelock.model import changes, delta
 from oriolelock.once import messages as once
-from oriolelock.wire import hello
+from oriolelock.wire import channel, hello
 from tests import fake_parent, waiting
 
 
@@ -205,3 +205,34 @@
     monkeypatch.setattr(stored_copy.os, "fsync", fail)
     store.save(fake_parent.make_config(index=6))
     assert store.load() is None
+
+
+class SilentParent:
+    """Accepts the greeting and then neither reads nor answers."""
+
+    def __init__(self):
+        self.closing = threading.Event()
+        self.server = channel.serve(("127.0.0.1", 0), self.handle)
+        self.address = self.server.socket.getsockname()[:2]
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def handle(self, conn):
+        channel.accept(conn, "silent", fake_parent.CLUSTER, fake_parent.TOKEN)
+        self.closing.wait(60)
+
+    def close(self):
+        self.closing.set()
+        self.server.shutdown()
+
+
+def test_parent_that_stops_reading_holds_nobody(connect, parent):
+    """A full send buffer must block neither the callers nor the move to another parent."""
+    silent = SilentParent()
+    link = connect(parent, silent)
+    waiting.until(lambda: link.parent == silent.address)
+    answer = once.Answer(200, "", b"x" * 100_000)
+    for number in range(200):
+        with pytest.raises(errors.DistributionError):
+            link.call(once.CompleteKey(str(number), "c", answer), 0.001)
+    waiting.until(lambda: link.parent == parent.address, 20)
+    silent.close()
