Let the kernel choose the port in the test of the planned stop

A port that was free when asked for may be taken before the entry binds it. The entry now listens on port 0 and the test reads the port from its log.

--- a/tests/entry/test_main.py
+++ b/tests/entry/test_main.py
@@ -3,7 +3,6 @@
 import http.client
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import threading
@@ -16,7 +15,7 @@
 cluster: {cluster}
 region: perth
 failure_domain: perth-a
-listen: 127.0.0.1:{port}
+listen: 127.0.0.1:0
 control: ["127.0.0.1:{parent}"]
 cluster_token: {token}
 threads: 4
@@ -26,10 +25,11 @@
 """
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+def port_of(process):
+    for line in process.stderr:
+        if "serving callers at" in line:
+            return int(line.rsplit(":", 1)[1])
+    raise AssertionError("the entry ended before it served")
 
 
 def ask(port, path, headers):
@@ -52,12 +52,13 @@
 
     endpoint = fake_endpoint.FakeEndpoint(behave)
     parent = fake_parent.FakeParent(fake_parent.make_config(endpoints=[endpoint.model()]))
-    port = free_port()
     fields = {"cluster": fake_parent.CLUSTER, "token": fake_parent.TOKEN}
     path = tmp_path / "entry.yaml"
-    path.write_text(SETTINGS.format(port=port, parent=parent.address[1], **fields))
-    process = subprocess.Popen([sys.executable, "-m", "oriolelock.entry", str(path)], cwd=ROOT)
+    path.write_text(SETTINGS.format(parent=parent.address[1], **fields))
+    command = [sys.executable, "-m", "oriolelock.entry", str(path)]
+    process = subprocess.Popen(command, cwd=ROOT, stderr=subprocess.PIPE, text=True)
     try:
+        port = port_of(process)
         waiting.until(lambda: ask(port, "/oriolelock/ready", {}) == 200)
         headers = {"Oriolelock-Service": "proofs", "Oriolelock-Operation": "view"}
         headers["Oriolelock-Deadline-Ms"] = "4500"
@@ -75,5 +76,6 @@
     finally:
         process.kill()
         process.wait()
+        process.stderr.close()
         parent.close()
         endpoint.close()
