Let the test caller use the next entry for requests without a key

Cause: a caller stopped at the first entry that could not be reached unless the request had a key. Requests without a key are idempotent, so the next entry may always be asked.

--- a/oriolelock/bench/caller.py
+++ b/oriolelock/bench/caller.py
@@ -17,6 +17,9 @@
 
 __all__ = ["Caller", "Result", "new_key"]
 
+# An entry answers by the deadline; the answer may take this long to arrive.
+GRACE_S = 2.0
+
 
 def new_key() -> str:
     """Return a new idempotency key, which carries its creation time."""
@@ -87,27 +90,30 @@
         headers = {
             "Oriolelock-Service": service,
             "Oriolelock-Operation": operation,
-            "Oriolelock-Deadline-Ms": str(deadline_ms),
             "Content-Type": "application/octet-stream",
         }
         if key:
             headers["Idempotency-Key"] = key
         start_s = clock.monotonic_s()
+        end_s = start_s + deadline_ms / 1000
         failure = ""
         try:
             entries = self.lookup(service)
         except errors.CallFailed as exc:
             entries, failure = [], str(exc)
+        # A request is sent to the next entry also after a lost answer: it is idempotent, or
+        # its key keeps it from running twice.
         for item in entries[skip:] + entries[:skip]:
+            left_ms = int((end_s - clock.monotonic_s()) * 1000)
+            if left_ms <= 0:
+                break
+            headers["Oriolelock-Deadline-Ms"] = str(left_ms)
             try:
                 reply = http.request(
-                    "POST", item["address"], "/work", body, headers, deadline_ms / 1000 + 2
+                    "POST", item["address"], "/work", body, headers, left_ms / 1000 + GRACE_S
                 )
             except errors.CallFailed as exc:
                 failure = str(exc)
-                if not key:
-                    # Without a key the next entry could run it again; the caller decides.
-                    break
                 continue
             return _read(reply, item["name"], body, start_s)
         return Result("unreachable", failure, 0, _since_ms(start_s), "", 0, False, None)
