--- a/tests/entry/test_http.py
+++ b/tests/entry/test_http.py
@@ -15,6 +15,9 @@
     b"Oriolelock-Service: proofs\r\nOriolelock-Operation: view\r\nOriolelock-Deadline-Ms: 900\r\n"
 )
 
+# Must not be taken for a request of its own.
+INNER = b"GET /inner HTTP/1.1\r\nHost: a\r\nConnection: close\r\n" + HEAD + b"\r\n"
+
 
 def raw(item, data, close_writing=False):
     with socket.create_connection(item.entry.address, timeout=20) as conn:
@@ -34,9 +37,11 @@
         b"GET / HTTP/9.9\r\n\r\n",
         b"GET / HTTP/1.1\r\nno colon\r\n\r\n",
         b"POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: ten\r\n\r\n",
-        b"POST /p HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: -5\r\n"
+        b"POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: -5\r\n" + HEAD + b"\r\n" + INNER,
+        b"POST /p HTTP/1.0\r\nConnection: Keep-Alive\r\nTransfer-Encoding: chunked\r\n"
         + HEAD
-        + b"\r\n",
+        + b"\r\n"
+        + INNER,
         b"POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n" + HEAD + b"\r\nzz\r\n",
         b"POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n"
         + HEAD
@@ -64,30 +69,40 @@
     assert item.endpoint.requests == []
 
 
-def test_slow_callers_do_not_hold_all_threads(start, monkeypatch):
-    monkeypatch.setattr(http_server, "READ_LIMIT_S", 0.3)
+def test_callers_that_send_nothing_hold_no_thread(start, monkeypatch):
+    monkeypatch.setattr(http_server, "READ_LIMIT_S", 60.0)
     item = start(threads=2).wait_ready()
     idle = [socket.create_connection(item.entry.address) for _ in range(10)]
-    # Connections that sent nothing hold no thread at all.
     assert item.ask().status == 200
+    for conn in idle:
+        conn.close()
+
+
+def test_slow_callers_do_not_hold_all_threads(start, monkeypatch):
+    """Each byte would restart a timeout per read; the whole request has one limit."""
+    monkeypatch.setattr(http_server, "READ_LIMIT_S", 0.3)
+    item = start(threads=2).wait_ready()
     stop = threading.Event()
 
     def drip(conn):
         try:
-            while not stop.wait(0.02):
+            while not stop.is_set():
                 conn.sendall(b"G")
+                stop.wait(0.02)
         except OSError:
             return
 
-    drippers = [threading.Thread(target=drip, args=(conn,)) for conn in idle[:4]]
+    slow = [socket.create_connection(item.entry.address) for _ in range(4)]
+    drippers = [threading.Thread(target=drip, args=(conn,)) for conn in slow]
     for dripper in drippers:
         dripper.start()
-    # Each byte would restart a timeout per read; the whole request has one limit.
-    assert item.ask().status == 200
-    stop.set()
-    for dripper in drippers:
+    waiting.until(lambda: item.entry._server.requests.idle == 0)
+    try:
+        assert item.ask().status == 200
+    finally:
+        stop.set()
+    for dripper, conn in zip(drippers, slow, strict=True):
         dripper.join()
-    for conn in idle:
         conn.close()
 
 
