--- a/oriolelock/bench/demo.py
+++ b/oriolelock/bench/demo.py
@@ -196,6 +196,7 @@
         path = folder / "presets" / f"{name}.yaml"
         chosen.append(loader.load(str(path), preset.parse))
         _operate(item, "preset", "put", str(path.relative_to(ROOT)))
+    _operate(item, "blocks", "put", str((folder / "blocks.yaml").relative_to(ROOT)))
     _use(item, names[0])
     _wait_for_list(item, seeds)
     print("Requests under 'ordinary'")
