Put the silent parent first in the test of a parent that stops reading

Cause: the uplink now tries its parents in the order given, best first, where it shuffled them before; the test still counted on the shuffled order, never reached the silent parent and failed after 15 s.

--- a/tests/distribution/test_uplink.py
+++ b/tests/distribution/test_uplink.py
@@ -230,7 +230,7 @@
 def test_parent_that_stops_reading_holds_nobody(connect, parent):
     """A full send buffer must block neither the callers nor the move to another parent."""
     silent = SilentParent()
-    link = connect(parent, silent)
+    link = connect(silent, parent)
     waiting.until(lambda: link.parent == silent.address)
     answer = once.Answer(200, "", b"x" * 100_000)
     for number in range(200):
