--- a/oriolelock/bench/fleet_options.py
+++ b/oriolelock/bench/fleet_options.py
@@ -34,6 +34,6 @@
     instance_lag: str = "0 s"
     instance_poll: str = "250 ms"
     record_groups: int = 3
-    entry_threads: int = 64
+    entry_threads: int = 192
     stored_copies: bool = False
     log_level: str = "INFO"
--- a/oriolelock/settings/entry.py
+++ b/oriolelock/settings/entry.py
@@ -14,6 +14,7 @@
 __all__ = ["EntrySettings", "parse"]
 
 LOG_LEVELS = ("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR", "CRITICAL")
+MIN_THREADS = 4
 MAX_THREADS = 512
 MIN_HEADER_BYTES = 1024
 
@@ -64,6 +65,8 @@
 def parse(top: nodes.Node) -> EntrySettings:
     """Return the settings of an entry; raises SettingsError."""
     log = top.child("log", top.fetch("log", {}))
+    # Half of the threads may wait in queues, so that at most half may be worker slots.
+    threads = getters.get_int(top, "threads", 192, low=MIN_THREADS, high=MAX_THREADS)
     return EntrySettings(
         name=getters.get_str(top, "name"),
         cluster=getters.get_str(top, "cluster"),
@@ -74,8 +77,10 @@
         control=_addresses(top, "control"),
         cluster_token=getters.get_str(top, "cluster_token"),
         data_folder=getters.get_str(top, "data_folder", None),
-        threads=getters.get_int(top, "threads", 192, low=4, high=MAX_THREADS),
-        worker_slots=getters.get_int(top, "worker_slots", 64, low=1, high=MAX_THREADS),
+        threads=threads,
+        worker_slots=getters.get_int(
+            top, "worker_slots", max(1, threads // 3), low=1, high=threads // 2
+        ),
         max_body=getters.get_bytes(top, "max_body", 1 << 20),
         max_headers=_max_headers(top),
         lookup_ttl_s=getters.get_ms(top, "lookup_ttl", 5000.0, low=1) / 1000,
