--- a/oriolelock/cli/change.py
+++ b/oriolelock/cli/change.py
@@ -39,7 +39,12 @@
         change_id = str(uuid.uuid4())
         print(f"change id: {change_id}", file=sys.stderr)
     body = {"change_id": change_id, "expect_version": args.expect_version, "kind": kind, **fields}
-    data = client.make_client(args).change(body)
+    try:
+        data = client.make_client(args).change(body)
+    except errors.Unreachable as exc:
+        # A replica may have stored the change before its answer was lost.
+        text = f"{exc}; it may still be applied, repeat it with --change-id {change_id}"
+        raise errors.Unreachable(text) from exc
     if args.output == "json":
         output.show_json({"change_id": change_id, **data})
     else:
--- a/tests/cli/test_cmdline.py
+++ b/tests/cli/test_cmdline.py
@@ -88,6 +88,14 @@
     assert json.loads(capsys.readouterr().out)["version"] == 8
 
 
+def test_change_without_an_answer_names_the_id_to_repeat_it_with(capsys):
+    lost = (503, {"result": "unavailable", "reason": "no leader"})
+    with replica.running(lost) as (item, address):
+        args = ["preset", "use", "p", "--expect-version", "1", "--timeout", "400ms"]
+        assert cmdline.main(["--control", address, *args]) == 3
+    assert f"--change-id {item.asked[0][2]['change_id']}" in capsys.readouterr().err
+
+
 def test_unreachable_control_exits_with_3(capsys):
     assert cmdline.main(["status", "--control", "127.0.0.1:1", "--timeout", "300ms"]) == 3
     assert "no control replica answered" in capsys.readouterr().err
