--- a/oriolelock/bench/cmdline.py
+++ b/oriolelock/bench/cmdline.py
@@ -14,6 +14,7 @@
 # name -> (module below oriolelock.bench.experiments, meaning)
 EXPERIMENTS: dict[str, tuple[str, str]] = {
     "blocks": ("blocks", "table of client blocks: bytes, lookup time, time to apply a change"),
+    "control": ("control", "changes: time to all subscribers, bytes, processor time, catch-up"),
 }
 
 
--- /dev/null
+++ b/oriolelock/bench/operator.py
@@ -0,0 +1,71 @@
+"""
+oriolelock.bench.operator
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+    Operator changes as the command line sends them, for measurements.
+"""
+
+import itertools
+import json
+import uuid
+
+from oriolelock import clock
+from oriolelock.bench import errors, fleet, http, waiting
+
+__all__ = ["Operator"]
+
+# Far enough ahead that the drains of a measurement never begin.
+DRAIN_AHEAD_S = 30 * 24 * 3600.0
+RETRY_LIMIT_S = 30.0
+
+
+class Operator:
+    """Adds and cancels a drain in turn, so that the configuration stays small."""
+
+    def __init__(self, deployment: fleet.Fleet):
+        self._fleet = deployment
+        self._numbers = itertools.count(1)
+        self._open_drain = ""
+
+    def change(self) -> int:
+        """Make one change and return the version after it; raises NotReady."""
+        if self._open_drain:
+            fields = {"kind": "cancel-drain", "drain_id": self._open_drain}
+            self._open_drain = ""
+        else:
+            self._open_drain = f"bench-{next(self._numbers)}"
+            fields = {"kind": "add-drain", "drain": self._make_drain(self._open_drain)}
+        body = {"change_id": str(uuid.uuid4()), "expect_version": None, **fields}
+        return waiting.until(lambda: self._post(body), RETRY_LIMIT_S, "change applied")
+
+    def _make_drain(self, name):
+        start_s = clock.wall_s() + DRAIN_AHEAD_S
+        target = next(iter(self._fleet.entries))
+        return {
+            "drain_id": name,
+            "scope": "entry",
+            "target": target,
+            "start_s": start_s,
+            "deadline_s": start_s + 60.0,
+            "forced": True,
+        }
+
+    def _post(self, body):
+        token = self._fleet.settings.operator_token
+        headers = {"Authorization": f"Bearer {token}", "Content-Type": "application/json"}
+        for item in self._fleet.control.values():
+            if not item.is_running():
+                continue
+            try:
+                reply = http.request(
+                    "POST",
+                    item.address,
+                    "/oriolelock/changes",
+                    json.dumps(body).encode(),
+                    headers,
+                )
+            except errors.CallFailed:
+                continue
+            if reply.status == 200:
+                return reply.json()["version"]
+        return None
--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -69,6 +69,8 @@
         self._confirmed_s: float | None = None
         self._parent: Address | None = None
         self._outbox: queue.Queue | None = None
+        self._link: channel.Channel | None = None
+        self._past_bytes = (0, 0)
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="uplink", daemon=True)
 
@@ -94,6 +96,14 @@
         """
         return None if self._confirmed_s is None else max(0.0, now - self._confirmed_s)
 
+    def traffic(self) -> tuple[int, int]:
+        """Return the bytes of messages received and sent on all connections so far."""
+        received, sent = self._past_bytes
+        link = self._link
+        return (
+            (received + link.bytes_received, sent + link.bytes_sent) if link else (received, sent)
+        )
+
     def start(self) -> None:
         """Load the stored copy, if any, and connect in the background."""
         cfg = self._store.load() if self._store else None
@@ -166,7 +176,7 @@
         return min(order, key=lambda a: self._avoid_until_s[a])
 
     def _serve_connection(self, address):
-        link = channel.connect(address, self._greeting)
+        link = self._link = channel.connect(address, self._greeting)
         outbox = queue.Queue(MAX_QUEUED_SENDS)
         # Callers only queue: a send to a peer that does not read would block them.
         writer = threading.Thread(
@@ -181,6 +191,7 @@
             self._read_until_broken(link)
         finally:
             self._parent = self._outbox = None
+            self._past_bytes, self._link = self.traffic(), None
             self._calls.fail_all("connection to the parent ended")
             link.close()
             _stop_writer(outbox)
--- a/oriolelock/entry/daemon.py
+++ b/oriolelock/entry/daemon.py
@@ -200,6 +200,7 @@
             "in_force": cfg.in_force,
             "parent": f"{parent[0]}:{parent[1]}" if parent else None,
             "children": self._relay.children(),
+            "control_bytes": dict(zip(("received", "sent"), self.uplink.traffic(), strict=True)),
             "control_age_s": self.uplink.control_age_s(clock.monotonic_s()),
             "in_flight": self.in_flight,
             "connections": {a: list(c) for a, c in self.pool.counts().items()},
