--- a/oriolelock/control/host.py
+++ b/oriolelock/control/host.py
@@ -8,22 +8,27 @@
 import collections
 import concurrent.futures
 import itertools
-import queue
 import random
 import threading
 
 from oriolelock import clock, logs
 from oriolelock.consensus import events, messages, node, outputs
-from oriolelock.control import envelope, host_settings, host_status, requests, saves, unavailable
+from oriolelock.control import (
+    envelope,
+    event_queue,
+    host_settings,
+    host_status,
+    requests,
+    saves,
+    snapshot_policy,
+    unavailable,
+)
 from oriolelock.storage import errors as storage_errors
 from oriolelock.wire import codec
 
 __all__ = ["Host"]
 
 TICK_S = 0.05
-# Bounds the work between two ticks; all entries of a batch share one fsync.
-MAX_BATCH = 256
-MAX_QUEUED_EVENTS = 20_000
 # How often a save that found the disk full is tried again.
 DISK_RETRY_S = 1.0
 STOP_TIMEOUT_S = 5.0
@@ -38,7 +43,7 @@
         self._cfg = cfg
         self._store = store
         self._machine = machine
-        self._events: queue.Queue = queue.Queue(MAX_QUEUED_EVENTS)
+        self._events = event_queue.EventQueue()
         self._requests = requests.Requests()
         self._unsaved: list[outputs.Save] = []
         self._retry_save_s = 0.0
@@ -50,7 +55,9 @@
         self._membership = stored.membership
         self._applied = stored.snapshot_index
         self._applied_term = stored.snapshot_term
-        self._snapshot_index = stored.snapshot_index
+        self._policy = snapshot_policy.SnapshotPolicy(
+            cfg.snapshot_every, stored.snapshot_index, len(stored.snapshot)
+        )
         if stored.snapshot:
             machine.restore(stored.snapshot)
         rng = random.Random(f"{cfg.node.name}/{cfg.group}/{cfg.node.incarnation}")
@@ -87,11 +94,11 @@
 
     def receive(self, sender: str, incarnation: str, msg: object) -> None:
         """Queue a message of another replica; it is dropped when the queue is full."""
-        self._put(events.Received(sender, incarnation, msg))
+        self._events.put(events.Received(sender, incarnation, msg))
 
     def transfer(self) -> None:
         """Hand leadership to another replica."""
-        self._put(events.Transfer())
+        self._events.put(events.Transfer())
 
     def propose(self, payload: object) -> concurrent.futures.Future:
         """Return a future of the command's result, or of ``Unavailable``."""
@@ -111,29 +118,22 @@
         if self._applied >= index:
             fut.set_result(result)
         else:
-            self._put((index, fut, result))
+            self._events.put((index, fut, result))
         return fut
 
     def _ask(self, make_event):
         request_id = str(next(self._ids))
         fut = self._requests.add(request_id)
-        if not self._put(make_event(request_id)):
+        if not self._events.put(make_event(request_id)):
             self._requests.drop(request_id)
             return _done(unavailable.Unavailable("too many requests", retry=True))
         return fut
 
-    def _put(self, event):
-        try:
-            self._events.put_nowait(event)
-        except queue.Full:
-            return False
-        return True
-
     def _run(self):
         try:
             next_tick_s = clock.monotonic_s()
             while not self._stopping.is_set():
-                batch = self._take_batch(next_tick_s)
+                batch = self._events.take(next_tick_s)
                 now = clock.monotonic_s()
                 if now >= next_tick_s:
                     batch.append(events.Tick())
@@ -147,19 +147,6 @@
             log.exception("Group {} can't go on.", self._cfg.group)
             self._cfg.fail(f"group {self._cfg.group}: {exc!r}")
 
-    def _take_batch(self, until_s):
-        batch = []
-        try:
-            wait_s = until_s - clock.monotonic_s()
-            batch.append(
-                self._events.get(timeout=wait_s) if wait_s > 0 else self._events.get(False)
-            )
-            while len(batch) < MAX_BATCH:
-                batch.append(self._events.get_nowait())
-        except queue.Empty:
-            pass
-        return batch
-
     def _admissions(self, now):
         """Admit replicas with a new data folder; the node takes one change at a time."""
         if not self._leader.is_self:
@@ -178,8 +165,8 @@
                 todo.extend(node.step(self._node, event, now))
         self._carry_out(todo, now)
         self._requests.finish_waiting(self._applied)
-        if self._applied - self._snapshot_index >= self._cfg.snapshot_every:
-            self._carry_out(collections.deque(self._take_snapshot(now)), now)
+        if self._policy.is_due(self._applied):
+            self._carry_out(collections.deque(self._snapshot_or_hand_over(now)), now)
 
     def _carry_out(self, todo, now):
         while todo or self._can_save(now):
@@ -220,7 +207,7 @@
         if not self._disk_full:
             log.error("Group {}: disk full, changes are refused: {}.", self._cfg.group, exc)
             # A leader that can't store would refuse changes that other replicas can take.
-            self._put(events.Transfer())
+            self._events.put(events.Transfer())
         self._disk_full = True
         self._retry_save_s = now + DISK_RETRY_S
 
@@ -248,7 +235,7 @@
         self._machine.restore(output.data)
         self._membership = output.membership
         self._applied, self._applied_term = output.index, output.term
-        self._snapshot_index = output.index
+        self._policy.taken(output.index, len(output.data), 0.0)
         log.info("Group {}: restored a snapshot at {}.", self._cfg.group, output.index)
         self._requests.restored(output.index)
         self._cfg.changed(self._cfg.group)
@@ -270,16 +257,19 @@
         log.info("Group {}: {} leads in term {}.", self._cfg.group, who, output.term)
         self._cfg.changed(self._cfg.group)
 
-    def _take_snapshot(self, now):
+    def _snapshot_or_hand_over(self, now):
+        if self._leader.is_self and self._policy.leader_waits(now):
+            return node.step(self._node, events.Transfer(), now)
+        started_s = clock.monotonic_s()
         data = self._machine.encode()
         try:
             self._store.save_snapshot(self._applied, self._applied_term, self._membership, data)
         except storage_errors.DiskFull as exc:
+            # The log keeps what a snapshot would replace.
             log.error("Group {}: disk full, no snapshot: {}.", self._cfg.group, exc)
-            # Tried again after as many entries; the log keeps what a snapshot would replace.
-            self._snapshot_index = self._applied
+            self._policy.postpone(self._applied)
             return []
-        self._snapshot_index = self._applied
+        self._policy.taken(self._applied, len(data), clock.monotonic_s() - started_s)
         return node.step(self._node, events.SnapshotTaken(self._applied, data), now)
 
 
