Answer lookups from consistent hash rings built per membership

Cause: a lookup ranked all members by rendezvous hashing, a cost in proportion to the fleet: at 5,400 entries that is thousands of hashes for each of 1,111 lookups/s. Now rings per region and over all are built when the members change, and a lookup walks a few points. Ruled out: a cache of responses per block, which a change of the preset would empty.

--- a/oriolelock/entry/app.py
+++ b/oriolelock/entry/app.py
@@ -14,7 +14,7 @@
 
 from oriolelock import clock, logs, metrics, outcomes
 from oriolelock.entry import body, caller_request, flow, http_server, reply
-from oriolelock.lookup import answer
+from oriolelock.lookup import directory
 from oriolelock.model import configuration
 
 __all__ = ["Parts", "make_app"]
@@ -46,6 +46,7 @@
     leaving: collections.abc.Callable[[], collections.abc.Set[str]]
     in_flight: collections.abc.Callable[[int], None]
     state: collections.abc.Callable[[], dict]
+    directory: collections.abc.Callable[[], directory.Directory]
     region_of: collections.abc.Callable[[configuration.Configuration, str], str | None]
     counters: metrics.Metrics
     region: str
@@ -157,8 +158,8 @@
             return self._refuse("unknown-service")
         try:
             region = self._parts.region_of(cfg, client) or self._parts.region
-            chosen = answer.choose(
-                cfg, region, service, clock.wall_s(), client, self._parts.leaving()
+            chosen = self._parts.directory().choose(
+                region, service, clock.wall_s(), client, self._parts.leaving()
             )
         except ValueError:
             return self._refuse("bad-request")
--- a/oriolelock/entry/background.py
+++ b/oriolelock/entry/background.py
@@ -13,7 +13,7 @@
 from oriolelock.distribution import errors, uplink
 from oriolelock.endpoints import load_poller, load_report
 from oriolelock.entry import steering
-from oriolelock.lookup import blocks
+from oriolelock.lookup import blocks, directory
 from oriolelock.model import changes, configuration
 from oriolelock.routing import result
 
@@ -35,6 +35,7 @@
         self.link: uplink.Uplink | None = None
         self._block_sites = b""
         self._blocks = blocks.BlockTable(b"")
+        self.directory = directory.Directory(configuration.EMPTY)
         self._stopping = threading.Event()
         self._reporting = concurrent.futures.ThreadPoolExecutor(2, "crash-report")
         self._report_room = threading.BoundedSemaphore(MAX_PENDING_REPORTS)
@@ -46,6 +47,7 @@
         if cfg.block_sites != self._block_sites:
             self._blocks = blocks.BlockTable(cfg.block_sites)
             self._block_sites = cfg.block_sites
+        self.directory = directory.Directory(cfg, self.directory)
         self._decisions.configure(cfg, clock.monotonic_s(), clock.wall_s())
 
     def region_of(self, cfg: configuration.Configuration, client: str) -> str | None:
--- a/oriolelock/entry/daemon.py
+++ b/oriolelock/entry/daemon.py
@@ -163,6 +163,7 @@
             leaving=lambda: frozenset([self._settings.name] if self._state == "leaving" else []),
             in_flight=self._count_in_flight,
             state=self.dump,
+            directory=lambda: self._background.directory,
             region_of=self._background.region_of,
             counters=self.counters,
             region=self._settings.region,
--- a/tests/lookup/test_answer.py
+++ b/tests/lookup/test_directory.py
@@ -1,12 +1,13 @@
 """Guards against look-ups that name entries callers can't use, or all the same ones."""
 
 import collections
+import dataclasses
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from oriolelock.lookup import answer
+from oriolelock.lookup import directory
 from oriolelock.model import configuration, drain, member
 
 REGIONS = ("perth", "bunbury")
@@ -23,7 +24,7 @@
 
 
 def choose(cfg, client="10.1.2.3", region="perth", now=100.0):
-    return answer.choose(cfg, region, "proofs", now, client)
+    return directory.Directory(cfg).choose(region, "proofs", now, client)
 
 
 FLEET = [
@@ -63,6 +64,17 @@
     assert [m.name for m in choose(cfg)] == ["y"]
 
 
+def test_rings_are_reused_only_for_the_same_members():
+    """A change of a preset must not rebuild the rings of thousands of members."""
+    cfg = config(*FLEET)
+    first = directory.Directory(cfg)
+    later = directory.Directory(dataclasses.replace(cfg, version=9), first)
+    assert later._all is first._all
+    smaller = dataclasses.replace(cfg, members={m.name: m for m in FLEET[1:]})
+    chosen = directory.Directory(smaller, first).choose("perth", "proofs", 0.0, "10.1.2.3")
+    assert chosen == choose(smaller)
+
+
 def test_leaving_entry_is_better_than_none():
     cfg = config(make("x", state="leaving"), make("y", state="down"))
     assert [m.name for m in choose(cfg)] == ["x"]
@@ -70,7 +82,7 @@
 
 def test_entry_known_to_leave_is_left_out_before_it_is_committed():
     cfg = config(make("x"), make("y"))
-    chosen = answer.choose(cfg, "perth", "proofs", 0.0, "10.1.2.3", {"x"})
+    chosen = directory.Directory(cfg).choose("perth", "proofs", 0.0, "10.1.2.3", {"x"})
     assert [m.name for m in chosen] == ["y"]
 
 
