Check drains against measured load; refuse claims at once while cut off

- A drain that is not forced is now also compared with the requests that run or wait at the endpoints of the affected services, polled once by the replica that takes the change.
The rule on half of the slots stays in the replicated state.
Beyond 4 s without control it is refused at once.
- Status reports moved to distribution, where relays use them too.

--- a/oriolelock/control/api.py
+++ b/oriolelock/control/api.py
@@ -15,8 +15,17 @@
 import werkzeug.wrappers
 
 from oriolelock import clock, logs, metrics
-from oriolelock.control import envelope, messages, replica, reports, status_view, unavailable
-from oriolelock.model import errors, from_json, results
+from oriolelock.control import (
+    drain_check,
+    envelope,
+    messages,
+    replica,
+    status_view,
+    unavailable,
+)
+from oriolelock.distribution import reports
+from oriolelock.endpoints import load_poller
+from oriolelock.model import changes, errors, from_json, results
 
 __all__ = ["Api", "make_app"]
 
@@ -34,12 +43,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Api:
-    """What the operator API needs; ``extra_state()`` adds to the state dump."""
+    """What the operator API needs; ``extra_state()`` adds to the state dump.
+
+    ``measure(endpoints)`` returns the load of those that answer, by name.
+    """
 
     replica: replica.Replica
     metrics: metrics.Metrics
     reports: reports.Reports
     extra_state: collections.abc.Callable[[], dict]
+    measure: drain_check.Measure = load_poller.poll_once
 
 
 def make_app(api: Api) -> collections.abc.Callable:
@@ -141,6 +154,7 @@
 def _changes(api, req):
     try:
         command = _parse_change(_read_json(req))
+        _check_drain(api, command.change)
     except errors.InvalidData as exc:
         return _json({"result": "refused", "reason": str(exc)}, 422)
     started_s = clock.monotonic_s()
@@ -153,6 +167,11 @@
     return _json(data, status)
 
 
+def _check_drain(api, change):
+    if isinstance(change, changes.AddDrain) and not change.drain.forced:
+        drain_check.check(api.replica.configuration(), change.drain, api.measure)
+
+
 def _read_json(req):
     if (req.content_length or 0) > MAX_BODY_BYTES:
         raise werkzeug.exceptions.RequestEntityTooLarge(f"at most {MAX_BODY_BYTES} bytes")
--- a/oriolelock/control/daemon.py
+++ b/oriolelock/control/daemon.py
@@ -12,8 +12,8 @@
 import cheroot.wsgi
 
 from oriolelock import clock, logs, metrics
-from oriolelock.control import api, messages, overseer, replica, reports, uplink_calls
-from oriolelock.distribution import publisher
+from oriolelock.control import api, messages, overseer, replica, uplink_calls
+from oriolelock.distribution import publisher, reports
 from oriolelock.settings import control as settings
 from oriolelock.wire import channel
 
--- a/oriolelock/control/detector.py
+++ b/oriolelock/control/detector.py
@@ -8,7 +8,7 @@
 import collections.abc
 import dataclasses
 
-from oriolelock.control import reports
+from oriolelock.distribution import reports
 from oriolelock.model import changes, configuration
 
 __all__ = ["Verdict", "judge"]
--- a/oriolelock/control/overseer.py
+++ b/oriolelock/control/overseer.py
@@ -11,8 +11,8 @@
 import threading
 
 from oriolelock import clock, logs
-from oriolelock.control import detector, instance_list, replica, reports, unavailable
-from oriolelock.distribution import messages
+from oriolelock.control import detector, instance_list, replica, unavailable
+from oriolelock.distribution import messages, reports
 from oriolelock.model import member, results
 from oriolelock.settings import control as settings
 
--- a/oriolelock/control/status_view.py
+++ b/oriolelock/control/status_view.py
@@ -5,7 +5,7 @@
     What ``GET /oriolelock/status`` shows.
 """
 
-from oriolelock.control import reports
+from oriolelock.distribution import reports
 from oriolelock.model import configuration, member
 from oriolelock.settings import control as settings
 
--- a/oriolelock/distribution/relay.py
+++ b/oriolelock/distribution/relay.py
@@ -9,8 +9,7 @@
 import threading
 
 from oriolelock import clock
-from oriolelock.control import reports
-from oriolelock.distribution import errors, messages, publisher, tree, uplink
+from oriolelock.distribution import errors, messages, publisher, reports, tree, uplink
 from oriolelock.model import configuration
 from oriolelock.wire import channel
 
--- a/oriolelock/control/reports.py
+++ b/oriolelock/distribution/reports.py
@@ -1,6 +1,6 @@
 """
-oriolelock.control.reports
-~~~~~~~~~~~~~~~~~~~~~~~~~~
+oriolelock.distribution.reports
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
     The latest status report of each instance, with the time at which it was measured.
 """
--- a/oriolelock/endpoints/load_poller.py
+++ b/oriolelock/endpoints/load_poller.py
@@ -19,7 +19,7 @@
 from oriolelock.endpoints import load_report
 from oriolelock.model import endpoint as endpoints
 
-__all__ = ["INTERVAL_S", "LoadPoller"]
+__all__ = ["INTERVAL_S", "LoadPoller", "poll_once"]
 
 INTERVAL_S = 1.0
 TIMEOUT_MS = 800
@@ -52,6 +52,10 @@
         """Start to poll."""
         self._thread.start()
 
+    def poll(self, now: float) -> None:
+        """Ask all that are due once, in the caller's thread."""
+        self._poll(now)
+
     def stop(self) -> None:
         """Stop; answers that are under way are dropped."""
         self._stopping.set()
@@ -115,3 +119,15 @@
             return
         if state in load_report.STATES and min(*fields.values(), age_s) >= 0:
             self._on_report(curl.endpoint, load_report.LoadReport(**fields, state=state), age_s)
+
+
+def poll_once(
+    found: collections.abc.Collection[endpoints.Endpoint],
+) -> dict[str, load_report.LoadReport]:
+    """Return the load of the endpoints that answer within ``TIMEOUT_MS``, by name."""
+    answers: dict[str, load_report.LoadReport] = {}
+    poller = LoadPoller(
+        lambda now: found, lambda name, report, age_s: answers.update({name: report})
+    )
+    poller.poll(clock.monotonic_s())
+    return answers
--- a/oriolelock/entry/daemon.py
+++ b/oriolelock/entry/daemon.py
@@ -30,6 +30,8 @@
 
 SWEEP_INTERVAL_S = 5.0
 DRAIN_STEP_S = 0.02
+# Longer than a change of parents takes.
+CUT_OFF_AGE_S = 4.0
 
 log = logs.get_logger("entry")
 
@@ -57,7 +59,7 @@
         self._background.link = self.uplink
         self._relay = relay.Relay(cfg.name, cfg.cluster, cfg.cluster_token, self.uplink)
         self.pool = pool.Pool(lambda item: candidates.connection_limit(self._entries, item))
-        self.once = client.Client(cfg.name, self.uplink.call)
+        self.once = client.Client(cfg.name, self.uplink.call, self._is_cut_off)
         self._server: http_server.Server | None = None
         self._threads: list[threading.Thread] = []
 
@@ -90,6 +92,10 @@
         self._background.on_config(cfg)
         log.info("configuration index {} version {} in use", cfg.index, cfg.version)
 
+    def _is_cut_off(self):
+        age_s = self.uplink.control_age_s(clock.monotonic_s())
+        return age_s is None or age_s > CUT_OFF_AGE_S
+
     def _report(self):
         cfg = self.uplink.configuration
         own = messages.StatusReport(
--- a/oriolelock/once/client.py
+++ b/oriolelock/once/client.py
@@ -50,11 +50,21 @@
 
 
 class Client:
-    """Thread-safe. ``call`` is ``Uplink.call``."""
-
-    def __init__(self, entry: str, call: collections.abc.Callable[[object, float], object]):
+    """Thread-safe. ``call`` is ``Uplink.call``.
+
+    ``is_cut_off`` tells that control has not been heard for so long that waiting for the
+    record would only hold up the caller.
+    """
+
+    def __init__(
+        self,
+        entry: str,
+        call: collections.abc.Callable[[object, float], object],
+        is_cut_off: collections.abc.Callable[[], bool] = lambda: False,
+    ):
         self._entry = entry
         self._call = call
+        self._is_cut_off = is_cut_off
         self._stopping = threading.Event()
         self._settling = concurrent.futures.ThreadPoolExecutor(SETTLE_THREADS, "once")
 
@@ -63,6 +73,8 @@
 
         The claim is resent with the same id until ``end_s`` of the monotonic clock.
         """
+        if self._is_cut_off():
+            return Unreachable()
         # The lease counts from before the first send: the record can't have granted earlier.
         start_s = clock.monotonic_s()
         claim = Claim(key, uuid.uuid4().hex, start_s + LEASE_S)
@@ -72,7 +84,7 @@
             try:
                 reply = self._call(msg, min(left_s, CALL_TIMEOUT_S))
             except errors.DistributionError as exc:
-                if self._stopping.wait(min(RESEND_PAUSE_S, left_s)):
+                if self._stopping.wait(min(RESEND_PAUSE_S, left_s)) or self._is_cut_off():
                     break
                 log.info("claim is sent again: {}", exc)
                 continue
--- a/tests/control/test_api.py
+++ b/tests/control/test_api.py
@@ -8,8 +8,9 @@
 import werkzeug.test
 
 from oriolelock import metrics
-from oriolelock.control import api, envelope, messages, reports, state, unavailable
+from oriolelock.control import api, envelope, messages, state, unavailable
 from oriolelock.distribution import messages as distribution_messages
+from oriolelock.distribution import reports
 from oriolelock.settings import control
 from tests.control import samples
 
--- a/tests/control/test_reports.py
+++ b/tests/distribution/test_reports.py
@@ -1,7 +1,6 @@
 """Guards against old status reports that hide newer ones."""
 
-from oriolelock.control import reports
-from oriolelock.distribution import messages
+from oriolelock.distribution import messages, reports
 
 
 def report(name, version, age_s=0.0):
--- a/tests/once/test_client.py
+++ b/tests/once/test_client.py
@@ -76,3 +76,12 @@
     waiting.until(lambda: len(record.calls) == 3)
     assert record.calls[2].answer == messages.Answer(200, "text/x", b"", True)
     item.close()
+
+
+def test_claim_is_refused_at_once_while_cut_off():
+    """A caller with a long deadline must not wait for a record that can't be reached."""
+    calls = []
+    item = client.Client("e", lambda msg, timeout_s: calls.append(msg), lambda: True)
+    assert item.claim("1-k", "d", clock.monotonic_s() + 60) == client.Unreachable()
+    assert calls == []
+    item.close()
