--- a/oriolelock/bench/fleet_options.py
+++ b/oriolelock/bench/fleet_options.py
@@ -35,5 +35,6 @@
     instance_poll: str = "250 ms"
     record_groups: int = 3
     entry_threads: int = 64
+    picker: str = "p2c"
     stored_copies: bool = False
     log_level: str = "INFO"
--- a/oriolelock/bench/fleet_settings.py
+++ b/oriolelock/bench/fleet_settings.py
@@ -81,6 +81,7 @@
             "control": [self._seen_by(item, peer) for peer in near_first],
             "cluster_token": self.cluster_token,
             "threads": self.options.entry_threads,
+            "picker": self.options.picker,
             "lookup_ttl": self.options.lookup_ttl,
             "leave_lag": self.options.leave_lag,
             "drain_timeout": self.options.drain_timeout,
--- a/oriolelock/entry/daemon.py
+++ b/oriolelock/entry/daemon.py
@@ -50,7 +50,7 @@
         host, port = cfg.statsd or (None, 0)
         self.counters = metrics.Metrics(host, port)
         self.steering = steering.Steering(
-            cfg.name, cfg.region, cfg.threads, cfg.worker_slots, random.Random()
+            cfg.name, cfg.region, cfg.threads, cfg.worker_slots, random.Random(), cfg.picker
         )
         self._background = background.Background(self.steering)
         self.uplink = self._make_uplink()
--- a/oriolelock/entry/flow.py
+++ b/oriolelock/entry/flow.py
@@ -209,6 +209,8 @@
             raise
         if result.silent:
             self._metrics.count("endpoint.silent", result.silent)
+        if isinstance(result, results.RefusedByEndpoint) and result.reason == "shed":
+            self._metrics.count("endpoint.shed")
         self._note(work, target, result)
         return result
 
--- a/oriolelock/metrics.py
+++ b/oriolelock/metrics.py
@@ -20,6 +20,7 @@
     "request.bad": ("counter", "malformed requests from callers"),
     "request.latency": ("timer", "time from receipt to answer"),
     "request.retried": ("counter", "further attempts of requests"),
+    "endpoint.shed": ("counter", "attempts that an endpoint refused because of its load"),
     "endpoint.silent": ("counter", "kept connections to endpoints that gave no first byte"),
     "endpoint.crashed": ("counter", "endpoints that died while they ran a request"),
     "lookup.answered": ("counter", "look-ups answered"),
--- a/oriolelock/settings/entry.py
+++ b/oriolelock/settings/entry.py
@@ -8,6 +8,7 @@
 import dataclasses
 import typing
 
+from oriolelock.routing import pickers
 from oriolelock.settings import getters
 from oriolelock.settings import node as nodes
 
@@ -35,6 +36,7 @@
     data_folder: str | None
     threads: int
     worker_slots: int
+    picker: str
     max_body: int
     max_headers: int
     lookup_ttl_s: float
@@ -76,6 +78,7 @@
         data_folder=getters.get_str(top, "data_folder", None),
         threads=getters.get_int(top, "threads", 192, low=4, high=MAX_THREADS),
         worker_slots=getters.get_int(top, "worker_slots", 64, low=1, high=MAX_THREADS),
+        picker=getters.get_choice(top, "picker", tuple(pickers.PICKERS), "p2c"),
         max_body=getters.get_bytes(top, "max_body", 1 << 20),
         max_headers=_max_headers(top),
         lookup_ttl_s=getters.get_ms(top, "lookup_ttl", 5000.0, low=1) / 1000,
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -31,6 +31,7 @@
             "data_folder": None,
             "threads": 8,
             "worker_slots": 4,
+            "picker": "p2c",
             "max_body": 4096,
             "max_headers": 4096,
             "lookup_ttl_s": 0.05,
--- a/tests/settings/test_entry.py
+++ b/tests/settings/test_entry.py
@@ -40,6 +40,7 @@
         ("max_body: 64 KiB", "max_headers: 10 B", "max_headers"),
         ("lookup_ttl: 5 s", "lookup_ttl: 0 s", "lookup_ttl"),
         ("json: true", "jsn: true", "log.jsn"),
+        ("max_body: 64 KiB", "picker: random", "picker"),
         ("max_body", "max_boddy", "max_boddy"),
     ],
 )
