Free a request's place at the endpoints while it waits for its claim

Cause: a request with a key was admitted against the room at endpoints before its claim, which takes 40 to 130 ms between regions, and so kept a place at an endpoint empty. Ruled out: control (its replies come within one round trip and a commit) and the number of threads; a state dump showed 22 of 32 requests queued behind 8 in flight.

--- a/oriolelock/entry/flow.py
+++ b/oriolelock/entry/flow.py
@@ -118,7 +118,8 @@
         if not self._decisions.has_endpoint(work.parsed.service):
             return outcomes.NotRun("no-endpoint")
         digest = forwarding.body_digest(work.parsed, work.req)
-        claim = self._once.claim(work.parsed.key, digest, work.end_s)
+        with self._decisions.claiming(work.parsed.service):
+            claim = self._once.claim(work.parsed.key, digest, work.end_s)
         if not isinstance(claim, client.Claim):
             return recorded.outcome_of(claim)
         ran = True
--- a/oriolelock/entry/steering.py
+++ b/oriolelock/entry/steering.py
@@ -6,7 +6,9 @@
     quarantine. Threads of waiting requests are woken here.
 """
 
+import collections
 import collections.abc
+import contextlib
 import random
 import threading
 import uuid
@@ -25,6 +27,10 @@
 # Answers bring reports too; an endpoint is polled when none has come for this long.
 REPORT_AGE_S = 0.9
 SIZE_FIRST_BYTES = 4096
+# A request that waits for its claim is not at an endpoint, so others may use its place there.
+# A claim between regions takes up to three times a short service time; more of them would only
+# wait for an endpoint with their leases running.
+CLAIMS_PER_ROOM = 2
 SIZE_WEIGHT = 0.1
 # Parts of the threads that may wait in queues, by priority. Each waiting request holds a
 # thread; without these parts a flood of one priority would leave none to read the others.
@@ -55,6 +61,7 @@
         self._rng = rng
         self._cfg = configuration.EMPTY
         self._sizes: dict[str, float] = {}
+        self._claiming: collections.Counter[str] = collections.Counter()
         self._waiting = dict.fromkeys(priority.Priority, 0)
         self._max_waiting = {
             level: max(1, int(threads / 2 * part)) for level, part in WAITING_PARTS.items()
@@ -62,7 +69,8 @@
 
     def _room(self, service, now):
         # One request always gets through, so that it can probe when all are ejected.
-        return max(1, self._router.room(service, now))
+        room = max(1, self._router.room(service, now))
+        return room + min(self._claiming[service], CLAIMS_PER_ROOM * room)
 
     def configure(self, cfg: configuration.Configuration, now: float, wall_s: float) -> None:
         """Use a configuration. ``now`` is monotonic, ``wall_s`` Unix time."""
@@ -175,6 +183,18 @@
                 self._router.started(found, now)
         return found
 
+    @contextlib.contextmanager
+    def claiming(self, service: str) -> collections.abc.Iterator[None]:
+        """Let others use the request's place at endpoints while it waits for its claim."""
+        with self._lock:
+            self._claiming[service] += 1
+            self._wake(clock.monotonic_s())
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._claiming[service] -= 1
+
     def has_endpoint(self, service: str) -> bool:
         """Return whether any endpoint of ``service`` may get new work, now or soon."""
         with self._lock:
