Send the head of a response together with its body

Cause: cheroot sends head and body by one system call each; a profile by processor time shows 68 us for each send. Figures of GET /oriolelock/ready, 8 connections, six runs of 2 s each, before and after in turn, load average 4 to 10: 0.80 ms before and 0.71 ms after of processor time per request on average. For forwarded requests the runs differ more than the change (1.3 to 2.6 ms after, 2.0 to 2.4 ms before), so no gain is shown there.

--- a/oriolelock/entry/http_server.py
+++ b/oriolelock/entry/http_server.py
@@ -12,7 +12,7 @@
 import cheroot.wsgi
 
 from oriolelock import clock, logs
-from oriolelock.entry import http_socket
+from oriolelock.entry import http_socket, http_writer
 
 __all__ = ["IS_GONE_KEY", "RECEIVED_KEY", "Server", "make"]
 
@@ -65,7 +65,15 @@
             if remaining > 0:
                 self.rfile.read(remaining)
         self.conn.socket.set_limit(WRITE_LIMIT_S)
+        self.conn.wfile.hold()
         super().send_headers()
+        if self.chunked_write:
+            self.conn.wfile.release()
+
+    def respond(self):
+        """Answer the request; a response without a body is sent here."""
+        super().respond()
+        self.conn.wfile.release()
 
 
 class _Gateway(cheroot.wsgi.Gateway_10):
@@ -83,7 +91,8 @@
     RequestHandlerClass = _Request
 
     def __init__(self, server, sock, makefile=cheroot.server.MakeFile):
-        super().__init__(server, http_socket.DeadlineSocket(sock), makefile)
+        # cheroot passes its own makefile, which sends head and body separately.
+        super().__init__(server, http_socket.DeadlineSocket(sock), http_writer.make_file)
         self.received_s: float | None = None
 
     def communicate(self):
