--- a/oriolelock/bench/cmdline.py
+++ b/oriolelock/bench/cmdline.py
@@ -14,6 +14,7 @@
 # name -> (module below oriolelock.bench.experiments, meaning)
 EXPERIMENTS: dict[str, tuple[str, str]] = {
     "entry": ("entry", "one entry: look-ups, requests, added latency, cost of the record"),
+    "flood": ("flood", "floods of the lowest and highest priority, against baselines"),
     "blocks": ("blocks", "table of client blocks: bytes, lookup time, time to apply a change"),
 }
 
