--- a/oriolelock/settings/entry.py
+++ b/oriolelock/settings/entry.py
@@ -8,6 +8,7 @@
 import dataclasses
 import typing
 
+from oriolelock.routing import pickers
 from oriolelock.settings import getters
 from oriolelock.settings import node as nodes
 
@@ -36,6 +37,7 @@
     data_folder: str | None
     threads: int
     worker_slots: int
+    picker: str
     max_body: int
     max_headers: int
     lookup_ttl_s: float
@@ -81,6 +83,7 @@
         worker_slots=getters.get_int(
             top, "worker_slots", max(1, threads // 3), low=1, high=threads // 2
         ),
+        picker=getters.get_choice(top, "picker", tuple(pickers.PICKERS), "p2c"),
         max_body=getters.get_bytes(top, "max_body", 1 << 20),
         max_headers=_max_headers(top),
         lookup_ttl_s=getters.get_ms(top, "lookup_ttl", 5000.0, low=1) / 1000,
