--- a/oriolelock/bench/cmdline.py
+++ b/oriolelock/bench/cmdline.py
@@ -17,6 +17,12 @@
     "flood": ("flood", "floods of the lowest and highest priority, against baselines"),
     "blocks": ("blocks", "table of client blocks: bytes, lookup time, time to apply a change"),
     "control": ("control", "changes: time to all subscribers, bytes, processor time, catch-up"),
+    "configuration": ("configuration", "configuration by size: bytes, memory, processor time"),
+    "relay": ("relay", "an entry that relays: bytes, processor time, age of reports by hops"),
+    "record": (
+        "record",
+        "at-most-once record: memory, snapshot, time of a claim, claims per second",
+    ),
 }
 
 
