Report an entry to control only once it is ready

It also counts as live, so that lookups of other entries name it while it refuses with not-ready. Ruled out: a replica that shows older reports; all three showed (0, 0). Change: an entry that is not ready passes on only the reports of its children, and reports as soon as it becomes ready. Before: scenario 'Entries that were away for 1,000 changes' fails with '(9, 1) then (0, 0)' on all three replicas. After: it passes.

--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -206,8 +206,11 @@
                     log.info("moving to a better parent")
                     return
             msg = link.recv(RECV_STEP_S)
+            was_ready = self.is_ready
             if msg is not None and self._handle(msg):
                 vouched_s = clock.monotonic_s()
+                if not was_ready:
+                    report_due_s = 0.0
 
     def _handle(self, msg):
         """Return True if the message confirms the configuration that is now held."""
--- a/oriolelock/entry/daemon.py
+++ b/oriolelock/entry/daemon.py
@@ -91,6 +91,11 @@
         log.info("configuration index {} version {} in use", cfg.index, cfg.version)
 
     def _report(self):
+        below = self._relay.fresh_reports()
+        if not self.uplink.is_ready:
+            # Control would show a version below the last one, and count an entry that refuses
+            # callers as live, so that lookups name it.
+            return messages.StatusBatch(below)
         cfg = self.uplink.configuration
         own = messages.StatusReport(
             self._settings.name,
@@ -100,7 +105,6 @@
             self._since_s,
             self.in_flight,
         )
-        below = self._relay.fresh_reports()
         return messages.StatusBatch((own, *below)) if below else own
 
     @property
