Take a planned stop that an entry reports out of lookups

Cause: an entry that is stopped reports the state 'leaving', but only the instance list could set a member leaving. The other entries named it in lookups until 3 s after its end, when the detector set it down. Ruled out: a report that is lost; status showed the entry as leaving. Change: the detector sets a live member leaving when its latest report says so, and a list that lags does not set it back to live. Before: scenario 'An entry joins and leaves' fails, the entry is named in lookups after its end. After: it passes.

--- a/oriolelock/control/detector.py
+++ b/oriolelock/control/detector.py
@@ -2,7 +2,8 @@
 oriolelock.control.detector
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-    Failure detector: entries that stop to report are set down, and live when they return.
+    Failure detector: entries that stop to report are set down, and live when they return;
+    entries that report a planned stop are set leaving.
 """
 
 import collections.abc
@@ -27,12 +28,16 @@
 
 
 def judge(
-    cfg: configuration.Configuration, ages: collections.abc.Mapping, watched_s: float
+    cfg: configuration.Configuration,
+    ages: collections.abc.Mapping,
+    watched_s: float,
+    leaving: collections.abc.Set[str] = frozenset(),
 ) -> Verdict:
     """Return the changes of member states that the reports call for.
 
     ``ages``: seconds since the latest report by name. ``watched_s``: for how long this
-    replica has led; entries without a report count as heard when that began.
+    replica has led; entries without a report count as heard when that began. ``leaving``:
+    names whose latest report says so; the instance list ends that state.
     """
     entries = [member for member in cfg.members.values() if member.role == "entry"]
     live = [member for member in entries if member.state == "live"]
@@ -47,6 +52,7 @@
     if 2 * len(late) > len(live):
         silent, held_back = [], silent
     states = [(m, "down") for m in silent] + [(m, "live") for m in back]
+    states += [(m, "leaving") for m in live if m.name in leaving and m not in silent]
     return Verdict(
         tuple(changes.SetMember(dataclasses.replace(m, state=state)) for m, state in states),
         tuple(m.name for m in held_back),
--- a/oriolelock/control/instance_list.py
+++ b/oriolelock/control/instance_list.py
@@ -6,6 +6,7 @@
     configuration.
 """
 
+import collections.abc
 import dataclasses
 import io
 import json
@@ -110,12 +111,20 @@
     def __init__(self) -> None:
         self._missing: dict[str, int] = {}
 
-    def find_changes(self, cfg: configuration.Configuration, listed: dict) -> list[changes.Change]:
-        """Return the changes that lead from ``cfg`` to ``listed``; none for an empty list."""
+    def find_changes(
+        self,
+        cfg: configuration.Configuration,
+        listed: dict,
+        leaving: collections.abc.Set[str] = frozenset(),
+    ) -> list[changes.Change]:
+        """Return the changes that lead from ``cfg`` to ``listed``; none for an empty list.
+
+        ``leaving``: instances that report that they leave.
+        """
         if not listed:
             return []
         known = {**cfg.members, **cfg.endpoints}
-        found = [change for item in listed.values() for change in _changes_of(cfg, item)]
+        found = [change for item in listed.values() for change in _changes_of(cfg, item, leaving)]
         missing = [name for name in known if name not in listed]
         self._missing = {name: self._missing.get(name, 0) + 1 for name in missing}
         for name in missing:
@@ -127,7 +136,7 @@
         return found
 
 
-def _changes_of(cfg, item):
+def _changes_of(cfg, item, leaving):
     if isinstance(item, endpoint.Endpoint):
         return [changes.SetEndpoint(item)] if cfg.endpoints.get(item.name) != item else []
     old = cfg.members.get(item.name)
@@ -137,4 +146,7 @@
     if old and old.state == "down" and item.state == "live":
         # Only a report of the instance itself ends this state.
         item = dataclasses.replace(item, state="down")
+    elif item.state == "live" and item.name in leaving:
+        # The list lags behind the instance's own report.
+        item = dataclasses.replace(item, state="leaving")
     return [changes.SetMember(item)] if old != item else []
--- a/oriolelock/control/overseer.py
+++ b/oriolelock/control/overseer.py
@@ -85,7 +85,10 @@
         if self._leading_since_s is None:
             self._leading_since_s = now
         verdict = detector.judge(
-            self._replica.configuration(), self._reports.ages(now), now - self._leading_since_s
+            self._replica.configuration(),
+            self._reports.ages(now),
+            now - self._leading_since_s,
+            self._reports.leaving(),
         )
         if set(verdict.held_back) - set(self.held_back):
             log.warning("{} entries are silent at once, kept.", len(verdict.held_back))
@@ -111,7 +114,8 @@
             try:
                 listed = instance_list.parse(instance_list.fetch(self._cfg.instance_list))
                 listed = {name: self._complete(item) for name, item in listed.items()}
-                self._commit(diff.find_changes(self._replica.configuration(), listed))
+                cfg = self._replica.configuration()
+                self._commit(diff.find_changes(cfg, listed, self._reports.leaving()))
                 self._last_error = ""
             except instance_list.ListUnreadable as exc:
                 self._report(str(exc))
--- a/oriolelock/control/reports.py
+++ b/oriolelock/control/reports.py
@@ -65,3 +65,8 @@
         """Return seconds since the latest report of each instance."""
         with self._lock:
             return {name: now - heard.measured_s for name, heard in self._heard.items()}
+
+    def leaving(self) -> frozenset[str]:
+        """Return the instances whose latest report says that they leave."""
+        with self._lock:
+            return frozenset(n for n, h in self._heard.items() if h.report.state == "leaving")
--- a/tests/bench/small.py
+++ b/tests/bench/small.py
@@ -7,14 +7,15 @@
 REGIONS = ("r1", "r2", "r3")
 
 
-def plan():
+def data():
+    """Return the deployment as the data of a settings file."""
     places = [
         {"region": region, "failure_domain": f"{region}-{letter}"}
         for letter in "ab"
         for region in REGIONS
     ]
     endpoint = {"service": "s", "slots": 2, "connections": 50, "service_time": "5 ms"}
-    data = {
+    return {
         "cluster": "small",
         "regions": [
             {"name": region, "failure_domains": [f"{region}-a", f"{region}-b"]}
@@ -28,7 +29,10 @@
             {"name": f"s-{n}", **endpoint, **place} for n, place in enumerate(places[:2])
         ],
     }
-    top = nodes.Node("test", "", data)
+
+
+def plan():
+    top = nodes.Node("test", "", data())
     found = deployment.parse(top)
     top.finish()
     return found
--- a/tests/control/test_detector.py
+++ b/tests/control/test_detector.py
@@ -44,3 +44,10 @@
     verdict = detector.judge(cfg, {"a": 3.1, "b": 2.6, "c": 2.2}, 60.0)
     assert states(verdict) == {}
     assert verdict.held_back == ("a",)
+
+
+def test_entry_that_reports_a_planned_stop_is_leaving():
+    # Lookups would name it until 3 s after its end.
+    cfg = make({"a": "live", "b": "live", "c": "live"})
+    verdict = detector.judge(cfg, {"a": 0.5, "b": 0.5, "c": 3.5}, 60.0, {"a", "c"})
+    assert states(verdict) == {"a": "leaving", "c": "down"}
--- a/tests/control/test_instance_list.py
+++ b/tests/control/test_instance_list.py
@@ -66,6 +66,19 @@
     assert len(find(diff, machine, {**ENTRY, "state": "leaving"})) == 1
 
 
+def test_list_that_lags_does_not_revive_an_entry_that_leaves():
+    diff, machine = instance_list.InstanceDiff(), state.ConfigState()
+    find(diff, machine, ENTRY)
+    listed = instance_list.parse(json.dumps([ENTRY]).encode())
+    (change,) = diff.find_changes(machine.view(), listed, {"e1"})
+    assert change.member.state == "leaving"
+    machine.apply(50, envelope.Command(1.0, change))
+    assert diff.find_changes(machine.view(), listed, {"e1"}) == []
+    # It started again and reports that it is live.
+    (change,) = diff.find_changes(machine.view(), listed)
+    assert change.member.state == "live"
+
+
 @pytest.mark.parametrize(
     "body",
     [b"", b"{}", b"[1]", json.dumps([{**ENTRY, "role": "x"}]).encode(), b'[{"id": "e1"}]']
