Keep an instance that reports although the list does not show it

Cause: three readings of the instance list without an instance removed it, also when the list lagged behind an entry that had joined and was serving. Ruled out: a larger number of readings, which any longer lag exceeds. Endpoints do not report to control and are removed after three readings as before. The test of the overseer expected that an entry is removed while it reports; it now checks that the entry stays while it reports and is gone afterwards. Before: scenario 'The instance list lags behind an entry that joined' fails, the entry is missing from status. After: it passes.

--- a/oriolelock/control/instance_list.py
+++ b/oriolelock/control/instance_list.py
@@ -116,16 +116,18 @@
         cfg: configuration.Configuration,
         listed: dict,
         leaving: collections.abc.Set[str] = frozenset(),
+        seen: collections.abc.Set[str] = frozenset(),
     ) -> list[changes.Change]:
         """Return the changes that lead from ``cfg`` to ``listed``; none for an empty list.
 
-        ``leaving``: instances that report that they leave.
+        ``leaving``: instances that report that they leave. ``seen``: instances that reported
+        lately; they are not gone, whatever a list that lags shows.
         """
         if not listed:
             return []
         known = {**cfg.members, **cfg.endpoints}
         found = [change for item in listed.values() for change in _changes_of(cfg, item, leaving)]
-        missing = [name for name in known if name not in listed]
+        missing = [name for name in known if name not in listed and name not in seen]
         self._missing = {name: self._missing.get(name, 0) + 1 for name in missing}
         for name in missing:
             if self._missing[name] >= READINGS_UNTIL_GONE:
--- a/oriolelock/control/overseer.py
+++ b/oriolelock/control/overseer.py
@@ -115,7 +115,9 @@
                 listed = instance_list.parse(instance_list.fetch(self._cfg.instance_list))
                 listed = {name: self._complete(item) for name, item in listed.items()}
                 cfg = self._replica.configuration()
-                self._commit(diff.find_changes(cfg, listed, self._reports.leaving()))
+                leaving = self._reports.leaving()
+                seen = self._reports.seen(clock.monotonic_s())
+                self._commit(diff.find_changes(cfg, listed, leaving, seen))
                 self._last_error = ""
             except instance_list.ListUnreadable as exc:
                 self._report(str(exc))
--- a/oriolelock/control/reports.py
+++ b/oriolelock/control/reports.py
@@ -70,3 +70,7 @@
         """Return the instances whose latest report says that they leave."""
         with self._lock:
             return frozenset(n for n, h in self._heard.items() if h.report.state == "leaving")
+
+    def seen(self, now: float) -> frozenset[str]:
+        """Return the instances that reported within ``SEEN_LIMIT_S``."""
+        return frozenset(n for n, age_s in self.ages(now).items() if age_s <= SEEN_LIMIT_S)
--- a/tests/control/test_instance_list.py
+++ b/tests/control/test_instance_list.py
@@ -49,6 +49,18 @@
     assert find(diff, machine, ENTRY) == [changes.RemoveEndpoint("p1")]
 
 
+def test_instance_that_reports_is_not_gone():
+    diff, machine = instance_list.InstanceDiff(), state.ConfigState()
+    find(diff, machine, ENTRY, ENDPOINT)
+    listed = instance_list.parse(json.dumps([ENDPOINT]).encode())
+    for _ in range(2 * instance_list.READINGS_UNTIL_GONE):
+        assert diff.find_changes(machine.view(), listed, seen={"e1"}) == []
+    # The readings count from the end of its reports.
+    for _ in range(instance_list.READINGS_UNTIL_GONE - 1):
+        assert diff.find_changes(machine.view(), listed) == []
+    assert diff.find_changes(machine.view(), listed) == [changes.RemoveMember("e1")]
+
+
 def test_empty_list_changes_nothing():
     diff, machine = instance_list.InstanceDiff(), state.ConfigState()
     find(diff, machine, ENTRY, ENDPOINT)
--- a/tests/control/test_overseer.py
+++ b/tests/control/test_overseer.py
@@ -124,7 +124,13 @@
     assert not any(row["seen"] for row in shown(item).values())
 
     reporter.names = {"a", "b", "c"}
+    cluster.wait_for(lambda: states(item) == ready, "all to report again")
     instances.items = [entry("a"), entry("b", "leaving")]
+    # The list may lag behind an entry that joined; one that reports is not gone.
+    end = instances.reads + 2 * instance_list.READINGS_UNTIL_GONE
+    cluster.wait_for(lambda: instances.reads >= end, "readings without c")
+    assert states(item)["c"] == "ready"
+    reporter.names = {"a", "b"}
     cluster.wait_for(lambda: states(item) == {"a": "ready", "b": "leaving"}, "b leaves, c is gone")
     for instances.items in ([], None):
         end = instances.reads + 2 * instance_list.READINGS_UNTIL_GONE
--- a/tests/scenarios/control/control_members.feature
+++ b/tests/scenarios/control/control_members.feature
@@ -23,3 +23,10 @@
     Given preset "normal" is in force
     When the instance list stops for 2 s
     Then no instance was removed
+
+  Scenario: The instance list lags behind an entry that joined
+    Given preset "normal" is in force
+    When an entry starts and the instance list shows it
+    Then all entries name it in lookups
+    When the instance list shows for 2 s what it showed before that
+    Then no instance was removed
