Show no configuration version before an entry is ready

Ruled out: keeping back only the version 0; a replica that lags sends others. Before: test_not_ready_before_first_configuration fails with this check.

--- a/oriolelock/entry/app.py
+++ b/oriolelock/entry/app.py
@@ -102,8 +102,12 @@
 
     def __call__(self, environ, start_response):
         self._parts.in_flight(1)
+        is_ready = self._parts.is_ready()
         try:
             response = self._respond(environ)
+            if not is_ready:
+                # The version may be older than one that callers saw before a restart.
+                response.headers.pop(reply.VERSION_HEADER, None)
             return response(environ, start_response)
         finally:
             self._parts.in_flight(-1)
--- a/oriolelock/entry/daemon.py
+++ b/oriolelock/entry/daemon.py
@@ -178,7 +178,9 @@
         item = reply.Reply(
             outcomes.NotRun(reason), uuid.uuid4().hex, self.uplink.configuration.version
         )
-        return reply.outcome_headers(item)
+        headers = reply.outcome_headers(item)
+        is_ready = self.uplink.is_ready
+        return [(k, v) for k, v in headers if is_ready or k != reply.VERSION_HEADER]
 
     def _count_refusal(self, reason):
         self.counters.count("request.not_run")
--- a/oriolelock/entry/reply.py
+++ b/oriolelock/entry/reply.py
@@ -10,7 +10,7 @@
 
 from oriolelock import outcomes
 
-__all__ = ["Reply", "outcome_headers", "status_of"]
+__all__ = ["VERSION_HEADER", "Reply", "outcome_headers", "status_of"]
 
 NOT_RUN_STATUS = {
     "bad-request": 400,
@@ -27,6 +27,7 @@
 UNKNOWN_STATUS = {"in-progress": 409, "timeout": 504}
 DEFAULT_NOT_RUN_STATUS = 503
 DEFAULT_UNKNOWN_STATUS = 502
+VERSION_HEADER = "Oriolelock-Config-Version"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,7 +60,7 @@
         ("Oriolelock-Outcome", word),
         ("Oriolelock-Reason", reason),
         ("Oriolelock-Request-Id", item.request_id),
-        ("Oriolelock-Config-Version", str(item.version)),
+        (VERSION_HEADER, str(item.version)),
     ]
     if isinstance(outcome, outcomes.NotRun) and outcome.retry_after_ms > 0:
         headers.append(("Retry-After", str(math.ceil(outcome.retry_after_ms / 1000))))
--- a/tests/entry/test_daemon.py
+++ b/tests/entry/test_daemon.py
@@ -92,7 +92,11 @@
 
 def test_not_ready_before_first_configuration(start):
     item = start(control=(("127.0.0.1", 9),))
-    assert outcome_of(item.ask()) == ("not-run", "not-ready")
+    response = item.ask()
+    assert outcome_of(response) == ("not-run", "not-ready")
+    # It would be below the one that the entry served before a restart.
+    assert response.getheader("Oriolelock-Config-Version") is None
+    assert item.ask(headers={"X-Long": "x" * 5000}).getheader("Oriolelock-Config-Version") is None
     assert item.ask(path="/oriolelock/ready").status == 503
 
 
--- a/tests/scenarios/control/test_control_entries.py
+++ b/tests/scenarios/control/test_control_entries.py
@@ -92,6 +92,7 @@
     reply = world.request(world.entry, "read")
     assert (reply.status, reply.headers["oriolelock-outcome"]) == (503, "not-run")
     assert reply.headers["oriolelock-reason"] == reason
+    assert "oriolelock-config-version" not in reply.headers
     assert not world.fleet.entries[world.entry].is_ready()
 
 
