--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -48,8 +48,8 @@
 
 
 class Uplink:
-    """Thread-safe. ``report`` returns the entry's current StatusReport, ``reports_below``
-    those that have arrived from entries below it since its last call.
+    """Thread-safe. ``report`` returns the entry's current StatusReport, None to send
+    none; ``reports_below`` those that have arrived from entries below it since its last call.
 
     ``parents`` returns the addresses to try for a configuration, best first. An entry that
     had to use another one goes back to the best after ``REBALANCE_AFTER_S``.
@@ -61,7 +61,7 @@
         self,
         parents: Parents,
         greeting: hello.Hello,
-        report: collections.abc.Callable[[], messages.StatusReport],
+        report: collections.abc.Callable[[], messages.StatusReport | None],
         store: stored_copy.StoredCopy | None = None,
         on_config: collections.abc.Callable[[configuration.Configuration], None] | None = None,
         rng: random.Random | None = None,
@@ -147,7 +147,9 @@
 
     def send_report(self) -> None:
         """Send a status report now, for example when the state changes."""
-        self._post(self._report())
+        own = self._report()
+        if own is not None:
+            self._post(own)
 
     def call(self, payload: object, timeout_s: float) -> object:
         """Return control's reply to ``payload``, a registered message.
@@ -247,14 +249,18 @@
                     return
             due_s = min(report_due_s, pass_on_due_s) - now
             msg = link.recv(max(0.0, min(RECV_STEP_S, due_s)))
+            was_ready = self.is_ready
             if msg is not None and self._handle(msg):
                 vouched_s = clock.monotonic_s()
+                if not was_ready:
+                    report_due_s = 0.0
 
     def _post_reports(self, with_own):
-        reports = (self._report(),) if with_own else ()
-        reports += self._reports_below()
-        if with_own and len(reports) == 1:
-            self._post(reports[0])
+        own = self._report() if with_own else None
+        below = self._reports_below()
+        reports = below if own is None else (own, *below)
+        if own is not None and not below:
+            self._post(own)
         elif reports:
             self._post(report_packing.pack(reports))
 
--- a/oriolelock/entry/daemon.py
+++ b/oriolelock/entry/daemon.py
@@ -104,6 +104,10 @@
         return age_s is None or age_s > CUT_OFF_AGE_S
 
     def _report(self):
+        if not self.uplink.is_ready:
+            # Control would show a version below the last one, and count an entry that refuses
+            # callers as live, so that lookups name it.
+            return None
         cfg = self.uplink.configuration
         return messages.StatusReport(
             self._settings.name,
@@ -186,7 +190,9 @@
         item = reply.Reply(
             outcomes.NotRun(reason), uuid.uuid4().hex, self.uplink.configuration.version
         )
-        return reply.outcome_headers(item)
+        headers = reply.outcome_headers(item)
+        is_ready = self.uplink.is_ready
+        return [(k, v) for k, v in headers if is_ready or k != reply.VERSION_HEADER]
 
     def _count_refusal(self, reason):
         self.counters.count("request.not_run")
