Take entries that announce their stop out of look-ups

Cause: an entry that gets SIGTERM reports the state "leaving", but control committed no state from reports other than silence and return. Other entries went on naming it until 3 s after its end, unless the platform's list knew of the stop.

Ruled out: a late report (it is sent at once), and the platform's list as the only source (a planned stop need not be listed, and the next reading of a list that says "live" would undo a committed "leaving").

Change: the detector sets an entry down whose latest report says that it leaves, and does not set it live again while that report stands. The list cannot end "down"; a report of the restarted entry does.

--- a/oriolelock/control/detector.py
+++ b/oriolelock/control/detector.py
@@ -2,7 +2,8 @@
 oriolelock.control.detector
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-    Failure detector: entries that stop to report are set down, and live when they return.
+    Failure detector: entries that stop to report, or report that they leave, are set down,
+    and live when they return.
 """
 
 import collections.abc
@@ -27,12 +28,16 @@
 
 
 def judge(
-    cfg: configuration.Configuration, ages: collections.abc.Mapping, watched_s: float
+    cfg: configuration.Configuration,
+    ages: collections.abc.Mapping,
+    watched_s: float,
+    leaving: collections.abc.Set[str] = frozenset(),
 ) -> Verdict:
     """Return the changes of member states that the reports call for.
 
     ``ages``: seconds since the latest report by name. ``watched_s``: for how long this
-    replica has led; entries without a report count as heard when that began.
+    replica has led; entries without a report count as heard when that began. ``leaving``:
+    entries whose latest report says that they leave.
     """
     entries = [member for member in cfg.members.values() if member.role == "entry"]
     live = [member for member in entries if member.state == "live"]
@@ -40,13 +45,20 @@
     silent = [m for m in live if age_s[m.name] > reports.SEEN_LIMIT_S]
     late = [m for m in live if age_s[m.name] > LATE_LIMIT_S]
     back = [
-        m for m in entries if m.state == "down" and ages.get(m.name, 1e9) <= reports.SEEN_LIMIT_S
+        m
+        for m in entries
+        if m.state == "down"
+        and ages.get(m.name, 1e9) <= reports.SEEN_LIMIT_S
+        and m.name not in leaving
     ]
     held_back: list = []
     # When most entries fall silent at once, it is probably this replica that is cut off.
     if 2 * len(late) > len(live):
         silent, held_back = [], silent
-    states = [(m, "down") for m in silent] + [(m, "live") for m in back]
+    # The platform's list may not know of a planned stop. It can end the state "leaving", which
+    # it sets itself, but not "down".
+    gone = {m.name: m for m in (*silent, *(m for m in live if m.name in leaving))}
+    states = [(m, "down") for m in gone.values()] + [(m, "live") for m in back]
     return Verdict(
         tuple(changes.SetMember(dataclasses.replace(m, state=state)) for m, state in states),
         tuple(m.name for m in held_back),
--- a/oriolelock/control/overseer.py
+++ b/oriolelock/control/overseer.py
@@ -85,7 +85,10 @@
         if self._leading_since_s is None:
             self._leading_since_s = now
         verdict = detector.judge(
-            self._replica.configuration(), self._reports.ages(now), now - self._leading_since_s
+            self._replica.configuration(),
+            self._reports.ages(now),
+            now - self._leading_since_s,
+            self._reports.leaving(),
         )
         if set(verdict.held_back) - set(self.held_back):
             log.warning("{} entries are silent at once, kept.", len(verdict.held_back))
--- a/oriolelock/control/reports.py
+++ b/oriolelock/control/reports.py
@@ -61,6 +61,11 @@
         """Return the latest report of ``name``."""
         return self._heard.get(name)
 
+    def leaving(self) -> frozenset[str]:
+        """Return the names of instances whose latest report says that they leave."""
+        with self._lock:
+            return frozenset(n for n, h in self._heard.items() if h.report.state == "leaving")
+
     def ages(self, now: float) -> dict[str, float]:
         """Return seconds since the latest report of each instance."""
         with self._lock:
--- a/tests/control/test_detector.py
+++ b/tests/control/test_detector.py
@@ -25,6 +25,15 @@
     assert verdict.held_back == ()
 
 
+def test_entry_that_announces_its_stop_is_down_before_it_is_silent():
+    # Other entries would otherwise name it to callers until 3 s after its end.
+    cfg = make({"a": "live", "b": "live", "c": "down"})
+    heard = dict.fromkeys("abc", 0.5)
+    verdict = detector.judge(cfg, heard, 60.0, frozenset(["a", "c"]))
+    assert states(verdict) == {"a": "down"}
+    assert states(detector.judge(cfg, heard, 60.0)) == {"c": "live"}
+
+
 def test_most_entries_silent_at_once_are_held_back():
     cfg = make({"a": "live", "b": "live", "c": "live"})
     verdict = detector.judge(cfg, {"a": 9.0, "b": 9.0, "c": 1.0}, 60.0)
