Count refused connections between processes

Cause: the counter wire.bad_message existed, but nothing added to it, and a greeting with a wrong protocol version, cluster or token left no trace on the refusing side.

Change: the accepting side counts wire.refused for each refused greeting and wire.bad_message for one that does not decode, in entries and control replicas.

Before: the counters in the state dump stayed absent after garbage and after a wrong version. After: each adds one, and the process goes on serving.

--- a/oriolelock/control/daemon.py
+++ b/oriolelock/control/daemon.py
@@ -106,7 +106,10 @@
         }
 
     def _serve_link(self, conn):
-        accepted = channel.accept(conn, self._cfg.name, self._cfg.cluster, self._cfg.cluster_token)
+        cfg = self._cfg
+        accepted = channel.accept(
+            conn, cfg.name, cfg.cluster, cfg.cluster_token, self._metrics.count
+        )
         if accepted is None:
             return
         if accepted.peer.role == "control":
--- a/oriolelock/distribution/relay.py
+++ b/oriolelock/distribution/relay.py
@@ -5,6 +5,7 @@
     Lets an entry be the parent of other entries: deltas go down, reports and calls go up.
 """
 
+import collections.abc
 import concurrent.futures
 import threading
 
@@ -27,7 +28,15 @@
 class Relay:
     """Thread-safe. Serves child entries at one address from the uplink's configuration."""
 
-    def __init__(self, name: str, cluster: str, token: str, parent: uplink.Uplink):
+    def __init__(
+        self,
+        name: str,
+        cluster: str,
+        token: str,
+        parent: uplink.Uplink,
+        count: collections.abc.Callable[[str], None] = lambda metric: None,
+    ):
+        self._count = count
         self._name = name
         self._cluster = cluster
         self._token = token
@@ -76,7 +85,7 @@
         return self._publisher.subscriber_names()
 
     def _serve(self, conn):
-        accepted = channel.accept(conn, self._name, self._cluster, self._token)
+        accepted = channel.accept(conn, self._name, self._cluster, self._token, self._count)
         if accepted is not None:
             self._publisher.serve(accepted)
 
--- a/oriolelock/entry/daemon.py
+++ b/oriolelock/entry/daemon.py
@@ -55,7 +55,9 @@
         self._background = background.Background(self.steering)
         self.uplink = self._make_uplink()
         self._background.link = self.uplink
-        self._relay = relay.Relay(cfg.name, cfg.cluster, cfg.cluster_token, self.uplink)
+        self._relay = relay.Relay(
+            cfg.name, cfg.cluster, cfg.cluster_token, self.uplink, self.counters.count
+        )
         self.pool = pool.Pool(lambda item: candidates.connection_limit(self._entries, item))
         self.once = client.Client(cfg.name, self.uplink.call)
         self._server: http_server.Server | None = None
--- a/oriolelock/metrics.py
+++ b/oriolelock/metrics.py
@@ -30,6 +30,7 @@
     "control.change.latency": ("timer", "time from receipt to result of an operator change"),
     "control.index": ("gauge", "position of the configuration in the log"),
     "control.subscribers": ("gauge", "subscribers of this replica"),
+    "wire.refused": ("counter", "connections between processes refused at their greeting"),
     "wire.bad_message": ("counter", "messages between processes that did not decode"),
 }
 
--- a/oriolelock/wire/channel.py
+++ b/oriolelock/wire/channel.py
@@ -163,8 +163,17 @@
     return channel
 
 
-def accept(conn, name: str, cluster: str, token: str) -> Channel | None:
-    """Check the greeting of an incoming connection; returns None when it was refused."""
+def accept(
+    conn,
+    name: str,
+    cluster: str,
+    token: str,
+    count: collections.abc.Callable[[str], None] = lambda metric: None,
+) -> Channel | None:
+    """Check the greeting of an incoming connection; returns None when it was refused.
+
+    ``count`` adds one to a counter.
+    """
     channel = Channel(conn, None)
     try:
         greeting = channel.recv(CONNECT_TIMEOUT_S)
@@ -175,7 +184,9 @@
     except errors.DecodeError as exc:
         channel.send(hello.HelloReply(name, str(exc)))
         error = str(exc)
+        count("wire.bad_message")
     if error:
+        count("wire.refused")
         channel.close()
         return None
     channel.peer = greeting
--- a/tests/wire/test_channel.py
+++ b/tests/wire/test_channel.py
@@ -91,3 +91,22 @@
     assert clock.monotonic_s() - began_s < 5.0
     sender.join(timeout=5.0)
     assert stuck
+
+
+def test_refused_greetings_are_counted():
+    """A wrong version or garbage on the port between processes must not go unnoticed."""
+    counted, handled = [], threading.Event()
+
+    def handle(conn):
+        channel.accept(conn, "b", "other cluster", "token", counted.append)
+        handled.set()
+
+    server = channel.serve(("127.0.0.1", 0), handle)
+    thread = threading.Thread(target=server.serve_forever)
+    thread.start()
+    with pytest.raises(errors.HandshakeRefused):
+        channel.connect(server.socket.getsockname()[:2], GREETING)
+    assert handled.wait(10)
+    server.shutdown()
+    thread.join()
+    assert counted == ["wire.refused"]
