--- a/oriolelock/control/detector.py
+++ b/oriolelock/control/detector.py
@@ -45,7 +45,11 @@
     silent = [m for m in live if age_s[m.name] > reports.SEEN_LIMIT_S]
     late = [m for m in live if age_s[m.name] > LATE_LIMIT_S]
     back = [
-        m for m in entries if m.state == "down" and ages.get(m.name, 1e9) <= reports.SEEN_LIMIT_S
+        m
+        for m in entries
+        if m.state == "down"
+        and ages.get(m.name, 1e9) <= reports.SEEN_LIMIT_S
+        and m.name not in leaving
     ]
     held_back: list = []
     # When most entries fall silent at once, it is probably this replica that is cut off.
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from oriolelock.bench import fleet, fleet_options
+from oriolelock.bench import fleet as fleets
+from oriolelock.bench import fleet_options
 from tests.bench import small
 
 
@@ -13,7 +14,7 @@
         """Start a fleet; ``prepare(fleet)`` may change settings before that."""
         options = {"lookup_ttl": "200 ms", "leave_lag": "100 ms", "record_groups": 1, **options}
         path = folder / f"fleet-{len(list(folder.iterdir()))}"
-        item = fleet.Fleet(path, plan or small.plan(), fleet_options.FleetOptions(**options))
+        item = fleets.Fleet(path, plan or small.plan(), fleet_options.FleetOptions(**options))
         if prepare:
             prepare(item)
         return stack.enter_context(item)
@@ -33,3 +34,10 @@
     """Start fleets that all scenarios of a module share."""
     with contextlib.ExitStack() as stack:
         yield _starter(tmp_path_factory.mktemp("fleets"), stack)
+
+
+@pytest.fixture(scope="module")
+def fleet(request, tmp_path_factory):
+    """The running fleet that ``make_fleet(folder)`` of the test module describes."""
+    with request.module.make_fleet(tmp_path_factory.mktemp("fleet") / "f") as found:
+        yield found
