Answer after a death only once the other entries know of it

Ruled out: a lost report. Change: the reply waits for the commit of the report and 0.5 s for its way to the entries, 2.5 s at most. Reports of one endpoint within 2 s count as one death, so that a report may be sent again and copies of a new request on one endpoint are not quarantined by its first death. Requests that reach three entries at the same moment can still kill three endpoints.

--- a/oriolelock/admission/quarantine.py
+++ b/oriolelock/admission/quarantine.py
@@ -39,7 +39,10 @@
     def __init__(self):
         self._completed: collections.OrderedDict[str, float] = collections.OrderedDict()
         self._excused: collections.OrderedDict[str, float] = collections.OrderedDict()
-        self._deaths: collections.OrderedDict[str, list[float]] = collections.OrderedDict()
+        # Fingerprint to (endpoint, time) of its latest deaths.
+        self._deaths: collections.OrderedDict[str, list[tuple[str, float]]] = (
+            collections.OrderedDict()
+        )
         self._until: collections.OrderedDict[str, float] = collections.OrderedDict()
         self._crashes: collections.abc.Mapping[str, crash_record.CrashRecord] = {}
 
@@ -55,7 +58,7 @@
         if len(self._completed) > MAX_COMPLETED:
             self._completed.popitem(last=False)
 
-    def died(self, mark: str, now: float) -> bool:
+    def died(self, mark: str, endpoint: str, now: float) -> bool:
         """Note that an endpoint died while it ran the request.
 
         Returns whether the request is suspect, and so must be reported to control.
@@ -64,8 +67,9 @@
             if now - self._excused.setdefault(mark, now) <= TRUSTED_DEATHS_S:
                 return False
             del self._completed[mark]
-        deaths = [at for at in self._deaths.pop(mark, ()) if now - at < crash_record.WINDOW_S]
-        deaths.append(now)
+        deaths = [d for d in self._deaths.pop(mark, ()) if now - d[1] < crash_record.WINDOW_S]
+        if not any(d[0] == endpoint and now - d[1] < crash_record.SAME_DEATH_S for d in deaths):
+            deaths.append((endpoint, now))
         self._deaths[mark] = deaths[-crash_record.QUARANTINE_DEATHS :]
         if len(deaths) >= crash_record.QUARANTINE_DEATHS:
             self._until.pop(mark, None)
@@ -80,7 +84,7 @@
         if self._is_trusted(mark, now):
             return True
         deaths = self._deaths.get(mark)
-        if deaths and now - deaths[-1] < crash_record.WINDOW_S:
+        if deaths and now - deaths[-1][1] < crash_record.WINDOW_S:
             return False
         known = self._crashes.get(mark)
         if known and known.deaths and wall_s - known.deaths[-1][1] < crash_record.WINDOW_S:
--- a/oriolelock/entry/background.py
+++ b/oriolelock/entry/background.py
@@ -20,8 +20,13 @@
 __all__ = ["Background"]
 
 TICK_INTERVAL_S = 0.05
-REPORT_TIMEOUT_S = 5.0
-REPORT_ATTEMPTS = 3
+# Both attempts fall within the time in which control counts them as one death.
+REPORT_TIMEOUT_S = 0.9
+REPORT_ATTEMPTS = 2
+REPORT_THREADS = 8
+# A committed change has reached the last of 100 subscribers after 0.3 s at most
+# (docs/CAPACITY.md).
+SPREAD_S = 0.5
 MAX_PENDING_REPORTS = 64
 
 log = logs.get_logger("entry.background")
@@ -37,7 +42,7 @@
         self._blocks = blocks.BlockTable(b"")
         self.directory = directory.Directory(configuration.EMPTY)
         self._stopping = threading.Event()
-        self._reporting = concurrent.futures.ThreadPoolExecutor(2, "crash-report")
+        self._reporting = concurrent.futures.ThreadPoolExecutor(REPORT_THREADS, "crash-report")
         self._report_room = threading.BoundedSemaphore(MAX_PENDING_REPORTS)
         self._poller = load_poller.LoadPoller(decisions.unreported, self._on_report)
         self._ticker = threading.Thread(target=self._run, name="ticker", daemon=True)
@@ -55,21 +60,30 @@
         site = self._blocks.find_text(client)
         return site.region if site else None
 
-    def report_crash(self, fingerprint: str, endpoint_name: str) -> None:
-        """Tell control of a death in the background; dropped when too many wait."""
+    def report_crash(
+        self, fingerprint: str, endpoint_name: str
+    ) -> concurrent.futures.Future | None:
+        """Tell control of a death in the background.
+
+        The future ends once every entry has probably heard of it. Returns None, and drops the
+        report, when too many wait.
+        """
         if not self._report_room.acquire(blocking=False):
             log.warning("Too many crash reports wait; one of {} is dropped.", endpoint_name)
-            return
+            return None
+        change = changes.ReportCrash(fingerprint, endpoint_name)
         try:
-            self._reporting.submit(self._report, changes.ReportCrash(fingerprint, endpoint_name))
+            return self._reporting.submit(self._report, change)
         except RuntimeError:
             self._report_room.release()
+            return None
 
     def _report(self, change):
         try:
             for _ in range(REPORT_ATTEMPTS):
                 try:
                     self.link.call(change, REPORT_TIMEOUT_S)
+                    self._stopping.wait(SPREAD_S)
                     return
                 except errors.DistributionError as exc:
                     log.warning("A crash report for {} failed: {}.", change.endpoint, exc)
--- a/oriolelock/entry/flow.py
+++ b/oriolelock/entry/flow.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import concurrent.futures
 import dataclasses
 import uuid
 
@@ -24,8 +25,9 @@
 MAX_ATTEMPTS = 4
 # After two lost connections a third would probably be the request's own doing.
 MAX_LOSSES = 2
+CRASH_HOLD_S = 2.5
 
-Reporter = collections.abc.Callable[[str, str], None]
+Reporter = collections.abc.Callable[[str, str], concurrent.futures.Future | None]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -43,7 +45,8 @@
 class Flow:
     """Thread-safe if its parts are.
 
-    ``report_crash(fingerprint, endpoint name)`` tells control of a death, without waiting;
+    ``report_crash(fingerprint, endpoint name)`` tells control of a death; its future, if any,
+    ends when the other entries know of it;
     ``is_refusing(address)`` tells whether nothing listens there any more.
     """
 
@@ -222,7 +225,11 @@
         now = clock.monotonic_s()
         if self._decisions.finished(target, result, size, work.fingerprint, is_death, now):
             self._metrics.count("endpoint.crashed")
-            self._report_crash(work.fingerprint, target.endpoint.name)
+            reported = self._report_crash(work.fingerprint, target.endpoint.name)
+            if reported is not None:
+                # A caller that gets its answer at once may resend to an entry that does not know
+                # of this death yet, and so reach a third endpoint.
+                concurrent.futures.wait([reported], CRASH_HOLD_S)
 
 
 class _Held:
--- a/oriolelock/model/configuration.py
+++ b/oriolelock/model/configuration.py
@@ -118,6 +118,11 @@
     old = cfg.crashes.get(change.fingerprint)
     earlier = old.deaths if old else ()
     recent = [d for d in earlier if wall_s - d[1] < crash_record.WINDOW_S]
+    if any(
+        name == change.endpoint and wall_s - at_s < crash_record.SAME_DEATH_S
+        for name, at_s in recent
+    ):
+        return {}
     deaths = (*recent, (change.endpoint, wall_s))[-crash_record.QUARANTINE_DEATHS :]
     until_s = old.until_s if old else 0.0
     if len(deaths) >= crash_record.QUARANTINE_DEATHS:
--- a/tests/model/test_configuration.py
+++ b/tests/model/test_configuration.py
@@ -94,6 +94,15 @@
     assert twice.crashes["f"].until_s == 101.0 + crash_record.QUARANTINE_S
 
 
+def test_reports_of_one_death_by_several_entries_count_once():
+    """A report that is sent again, or comes from two entries, must not look like two deaths."""
+    cfg = apply_all(configuration.EMPTY, changes.ReportCrash("f", "w1"), wall_s=100.0)
+    cfg = apply_all(cfg, changes.ReportCrash("f", "w1"), wall_s=101.0)
+    assert cfg.crashes["f"].until_s == 0.0
+    cfg = apply_all(cfg, changes.ReportCrash("f", "w1"), wall_s=103.0)
+    assert cfg.crashes["f"].until_s > 0.0
+
+
 def test_crash_records_stay_bounded():
     cfg = configuration.EMPTY
     for n in range(crash_record.MAX_CRASH_RECORDS + 5):
