--- a/oriolelock/bench/experiments/flood.py
+++ b/oriolelock/bench/experiments/flood.py
@@ -11,6 +11,7 @@
 import random
 import tempfile
 
+from oriolelock import clock
 from oriolelock.bench import (
     examples,
     fleet,
@@ -28,9 +29,11 @@
 
 ENTRIES = 3
 LISTED = 2
-PER_SERVICE = 3
 BASE_SHARE = 0.6
 CALLERS = 30
+# The generator makes look-ups one at a time. They are made before the load starts and last for
+# all of it, so that a slow look-up does not hold the load up.
+LOOKUP_TTL = "60 s"
 THREADS = 192
 LEVELS = ("urgent", "normal", "deferrable")
 # Parts of a service's base load by priority.
@@ -51,9 +54,15 @@
 
 VARIANTS = {
     "p2c": Variant("p2c", SHARES),
+    "least_in_flight": Variant("least_in_flight", SHARES),
+    "round_robin": Variant("round_robin", SHARES),
     "least_in_flight, one priority": Variant("least_in_flight", None),
     "round_robin, one priority": Variant("round_robin", None),
 }
+DEFAULT_VARIANTS = ["p2c", "least_in_flight, one priority", "round_robin, one priority"]
+LAG = {"kind": "load-lag", "delay": "5 s"}
+LIE = {"kind": "load-lie", "in_flight": 0, "queued": 0}
+LIE_EVERY = 3
 
 
 def add_arguments(parser) -> None:
@@ -62,8 +71,13 @@
     parser.add_argument("--seconds", type=float, default=8.0, help="length of each flood")
     parser.add_argument("--factor", type=float, default=3.0, help="flood, times the capacity")
     parser.add_argument("--service-ms", type=float, default=200.0, help="mean service time")
-    parser.add_argument("--flood", choices=LEVELS, nargs="+", default=["deferrable", "urgent"])
-    parser.add_argument("--variant", choices=VARIANTS, nargs="+", default=list(VARIANTS))
+    parser.add_argument("--endpoint-queue", type=int, default=0, help="waiting at an endpoint")
+    parser.add_argument("--per-service", type=int, default=3, help="endpoints of each service")
+    parser.add_argument(
+        "--misleading", action="store_true", help="reports lag by 5 s, a third show no load"
+    )
+    parser.add_argument("--flood", choices=LEVELS, nargs="*", default=["deferrable", "urgent"])
+    parser.add_argument("--variant", choices=VARIANTS, nargs="+", default=DEFAULT_VARIANTS)
 
 
 def _operations(variant):
@@ -123,10 +137,14 @@
 def _run_load(item, capacities, flood, args):
     rng = random.Random(7)
     seeds = [process.address for process in item.entries.values()]
+    # A client outside all blocks is served by the region of the entry that it asks.
     callers = [
-        virtual_caller.VirtualCaller(f"10.{n}.0.1", seeds[n % 3 :] + seeds[: n % 3], rng)
+        virtual_caller.VirtualCaller(f"10.{n}.0.1", [seeds[n % len(seeds)]], rng)
         for n in range(CALLERS)
     ]
+    for caller in callers:
+        for service in capacities:
+            caller.entry_for(service, clock.monotonic_s())
     before = _counters(item)
     streams = _streams(capacities, flood, args.factor)
     generator = load.Generator(streams, callers, rng)
@@ -141,6 +159,7 @@
             sum(r["in_time"] for r in found.values()) / args.seconds,
             1,
         ),
+        "generator_late_ms": round(1000 * generator.max_late_s),
         "load": machine.load(),
     }
 
@@ -148,7 +167,8 @@
 def _show(name, flood, found):
     print(
         f"{name}, flood {flood or 'none'}: {found['complete_per_s']}/s in time, "
-        f"{found['sheds']} sheds, {found['retries']} retries, load {found['load']}"
+        f"{found['sheds']} sheds, {found['retries']} retries, "
+        f"generator late by at most {found['generator_late_ms']} ms, load {found['load']}"
     )
     for kind, row in found["streams"].items():
         print(
@@ -158,16 +178,24 @@
         )
 
 
-def run_variant(name: str, args, faults=lambda item: None) -> list[dict]:
+def _mislead(item):
+    for number, end in enumerate(item.settings.plan.endpoints):
+        fault = LIE if number % LIE_EVERY == 0 else LAG
+        http.post_json(item.address_of(end.name), "/faults", fault)
+
+
+def run_variant(name: str, args) -> list[dict]:
     """Start the deployment as ``name`` says, run the base load and each flood."""
     variant = VARIANTS[name]
-    plan = examples.scaled(examples.load(args.deployment), PER_SERVICE)
+    plan = examples.scaled(examples.load(args.deployment), args.per_service)
     capacities = _capacities(plan, args.service_ms)
     options = fleet_options.FleetOptions(
         entries=ENTRIES,
         entry_threads=THREADS,
         service_time=f"{args.service_ms:g} ms",
+        endpoint_queue=args.endpoint_queue,
         picker=variant.picker,
+        lookup_ttl=LOOKUP_TTL,
     )
     rows = []
     with tempfile.TemporaryDirectory() as folder:
@@ -178,7 +206,8 @@
         with fleet.Fleet(root / "fleet", plan, options) as item:
             operator.use_preset(item, preset, "flood")
             operator.wait_for_lookups(item, next(iter(capacities)), LISTED)
-            faults(item)
+            if args.misleading:
+                _mislead(item)
             for flood in ("", *args.flood):
                 found = _run_load(item, capacities, flood, args)
                 _show(name, flood, found)
--- a/oriolelock/bench/fleet_options.py
+++ b/oriolelock/bench/fleet_options.py
@@ -25,6 +25,7 @@
     separate_endpoints: bool = False
     links: bool = False
     service_time: str | None = None
+    endpoint_queue: int = 4
     distribution: str = "exponential"
     seed: int = 1
     cold_start: str = "0 s"
--- a/oriolelock/bench/fleet_settings.py
+++ b/oriolelock/bench/fleet_settings.py
@@ -113,6 +113,7 @@
                     "listen": self.addresses[item.name],
                     "service": item.service,
                     "slots": item.slots,
+                    "queue": options.endpoint_queue,
                     "connections": item.connections,
                     "service_time": options.service_time or f"{item.service_ms:g} ms",
                     "distribution": options.distribution,
--- a/oriolelock/bench/load.py
+++ b/oriolelock/bench/load.py
@@ -10,6 +10,7 @@
 import heapq
 import io
 import random
+import threading
 import uuid
 
 import pycurl
@@ -39,9 +40,16 @@
         self._multi = pycurl.CurlMulti()
         self._idle: list[pycurl.Curl] = []
         self._open = 0
+        # By how much the generator itself was late; figures of a late one mean nothing.
+        self.max_late_s = 0.0
+        self._stopping = threading.Event()
         self.results = {item.name: stream_result.StreamResult() for item in streams}
         self.keys: dict[str, list[str]] = {item.name: [] for item in streams}
 
+    def stop(self) -> None:
+        """Have ``run``, in another thread, send nothing more and return after the answers."""
+        self._stopping.set()
+
     def run(self, duration_s: float) -> dict[str, stream_result.StreamResult]:
         """Send for ``duration_s`` seconds, wait for the answers and return the results."""
         began_s = clock.monotonic_s()
@@ -51,6 +59,8 @@
         longest_s = max(s.deadline_ms for s in self._streams.values()) / 1000 + GRACE_S
         while True:
             now = clock.monotonic_s()
+            if self._stopping.is_set():
+                end_s = min(end_s, now)
             while arrivals and arrivals[0][0] + began_s <= min(now, end_s):
                 at_s, name = heapq.heappop(arrivals)
                 item = self._streams[name]
@@ -67,6 +77,7 @@
     def _start(self, item, due_s, now):
         result = self.results[item.name]
         result.sent += 1
+        self.max_late_s = max(self.max_late_s, clock.monotonic_s() - due_s)
         if self._open >= MAX_OPEN_REQUESTS:
             result.record("failed", "generator-full", 0.0, item.deadline_ms)
             return
