--- a/oriolelock/bench/cmdline.py
+++ b/oriolelock/bench/cmdline.py
@@ -8,9 +8,13 @@
 import argparse
 import importlib
 import json
+import signal
+import sys
 
 __all__ = ["EXPERIMENTS", "main"]
 
+EXIT_TERMINATED = 143
+
 # name -> (module below oriolelock.bench.experiments, meaning)
 EXPERIMENTS: dict[str, tuple[str, str]] = {
     "entry": ("entry", "one entry: look-ups, requests, added latency, cost of the record"),
@@ -35,6 +39,8 @@
 def main(argv: list[str] | None = None) -> int:
     """Run the experiment that ``argv`` names; returns the exit code."""
     args = _parser().parse_args(argv)
+    # Without this SIGTERM would leave the processes of a fleet behind.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_TERMINATED))
     figures = args.run(args)
     if args.json:
         with open(args.json, "w", encoding="utf-8") as out:
