--- a/oriolelock/bench/cmdline.py
+++ b/oriolelock/bench/cmdline.py
@@ -8,13 +8,18 @@
 import argparse
 import importlib
 import json
+import signal
+import sys
 
 __all__ = ["EXPERIMENTS", "main"]
 
+EXIT_TERMINATED = 143
+
 # name -> (module below oriolelock.bench.experiments, meaning)
 EXPERIMENTS: dict[str, tuple[str, str]] = {
     "entry": ("entry", "one entry: look-ups, requests, added latency, cost of the record"),
     "flood": ("flood", "floods of the lowest and highest priority, against baselines"),
+    "drain": ("drain", "time to drain an endpoint and to stop an entry; requests cut"),
     "blocks": ("blocks", "table of client blocks: bytes, lookup time, time to apply a change"),
     "control": ("control", "changes: time to all subscribers, bytes, processor time, catch-up"),
     "configuration": ("configuration", "configuration by size: bytes, memory, processor time"),
@@ -41,6 +46,8 @@
 def main(argv: list[str] | None = None) -> int:
     """Run the experiment that ``argv`` names; returns the exit code."""
     args = _parser().parse_args(argv)
+    # Without this SIGTERM would leave the processes of a fleet behind.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_TERMINATED))
     figures = args.run(args)
     if args.json:
         with open(args.json, "w", encoding="utf-8") as out:
