--- a/oriolelock/bench/cmdline.py
+++ b/oriolelock/bench/cmdline.py
@@ -17,10 +17,8 @@
     "control": ("control", "changes: time to all subscribers, bytes, processor time, catch-up"),
     "configuration": ("configuration", "configuration by size: bytes, memory, processor time"),
     "relay": ("relay", "an entry that relays: bytes, processor time, age of reports by hops"),
-    "record": (
-        "record",
-        "at-most-once record: memory, snapshot, time of a claim, claims per second",
-    ),
+    "record": ("record", "at-most-once record: memory, snapshot, time and rate of claims"),
+    "restart": ("restart", "restarted entries: bytes, time to be ready, memory of the process"),
 }
 
 
--- a/oriolelock/bench/relay_surroundings.py
+++ b/oriolelock/bench/relay_surroundings.py
@@ -9,6 +9,7 @@
 import multiprocessing
 
 from oriolelock.bench import control_stand_in, relay_node, sample, waiting
+from oriolelock.lookup import packing
 
 __all__ = ["Surroundings"]
 
@@ -20,11 +21,17 @@
     return host, int(port)
 
 
+def _pack(blocks):
+    sites = 3600
+    found = sample.make_blocks(blocks, sites)
+    return packing.update(b"", found, sample.make_regions(sites)) if blocks else b""
+
+
 class _Worker:
-    def __init__(self, control, relay, members):
+    def __init__(self, control, relay, members, endpoints, blocks):
         self._relay = _split(relay)
         self._control = control_stand_in.ControlStandIn(
-            _split(control), sample.make_configuration(members, 0)
+            _split(control), sample.make_configuration(members, endpoints, _pack(blocks))
         )
         self._children: list[relay_node.RelayNode] = []
 
@@ -84,11 +91,11 @@
 class Surroundings:
     """Runs control at ``control`` and the children of the relay at ``relay``."""
 
-    def __init__(self, control: str, relay: str, members: int):
+    def __init__(self, control: str, relay: str, members: int, endpoints: int = 0, blocks: int = 0):
         context = multiprocessing.get_context("spawn")
         self._pipe, theirs = context.Pipe()
         self._process = context.Process(
-            target=_work, args=(theirs, control, relay, members), daemon=True
+            target=_work, args=(theirs, control, relay, members, endpoints, blocks), daemon=True
         )
         self._process.start()
         theirs.close()
