--- a/oriolelock/bench/cmdline.py
+++ b/oriolelock/bench/cmdline.py
@@ -18,6 +18,8 @@
     "configuration": ("configuration", "configuration by size: bytes, memory, processor time"),
     "relay": ("relay", "an entry that relays: bytes, processor time, age of reports by hops"),
     "record": ("record", "at-most-once record: memory, snapshot, time and rate of claims"),
+    "lookup": ("lookup", "lookups per second of an entry; bytes of its load polls"),
+    "tree": ("tree", "the relay tree of a failure domain: depth, children, loss of a head"),
     "restart": ("restart", "restarted entries: bytes, time to be ready, memory of the process"),
 }
 
--- a/oriolelock/bench/experiments/configuration.py
+++ b/oriolelock/bench/experiments/configuration.py
@@ -14,6 +14,7 @@
 import tracemalloc
 
 from oriolelock.bench import fit, sample
+from oriolelock.control import envelope, state
 from oriolelock.lookup import directory
 from oriolelock.model import changes, configuration
 from oriolelock.routing import router
@@ -124,6 +125,26 @@
     return {"put_blocks_ms": 1000 * (time.process_time() - began_s)}
 
 
+def _measure_results(count):
+    """Measure the results of operator changes that control keeps for 24 hours."""
+    commands = [
+        envelope.Command(
+            1000.0, envelope.OperatorChange(f"{n:036x}", None, "bench", changes.UsePreset("day"))
+        )
+        for n in range(count)
+    ]
+
+    def make():
+        machine = state.ConfigState()
+        machine._recent.restart(sample.make_configuration(10, 10))
+        for n, command in enumerate(commands):
+            machine.apply(11 + n, command)
+        return machine
+
+    memory, machine = _allocated(make)
+    return {"memory_bytes": memory, "snapshot_bytes": len(machine.encode())}
+
+
 def _table(name, sizes, rows, target):
     fits = {}
     for size, row in zip(sizes, rows, strict=True):
@@ -141,6 +162,7 @@
     print(f"load average at start: {os.getloadavg()[0]:.1f}")
     blocks = [100_000, 300_000, TARGET_BLOCKS]
     endpoints = args.endpoints
+    results = [5_000, 20_000, state.MAX_RESULTS]
     series = {
         "members": (args.members, lambda n: _measure_data(n, 0), TARGET_MEMBERS),
         "endpoints": (endpoints, lambda n: _measure_data(0, n), TARGET_ENDPOINTS),
@@ -154,6 +176,7 @@
             lambda n: _measure_lookup(n, args.lookups),
             TARGET_MEMBERS,
         ),
+        "results kept": (results, _measure_results, results[-1]),
         "blocks in one change": (blocks, _measure_blocks, TARGET_BLOCKS),
     }
     return {
--- a/oriolelock/bench/operator.py
+++ b/oriolelock/bench/operator.py
@@ -35,6 +35,10 @@
         else:
             self._open_drain = f"bench-{next(self._numbers)}"
             fields = {"kind": "add-drain", "drain": self._make_drain(self._open_drain)}
+        return self.send(**fields)
+
+    def send(self, **fields: object) -> int:
+        """Make the change with these fields and return the version after it."""
         body = {"change_id": str(uuid.uuid4()), "expect_version": None, **fields}
         return waiting.until(lambda: self._post(body), RETRY_LIMIT_S, "change applied")
 
--- a/oriolelock/bench/sample.py
+++ b/oriolelock/bench/sample.py
@@ -44,13 +44,13 @@
     )
 
 
-def make_endpoint(n: int, slots: int = 6) -> endpoint.Endpoint:
+def make_endpoint(n: int, slots: int = 6, address: str = "") -> endpoint.Endpoint:
     """Return endpoint number ``n``, one per site."""
     region, domain = _domain(n)
     return endpoint.Endpoint(
         f"endpoint-{n:05d}",
         f"service-{n // FAILURE_DOMAINS % SERVICES}",
-        f"10.200.{n >> 8}.{n & 255}:9000",
+        address or f"10.200.{n >> 8}.{n & 255}:9000",
         region,
         domain,
         slots,
--- a/tests/bench/test_capacity.py
+++ b/tests/bench/test_capacity.py
@@ -4,6 +4,7 @@
 import tracemalloc
 
 from oriolelock.bench import sample
+from oriolelock.bench.experiments import tree as tree_counts
 from oriolelock.distribution import messages, tree
 from oriolelock.lookup import blocks, directory, packing
 from oriolelock.model import delta
@@ -74,3 +75,11 @@
     finally:
         tracemalloc.stop()
     assert 500_000 * 3 * used <= 16 * NODE_MEMORY_BYTES
+
+
+def test_tree_of_a_failure_domain_stays_flat_and_within_the_children_of_a_parent():
+    """Each hop adds to the age of reports; children beyond the limit are refused."""
+    found = tree_counts.count_tree(95)
+    assert found["hops"] <= 3
+    assert found["heads"] == tree.HEADS
+    assert max(found["most_children"], found["most_children_after"]) <= tree.MAX_CHILDREN
