--- a/oriolelock/control/state.py
+++ b/oriolelock/control/state.py
@@ -21,7 +21,7 @@
 __all__ = ["MAX_RESULTS", "RESULT_RETENTION_S", "ConfigState"]
 
 RESULT_RETENTION_S = 24 * 3600.0
-# Twice the 26,000 changes a day of the target size, at about 100 bytes each.
+# Twice the 26,000 changes a day of the target size; 328 bytes each in memory, 73 in a snapshot.
 MAX_RESULTS = 52_000
 
 log = logs.get_logger("control.state")
