--- a/tests/scenarios/request_plan.py
+++ b/tests/scenarios/request_plan.py
@@ -36,8 +36,8 @@
     return {"name": name, "region": region, "failure_domain": f"{region}-{name[-1]}"}
 
 
-def plan(service_ms=20.0):
-    endpoint = {"service": "s", "slots": SLOTS, "connections": 60, "service_ms": service_ms}
+def plan(service_ms=20.0, slots=SLOTS):
+    endpoint = {"service": "s", "slots": slots, "connections": 60, "service_ms": service_ms}
     return deployment.Deployment(
         "scenario",
         tuple(deployment.Region(r, (f"{r}-a", f"{r}-b")) for r in REGIONS),
@@ -62,5 +62,5 @@
     return dataclasses.replace(found, **fields)
 
 
-def make(folder, service_ms=20.0, **fields):
-    return fleet.Fleet(folder, plan(service_ms), options(**fields))
+def make(folder, service_ms=20.0, slots=SLOTS, **fields):
+    return fleet.Fleet(folder, plan(service_ms, slots), options(**fields))
