Spread the death of an endpoint before its caller is answered

Cause: the entry reported a death to control without waiting and answered its caller at once. The caller sent the request to other entries before the death had reached them, so that a third and a fourth endpoint died.

Ruled out: the count in one entry, which is right; a lost report, as every entry refused the request a moment later.

Change: before the answer the entry waits until the death is in its own configuration, at most 1 s and within the deadline, and 0.4 s more for the replicas that learn of the commit with the next heartbeat.

Callers that send the request to several entries at the same time are not covered.

--- a/oriolelock/entry/flow.py
+++ b/oriolelock/entry/flow.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import dataclasses
+import threading
 import uuid
 
 from oriolelock import clock, metrics, outcomes
@@ -24,6 +25,12 @@
 MAX_ATTEMPTS = 4
 # After two lost connections a third would probably be the request's own doing.
 MAX_LOSSES = 2
+# A caller resends once it has its answer. Without this wait a request ran at a third endpoint,
+# because the second death had not reached the next entry yet.
+CRASH_RECORD_LIMIT_S = 1.0
+# Other replicas and their entries learn of a commit with the next heartbeat, after 0.25 s.
+CRASH_SPREAD_S = 0.4
+CRASH_STEP_S = 0.01
 
 Reporter = collections.abc.Callable[[str, str], None]
 
@@ -220,6 +227,18 @@
         if self._decisions.finished(target, result, size, work.fingerprint, is_death, now):
             self._metrics.count("endpoint.crashed")
             self._report_crash(work.fingerprint, target.endpoint.name)
+            self._wait_for_record(work, target.endpoint.name, now)
+
+    def _wait_for_record(self, work, endpoint_name, now):
+        """Wait until control has spread the death, within a limit and the deadline."""
+        pause = threading.Event()
+        left_s = min(work.end_s - now, CRASH_RECORD_LIMIT_S)
+        for _ in range(int(left_s / CRASH_STEP_S)):
+            crash = self._config().crashes.get(work.fingerprint)
+            if crash and endpoint_name in {name for name, _ in crash.deaths}:
+                pause.wait(max(0.0, min(CRASH_SPREAD_S, work.end_s - clock.monotonic_s())))
+                return
+            pause.wait(CRASH_STEP_S)
 
 
 class _Held:
