--- a/oriolelock/entry/flow.py
+++ b/oriolelock/entry/flow.py
@@ -229,7 +229,8 @@
             if reported is not None:
                 # A caller that gets its answer at once may resend to an entry that does not know
                 # of this death yet, and so reach a third endpoint.
-                concurrent.futures.wait([reported], CRASH_HOLD_S)
+                left_s = max(0.0, work.end_s - now)
+                concurrent.futures.wait([reported], min(CRASH_HOLD_S, left_s))
 
 
 class _Held:
