Divide a region's headroom among the entries outside of it

An entry used 1/n of their headroom with n all entries, but the entries of a region never spill into it, so that with one entry per region a third stayed unused. Test: with six entries, three of them in the other region, 18 free slots give 6 places to an entry (3 before).

--- a/oriolelock/routing/router.py
+++ b/oriolelock/routing/router.py
@@ -45,10 +45,12 @@
         self._cfg = configuration.EMPTY
         self._preset = None
         self._entries: list[str] = [name]
+        # Region to the entries outside of it, which share its headroom.
+        self._outside: dict[str, list[str]] = {}
         self._wall_offset_s = 0.0
         self._ticked_at = float("-inf")
         self._control_heard_at = float("-inf")
-        self._rounding = 0.0
+        self._rounding: dict[str, float] = {}
         self._is_configured = False
 
     def configure(self, cfg: configuration.Configuration, now: float, wall_s: float) -> None:
@@ -57,6 +59,10 @@
         self._preset = cfg.preset_in_force()
         entries = [m for m in cfg.members.values() if m.role == "entry"]
         self._entries = sorted({m.name for m in entries} | {self.name})
+        self._outside = {
+            region: sorted({m.name for m in entries if m.region != region} | {self.name})
+            for region in {e.region for e in cfg.endpoints.values()} - {self.region}
+        }
         self._configure_services(cfg, now)
         self._configure_buckets(cfg, entries, now)
         self.control_heard(now)
@@ -98,8 +104,10 @@
         does it when the daemon does not."""
         self._wall_offset_s = wall_s - now
         self._ticked_at = now
-        position = self._entries.index(self.name)
-        self._rounding = spill.offset(position, len(self._entries), wall_s)
+        self._rounding = {
+            region: spill.offset(names.index(self.name), len(names), wall_s)
+            for region, names in self._outside.items()
+        }
         for name, routes in self._services.items():
             routes.refresh(now, wall_s)
             self._shift(name, routes, now, wall_s)
@@ -188,7 +196,10 @@
     def _room(self, routes, region, now):
         """Return how many more requests this entry may have in another region."""
         usable = [r.view for r in routes.by_region.get(region, ()) if routes.is_open(r)]
-        limit = spill.allowed(usable, len(self._entries), self._rounding, now)
+        if region not in self._outside:
+            return 0
+        sharing = len(self._outside[region])
+        limit = spill.allowed(usable, sharing, self._rounding[region], now)
         return limit - sum(view.in_flight for view in usable)
 
     def started(self, used: choice.Choice, now: float) -> None:
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -1,5 +1,7 @@
 """Guards against work sent where it can not be served, and against overloaded regions."""
 
+import dataclasses
+
 import pytest
 
 from oriolelock.routing import result
@@ -27,6 +29,18 @@
     assert all(c is None for c in used[-10:])
 
 
+def test_entries_of_a_region_leave_its_headroom_to_the_others():
+    """A share for entries that never spill there would keep a third of the headroom unused."""
+    cfg = make_cfg(two_regions(), entries=6)
+    members = dict(cfg.members)
+    for name in ("entry-3", "entry-4", "entry-5"):
+        members[name] = dataclasses.replace(members[name], region="b")
+    bench = Bench(dataclasses.replace(cfg, members=members))
+    bench.report_all()
+    used = [bench.start() for _ in range(30)]
+    assert sum(bool(c and c.remote) for c in used) == 6, "18 free slots for 3 entries"
+
+
 def test_many_entries_with_one_stale_report_do_not_exceed_the_headroom():
     cfg = make_cfg(two_regions(), entries=7)
     benches = [Bench(cfg, f"entry-{n}", n) for n in range(7)]
