Remove an unused choice of endpoints, use one spelling of lookup

entry/candidates.py kept of_service, which nothing calls since the router chooses; what is left is about connection limits and is named so. Tests of the router import modules, not names. No behaviour changes.

--- a/oriolelock/bench/cmdline.py
+++ b/oriolelock/bench/cmdline.py
@@ -17,7 +17,7 @@
 
 # name -> (module below oriolelock.bench.experiments, meaning)
 EXPERIMENTS: dict[str, tuple[str, str]] = {
-    "entry": ("entry", "one entry: look-ups, requests, added latency, cost of the record"),
+    "entry": ("entry", "one entry: lookups, requests, added latency, cost of the record"),
     "flood": ("flood", "floods of the lowest and highest priority, against baselines"),
     "drain": ("drain", "time to drain an endpoint and to stop an entry; requests cut"),
     "blocks": ("blocks", "table of client blocks: bytes, lookup time, time to apply a change"),
--- a/oriolelock/bench/demo.py
+++ b/oriolelock/bench/demo.py
@@ -29,7 +29,7 @@
 ROOT = process.ROOT
 FOLDER = ROOT / "var" / "demo"
 ENTRIES = 3
-# With one entry in each region a look-up names the own region's and one more.
+# With one entry in each region a lookup names the own region's and one more.
 LISTED = 2
 EXIT_TERMINATED = 143
 REQUESTS_PER_OPERATION = 60
@@ -89,7 +89,7 @@
 
 
 def _wait_for_list(item: fleet.Fleet, seeds: list[str]) -> None:
-    """Wait until every entry answers look-ups of all services; raises NotReady."""
+    """Wait until every entry answers lookups of all services; raises NotReady."""
     services = sorted({e.service for e in item.settings.plan.endpoints})
 
     def condition():
@@ -98,7 +98,7 @@
                 return False
         return True
 
-    waiting.until(condition, 15.0, "all entries in look-ups")
+    waiting.until(condition, 15.0, "all entries in lookups")
 
 
 def _repeat(who: caller.Caller, task: tuple, body: bytes, key: str) -> caller.Result:
--- a/oriolelock/bench/experiments/drain.py
+++ b/oriolelock/bench/experiments/drain.py
@@ -159,7 +159,7 @@
     print(f"endpoint: runs nothing {end['result']} s after drain add with a deadline of")
     print(f"  {args.deadline:g} s; {end['cut']} requests cut of {sum(end['outcomes'].values())}")
     print(f"entry: exit {entry['result']['exit_code']} after {entry['result']['seconds']} s, of")
-    print("  which 2 s are the lifetime of look-ups and their lag;")
+    print("  which 2 s are the lifetime of lookups and their lag;")
     print(f"  {entry['cut']} requests cut of {sum(entry['outcomes'].values())}")
     print(f"outcomes: {end['outcomes']}, {entry['outcomes']}; load {entry['load']}")
     return found
--- a/oriolelock/bench/experiments/entry.py
+++ b/oriolelock/bench/experiments/entry.py
@@ -2,7 +2,7 @@
 oriolelock.bench.experiments.entry
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-    One entry in a closed loop: look-ups, requests, the latency it adds, and the cost of the
+    One entry in a closed loop: lookups, requests, the latency it adds, and the cost of the
     at-most-once record without and with the delays between regions.
 """
 
--- a/oriolelock/bench/experiments/flood.py
+++ b/oriolelock/bench/experiments/flood.py
@@ -31,8 +31,8 @@
 LISTED = 2
 BASE_SHARE = 0.6
 CALLERS = 30
-# The generator makes look-ups one at a time. They are made before the load starts and last for
-# it, so that a slow look-up does not hold it up. A stop of the fleet waits this long, too.
+# The generator makes lookups one at a time. They are made before the load starts and last for
+# it, so that a slow lookup does not hold it up. A stop of the fleet waits this long, too.
 LOOKUP_TTL = "20 s"
 THREADS = 192
 LEVELS = ("urgent", "normal", "deferrable")
--- a/oriolelock/bench/operator.py
+++ b/oriolelock/bench/operator.py
@@ -48,7 +48,7 @@
         seeds = [process.address for process in item.entries.values()]
         return all(len(caller.Caller([seed]).lookup(service)) >= listed for seed in seeds)
 
-    waiting.until(condition, LOOKUPS_TIMEOUT_S, "all entries in look-ups")
+    waiting.until(condition, LOOKUPS_TIMEOUT_S, "all entries in lookups")
 
 
 class Operator:
--- a/oriolelock/entry/__init__.py
+++ b/oriolelock/entry/__init__.py
@@ -2,5 +2,5 @@
 oriolelock.entry
 ~~~~~~~~~~~~~~~~
 
-    The daemon that callers talk to: look-ups, request forwarding and graceful stop.
+    The daemon that callers talk to: lookups, request forwarding and graceful stop.
 """
--- a/oriolelock/entry/daemon.py
+++ b/oriolelock/entry/daemon.py
@@ -15,7 +15,7 @@
 from oriolelock.entry import (
     app,
     background,
-    candidates,
+    connection_limits,
     flow,
     http_server,
     reply,
@@ -60,7 +60,7 @@
         self._relay = relay.Relay(
             cfg.name, cfg.cluster, cfg.cluster_token, self.uplink, self.counters.count
         )
-        self.pool = pool.Pool(lambda item: candidates.connection_limit(self._entries, item))
+        self.pool = pool.Pool(lambda item: connection_limits.connection_limit(self._entries, item))
         self.once = client.Client(cfg.name, self.uplink.call, self._is_cut_off)
         self._server: http_server.Server | None = None
         self._threads: list[threading.Thread] = []
@@ -97,7 +97,7 @@
     def _on_config(self, cfg):
         self._relay.on_config(cfg)
         self._since_s = clock.wall_s()
-        self._entries = candidates.count_entries(cfg)
+        self._entries = connection_limits.count_entries(cfg)
         self._background.on_config(cfg)
         log.info("configuration index {} version {} in use", cfg.index, cfg.version)
 
@@ -229,7 +229,7 @@
         }
 
     def leave(self, aborted: threading.Event | None = None) -> None:
-        """Announce leaving and keep serving until look-ups have stopped naming this entry.
+        """Announce leaving and keep serving until lookups have stopped naming this entry.
 
         Returns early when ``aborted`` is set.
         """
--- a/oriolelock/entry/main.py
+++ b/oriolelock/entry/main.py
@@ -43,7 +43,7 @@
     signalled, again = threading.Event(), threading.Event()
 
     def on_signal(signum, frame):
-        # A second signal skips the wait for look-ups; in-flight work is finished all the same.
+        # A second signal skips the wait for lookups; in-flight work is finished all the same.
         (again if signalled.is_set() else signalled).set()
 
     signal.signal(signal.SIGTERM, on_signal)
--- a/oriolelock/metrics.py
+++ b/oriolelock/metrics.py
@@ -23,7 +23,7 @@
     "endpoint.shed": ("counter", "attempts that an endpoint refused because of its load"),
     "endpoint.silent": ("counter", "kept connections to endpoints that gave no first byte"),
     "endpoint.crashed": ("counter", "endpoints that died while they ran a request"),
-    "lookup.answered": ("counter", "look-ups answered"),
+    "lookup.answered": ("counter", "lookups answered"),
     "control.change.applied": ("counter", "operator changes applied"),
     "control.change.conflict": ("counter", "operator changes with an outdated version"),
     "control.change.refused": ("counter", "operator changes that are not allowed"),
--- a/oriolelock/routing/drains.py
+++ b/oriolelock/routing/drains.py
@@ -62,7 +62,7 @@
 def entry_share(
     drains: collections.abc.Iterable[drain.Drain], item: member.Member, wall_s: float
 ) -> float:
-    """Return the part of look-ups that still name an entry; 0 when it leaves or is down."""
+    """Return the part of lookups that still name an entry; 0 when it leaves or is down."""
     if item.state != "live":
         return 0.0
     names = {"entry": item.name, "failure_domain": item.failure_domain, "region": item.region}
--- a/tests/routing/test_router_fuzz.py
+++ b/tests/routing/test_router_fuzz.py
@@ -6,18 +6,20 @@
 from hypothesis import strategies as st
 
 from oriolelock.routing import result
-from tests.routing.builders import Bench, make_cfg, make_drain, make_endpoint
+from tests.routing import builders
 
 
 def random_cfg(rng):
     endpoints = [
-        make_endpoint(f"{r}{n}", r, rng.randint(1, 9), rng.choice(["live", "live", "leaving"]))
+        builders.make_endpoint(
+            f"{r}{n}", r, rng.randint(1, 9), rng.choice(["live", "live", "leaving"])
+        )
         for r in "abc"
         for n in range(rng.randint(0, 3))
     ]
-    drains = [make_drain("region", "b", 0, 9e9)] if rng.random() < 0.3 else []
+    drains = [builders.make_drain("region", "b", 0, 9e9)] if rng.random() < 0.3 else []
     weights = {r: rng.random() for r in "abc" if rng.random() < 0.5}
-    return make_cfg(endpoints, rng.randint(1, 11), weights, drains)
+    return builders.make_cfg(endpoints, rng.randint(1, 11), weights, drains)
 
 
 def random_report(rng):
@@ -41,7 +43,7 @@
 @given(st.integers(0, 2**32))
 def test_random_events_keep_counts_and_never_use_closed_endpoints(seed):
     rng = random.Random(seed)
-    bench, running = Bench(random_cfg(rng), seed=seed), []
+    bench, running = builders.Bench(random_cfg(rng), seed=seed), []
     for _ in range(200):
         bench.now += rng.choice([0.0, 0.01, 0.1, 3.0])
         if rng.random() < 0.03:
