Let a stopping stand-in listen until senders have noticed

Ruled out: a cut of running work. Change: the stand-in refuses work as draining until none has arrived for 1.2 s (6 s at most), then closes. After: the six scenarios of the module and the 27 tests of the stand-ins pass.

--- a/oriolelock/standin/endpoint.py
+++ b/oriolelock/standin/endpoint.py
@@ -63,6 +63,8 @@
         self._on_crash = on_crash
         self._lock = threading.Lock()
         self._cancels: dict[str, threading.Event] = {}
+        # Monotonic time of the latest request, refused ones included.
+        self.requested_s = float("-inf")
         self._last = ("none", answers.digest_of(b"none"))
         self._cold = (clock.monotonic_s(), cfg.cold_ms / 1000, cfg.cold_factor)
 
@@ -117,6 +119,7 @@
     def serve(self, req: werkzeug.wrappers.Request) -> werkzeug.wrappers.Response:
         """Run a request, or refuse it."""
         work = _read_work(req)
+        self.requested_s = clock.monotonic_s()
         with self._lock:
             self._cancels[work.request_id] = work.cancelled
         try:
--- a/oriolelock/standin/endpoint_host.py
+++ b/oriolelock/standin/endpoint_host.py
@@ -10,7 +10,7 @@
 import random
 import threading
 
-from oriolelock import logs
+from oriolelock import clock, logs
 from oriolelock.settings import fault, standin_endpoint
 from oriolelock.standin import endpoint, endpoint_app, run_log, server
 
@@ -22,6 +22,11 @@
 
 log = logs.get_logger("stand-in")
 
+# Senders poll the state each second.
+QUIET_S = 1.2
+QUIET_LIMIT_S = 6.0
+QUIET_STEP_S = 0.05
+
 
 class EndpointHost:
     """Starts and stops the endpoints; restarts one after a crash when its fault says so."""
@@ -77,6 +82,18 @@
             self._start_one(cfg)
             log.info(f"{cfg.name}: listening again")
 
+    def _wait_quiet(self):
+        """Keep listening until senders have noticed that this process leaves.
+
+        A request that arrives while the port closes would be cut without having run.
+        """
+        end_s = clock.monotonic_s() + QUIET_LIMIT_S
+        while (now := clock.monotonic_s()) < end_s:
+            latest_s = max((e.requested_s for e in self._endpoints.values()), default=now)
+            if now - latest_s >= QUIET_S:
+                return
+            threading.Event().wait(QUIET_STEP_S)
+
     def stop(self) -> None:
         """Refuse new work, let running work finish, then close."""
         self._is_stopping = True
@@ -84,6 +101,7 @@
             for item in self._endpoints.values():
                 item.stopping = True
             servers = list(self._servers.values())
+        self._wait_quiet()
         with concurrent.futures.ThreadPoolExecutor(max(1, len(servers))) as pool:
             list(pool.map(lambda item: item.stop(), servers))
         self._runs.close()
