Let a drain say what it covers

The rule that matches a drain's scope and target stood four times (validation, routing twice, lookup). It is now two methods of Drain.

--- a/oriolelock/lookup/directory.py
+++ b/oriolelock/lookup/directory.py
@@ -35,8 +35,7 @@
     starts: dict[str, float] = {}
     for planned in cfg.drains.values():
         for m in entries:
-            names = {"entry": m.name, "failure_domain": m.failure_domain, "region": m.region}
-            if names.get(planned.scope) == planned.target:
+            if planned.covers_entry(m):
                 starts[m.name] = min(planned.start_s, starts.get(m.name, planned.start_s))
     return starts
 
--- a/oriolelock/model/drain.py
+++ b/oriolelock/model/drain.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 
+from oriolelock.model import endpoint, member
 from oriolelock.wire import codec
 
 __all__ = ["SCOPES", "Drain"]
@@ -28,3 +29,21 @@
     start_s: float
     deadline_s: float
     forced: bool = False
+
+    def covers_endpoint(self, item: endpoint.Endpoint) -> bool:
+        """Return whether the drain applies to an endpoint, by itself or by where it runs."""
+        names = {
+            "endpoint": item.name,
+            "failure_domain": item.failure_domain,
+            "region": item.region,
+        }
+        return names.get(self.scope) == self.target
+
+    def covers_entry(self, item: member.Member) -> bool:
+        """Return whether the drain applies to an entry, by itself or by where it runs."""
+        names = {
+            "entry": item.name,
+            "failure_domain": item.failure_domain,
+            "region": item.region,
+        }
+        return names.get(self.scope) == self.target
--- a/oriolelock/model/validation.py
+++ b/oriolelock/model/validation.py
@@ -66,15 +66,6 @@
     _require(item.deadline_s >= item.start_s, "drain.deadline: not before start")
 
 
-def _is_drained(item, endpoint):
-    names = {
-        "endpoint": endpoint.name,
-        "failure_domain": endpoint.failure_domain,
-        "region": endpoint.region,
-    }
-    return names.get(item.scope) == item.target
-
-
 def check_drain_capacity(cfg, item: drain.Drain) -> None:
     """Raise InvalidData when a service would keep fewer than half of its slots.
 
@@ -84,8 +75,8 @@
     for service in sorted({e.service for e in cfg.endpoints.values()}):
         live = [e for e in cfg.endpoints.values() if e.service == service and e.state == "live"]
         total = sum(e.slots for e in live)
-        left = sum(e.slots for e in live if not any(_is_drained(d, e) for d in planned))
-        if any(_is_drained(item, e) for e in live) and left * 2 < total:
+        left = sum(e.slots for e in live if not any(d.covers_endpoint(e) for d in planned))
+        if any(item.covers_endpoint(e) for e in live) and left * 2 < total:
             raise errors.InvalidData(
                 f"service {service} would keep {left} of {total} slots, at least half must remain"
             )
--- a/oriolelock/routing/drains.py
+++ b/oriolelock/routing/drains.py
@@ -29,12 +29,7 @@
     drains: collections.abc.Iterable[drain.Drain], item: endpoint.Endpoint
 ) -> tuple[drain.Drain, ...]:
     """Return the drains that cover an endpoint."""
-    names = {
-        "endpoint": item.name,
-        "failure_domain": item.failure_domain,
-        "region": item.region,
-    }
-    return tuple(d for d in drains if names.get(d.scope) == d.target)
+    return tuple(d for d in drains if d.covers_endpoint(item))
 
 
 def endpoint_share(found: collections.abc.Iterable[drain.Drain], wall_s: float) -> float:
@@ -65,6 +60,5 @@
     """Return the part of lookups that still name an entry; 0 when it leaves or is down."""
     if item.state != "live":
         return 0.0
-    names = {"entry": item.name, "failure_domain": item.failure_domain, "region": item.region}
-    parts = [work_share(d, wall_s) for d in drains if names.get(d.scope) == d.target]
+    parts = [work_share(d, wall_s) for d in drains if d.covers_entry(item)]
     return min(parts, default=1.0)
