--- a/oriolelock/consensus/membership.py
+++ b/oriolelock/consensus/membership.py
@@ -22,11 +22,15 @@
     "note",
     "promote",
     "refresh_progress",
+    "removable",
     "remove",
 ]
 
 # A learner under steady load is always behind by what is on its way.
 CAUGHT_UP_ENTRIES = 64
+# A replica that was replaced never answers again. One that is cut off for a while joins again
+# after its removal, so that a wrong removal costs only a catch-up.
+REMOVE_AFTER_S = 12.0
 
 
 def at(node: state.Node, index: int) -> messages.Membership:
@@ -62,6 +66,25 @@
     return item.match_index > 0 and node.commit - item.match_index <= CAUGHT_UP_ENTRIES
 
 
+def removable(node: state.Node, min_voters: int, now: float) -> list[str]:
+    """Return replicas that have been silent for long, at most one voter among them.
+
+    A voter is removed only while a majority of those that remain answers, and at least
+    ``min_voters`` remain.
+    """
+    heard_s = {name: item.contact_s for name, item in node.progress.items()}
+    silent = {name for name, at_s in heard_s.items() if now - at_s > REMOVE_AFTER_S}
+    voters = quorum.voters(node.membership)
+    learners = [
+        item.name for item in node.membership.replicas if not item.voter and item.name in silent
+    ]
+    answering = sum(item.name not in silent for item in voters)
+    left = len(voters) - 1
+    if left < min_voters or 2 * answering <= left:
+        return learners
+    return learners + [item.name for item in voters if item.name in silent][:1]
+
+
 def add_learner(node: state.Node, event, now: float) -> None:
     """Admit a replica without a vote; it replaces an older incarnation of its name.
 
--- a/oriolelock/consensus/node.py
+++ b/oriolelock/consensus/node.py
@@ -36,6 +36,7 @@
     "is_leader",
     "leader",
     "make",
+    "removable",
     "snapshot_position",
     "step",
     "unadmitted",
@@ -187,6 +188,13 @@
     ]
 
 
+def removable(node: Node, min_voters: int, now: float) -> list[str]:
+    """Return the names of replicas that a leader should remove; see ``membership``."""
+    if node.role != state.Role.LEADER:
+        return []
+    return membership.removable(node, min_voters, now)
+
+
 def snapshot_position(node: Node, index: int) -> tuple[int, messages.Membership]:
     """Return term and membership at a committed index, to store with a snapshot taken there."""
     return node.log.term_at(index), membership.at(node, index)
--- a/oriolelock/control/host.py
+++ b/oriolelock/control/host.py
@@ -96,6 +96,14 @@
         """Queue a message of another replica; it is dropped when the queue is full."""
         self._events.put(events.Received(sender, incarnation, msg))
 
+    def admit(self, name: str, incarnation: str) -> None:
+        """Admit a replica as a learner, if this one leads."""
+        self._events.put(events.AddLearner(messages.Replica(name, incarnation, False)))
+
+    def member_names(self) -> tuple[str, ...]:
+        """Return the names of the replicas of the group, as far as committed here."""
+        return tuple(item.name for item in self._membership.replicas)
+
     def transfer(self) -> None:
         """Hand leadership to another replica."""
         self._events.put(events.Transfer())
@@ -154,7 +162,14 @@
         found = node.unadmitted(self._node).items()
         learners = [messages.Replica(name, incarnation, False) for name, incarnation in found]
         ready = node.caught_up_learners(self._node, now)
-        return [*map(events.AddLearner, learners), *map(events.Promote, ready)]
+        gone = []
+        if self._cfg.min_voters is not None:
+            gone = node.removable(self._node, self._cfg.min_voters, now)
+        return [
+            *map(events.AddLearner, learners),
+            *map(events.Promote, ready),
+            *map(events.Remove, gone),
+        ]
 
     def _step_all(self, batch, now):
         todo = collections.deque()
--- a/oriolelock/control/host_settings.py
+++ b/oriolelock/control/host_settings.py
@@ -19,7 +19,8 @@
 
     ``send(target, msg)`` sends a consensus message, ``fail(text)`` ends the process,
     ``changed(group)`` follows each commit and change of leader. A snapshot is taken each
-    ``snapshot_every`` entries.
+    ``snapshot_every`` entries. ``min_voters``: a voter that has been silent for long is removed
+    while this many others are left; None keeps all.
     """
 
     group: str
@@ -28,3 +29,4 @@
     send: collections.abc.Callable
     fail: collections.abc.Callable
     changed: collections.abc.Callable
+    min_voters: int | None = None
--- /dev/null
+++ b/oriolelock/control/hosted.py
@@ -0,0 +1,130 @@
+"""
+oriolelock.control.hosted
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+    A control replica whose interface towards operators and callers is given from outside.
+"""
+
+import collections.abc
+import threading
+
+from oriolelock import events, metrics
+from oriolelock.control import parts, replica, route_operations
+from oriolelock.http1 import loop as loops
+from oriolelock.http1 import messages, server, server_rules
+from oriolelock.lookup import entry_choice
+from oriolelock.model import member, request_limits
+from oriolelock.settings import control as settings
+from oriolelock.storage import store
+
+__all__ = ["Hosted", "form_if_first"]
+
+LIMITS = request_limits.RequestLimits(
+    head_bytes=32 * 1024, body_bytes=32 * 1024 * 1024, head_ms=5000.0, idle_ms=30_000.0
+)
+STOP_LIMIT_S = 1.0
+
+log = events.Events("control")
+
+
+class Hosted:
+    """One replica. ``make_handler(self)`` returns the function that answers exchanges."""
+
+    def __init__(
+        self,
+        cfg: settings.ControlSettings,
+        listens: collections.abc.Iterable[tuple[str, int]],
+        fail: collections.abc.Callable,
+        read_instances: collections.abc.Callable[[], dict],
+        make_handler: collections.abc.Callable[["Hosted"], collections.abc.Callable],
+    ):
+        self.cfg = cfg
+        self._parts = parts.Parts(cfg, fail, metrics.Metrics(None), read_instances)
+        self.operations = route_operations.RouteOperations(self._parts.replica)
+        self.loop = loops.Loop()
+        handle = make_handler(self)
+        self._servers = [
+            server.Server(
+                self.loop,
+                address,
+                server_rules.ServerRules(handle, lambda: LIMITS, is_leaving=self._is_leaving),
+            )
+            for address in dict.fromkeys(listens)
+        ]
+        self._leaving = False
+        self._thread = threading.Thread(target=self.loop.run, name="http", daemon=True)
+
+    @property
+    def replica(self) -> replica.Replica:
+        """The groups of this replica."""
+        return self._parts.replica
+
+    def _is_leaving(self):
+        return self._leaving
+
+    def start(self) -> None:
+        """Start all parts."""
+        self._parts.start()
+        self._thread.start()
+        log.notable("started", name=self.cfg.name, region=self.cfg.region)
+
+    def stop(self) -> None:
+        """Hand leadership over and stop."""
+        log.notable("stopping", name=self.cfg.name)
+        self._leaving = True
+        self._parts.hand_over()
+        self.loop.stop()
+        self._thread.join(STOP_LIMIT_S)
+        self._parts.stop()
+        log.notable("stopped", name=self.cfg.name)
+
+    def use_seeds(self, seeds: tuple[tuple[str, int], ...]) -> None:
+        """Use other replicas to start from."""
+        self._parts.use_seeds(seeds)
+
+    def entries_for(self, host: str, region: str, domain: str) -> list[member.Member]:
+        """Return the entries that a caller of ``host`` should connect to."""
+        return entry_choice.choose(
+            self.replica.configuration(),
+            host,
+            self._parts.overseer.entry_ages(),
+            self._parts.reports.leaving(),
+            region,
+            domain,
+        )
+
+    def answer_later(self, exchange, fut, encode) -> None:
+        """Answer ``exchange`` with ``encode(result)`` once ``fut`` is done."""
+
+        def done(finished):
+            response = encode(finished.result())
+            self.loop.call_soon(lambda: exchange.reply(response))
+
+        fut.add_done_callback(done)
+
+    def text(self, body: str, status: int = 200) -> messages.Response:
+        """Return a plain response."""
+        return messages.Response(status, ((b"content-type", b"text/plain"),), body.encode())
+
+    def metrics_text(self) -> str:
+        """Return the metrics of this replica as text."""
+        status = self.replica.status()
+        gauges = {
+            "control_is_leader": int(status.is_leader),
+            "control_term": status.term,
+            "control_applied": status.applied,
+            "control_replicas": status.replicas,
+            "control_disk_full": int(status.disk_full),
+            "routes_revision": self.replica.configuration().table.revision,
+        }
+        return "".join(f"oriolelock_{name} {value}\n" for name, value in gauges.items())
+
+
+def form_if_first(cfg: settings.ControlSettings, is_first_start: bool) -> None:
+    """Create the data folders of a seed when the whole deployment starts for the first time."""
+    own_is_seed = any(f"{host}:{port}" == cfg.name for host, port in cfg.seeds)
+    if not is_first_start or not own_is_seed:
+        return
+    if store.exists(cfg.data_folder, "config"):
+        return
+    replica.form(cfg)
--- a/oriolelock/control/instance_list.py
+++ b/oriolelock/control/instance_list.py
@@ -11,8 +11,6 @@
 import io
 import json
 
-import pycurl
-
 from oriolelock.model import changes, configuration, endpoint, member
 
 __all__ = ["InstanceDiff", "ListUnreadable", "fetch", "parse"]
@@ -31,6 +29,8 @@
 
 def fetch(url: str) -> bytes:
     """Return the body of the list; raises ListUnreadable."""
+    import pycurl
+
     body = io.BytesIO()
 
     def write(data):
@@ -125,7 +125,10 @@
         """
         if not listed:
             return []
-        known = {**cfg.members, **cfg.endpoints}
+        known: dict = dict(cfg.endpoints)
+        if any(isinstance(item, member.Member) for item in listed.values()):
+            # A list that names no instance of the system says nothing about them.
+            known |= cfg.members
         found = [change for item in listed.values() for change in _changes_of(cfg, item, leaving)]
         missing = [name for name in known if name not in listed and name not in seen]
         self._missing = {name: self._missing.get(name, 0) + 1 for name in missing}
--- a/oriolelock/control/messages.py
+++ b/oriolelock/control/messages.py
@@ -9,7 +9,7 @@
 
 from oriolelock.wire import codec
 
-__all__ = ["ConfirmRead", "Confirmed", "Forward", "ForwardReply", "GroupMessage"]
+__all__ = ["ConfirmRead", "Confirmed", "Forward", "ForwardReply", "GroupMessage", "Join"]
 
 
 @codec.register("group-message")
@@ -22,6 +22,21 @@
     msg: object
 
 
+@codec.register("join")
+@dataclasses.dataclass(frozen=True)
+class Join:
+    """A replica asks to be admitted; replicas pass this on to the leader.
+
+    ``name`` is its link address. ``hops``: how often it was passed on.
+    """
+
+    name: str
+    incarnation: str
+    region: str
+    failure_domain: str
+    hops: int = 0
+
+
 @codec.register("forward")
 @dataclasses.dataclass(frozen=True)
 class Forward:
--- a/oriolelock/control/overseer.py
+++ b/oriolelock/control/overseer.py
@@ -35,7 +35,9 @@
         rep: replica.Replica,
         heard: reports.Reports,
         report_metrics: collections.abc.Callable[[], None],
+        read_instances: collections.abc.Callable[[], dict] | None = None,
     ):
+        self._read_instances = read_instances or self._read_list
         self._report_metrics = report_metrics
         self._cfg = cfg
         self._replica = rep
@@ -46,7 +48,7 @@
         self._last_error = ""
         self.held_back: tuple[str, ...] = ()
         self._threads = [threading.Thread(target=self._watch, name="watch", daemon=True)]
-        if cfg.instance_list:
+        if cfg.instance_list or read_instances:
             self._threads.append(
                 threading.Thread(target=self._poll, name="instance-list", daemon=True)
             )
@@ -75,6 +77,10 @@
             except Exception:
                 log.exception("A round failed.")
 
+    def entry_ages(self) -> dict[str, float]:
+        """Return seconds since the latest report of each instance."""
+        return self._reports.ages(clock.monotonic_s())
+
     def _watch_once(self, now):
         self.take_local(messages.StatusBatch((self._own_report(),)))
         self._replica.broadcast(report_packing.pack(self._reports.take_fresh(now).reports))
@@ -112,8 +118,7 @@
                 diff = instance_list.InstanceDiff()
                 continue
             try:
-                listed = instance_list.parse(instance_list.fetch(self._cfg.instance_list))
-                listed = {name: self._complete(item) for name, item in listed.items()}
+                listed = self._read_instances()
                 cfg = self._replica.configuration()
                 leaving = self._reports.leaving()
                 seen = self._reports.seen(clock.monotonic_s())
@@ -124,6 +129,10 @@
             except Exception:
                 log.exception("Reading the instance list failed.")
 
+    def _read_list(self):
+        listed = instance_list.parse(instance_list.fetch(self._cfg.instance_list))
+        return {name: self._complete(item) for name, item in listed.items()}
+
     def _complete(self, item):
         """Add the websocket address of a replica, which only the settings know."""
         peer = next((peer for peer in self._cfg.peers if peer.name == item.name), None)
--- /dev/null
+++ b/oriolelock/control/parts.py
@@ -0,0 +1,118 @@
+"""
+oriolelock.control.parts
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+    The parts of a control replica behind its interfaces: groups, overseer, publisher, links.
+"""
+
+import collections.abc
+import concurrent.futures
+import threading
+
+from oriolelock import clock, metrics
+from oriolelock.control import joiner, messages, overseer, replica, uplink_calls
+from oriolelock.distribution import publisher, reports
+from oriolelock.settings import control as settings
+from oriolelock.wire import channel
+
+__all__ = ["Parts"]
+
+
+class Parts:
+    """Started and stopped together; ``fail(text)`` ends the process.
+
+    ``read_instances()`` returns the platform's list; None reads that of the settings.
+    """
+
+    def __init__(
+        self,
+        cfg: settings.ControlSettings,
+        fail: collections.abc.Callable,
+        counters: metrics.Metrics,
+        read_instances: collections.abc.Callable[[], dict] | None = None,
+    ):
+        self._cfg = cfg
+        self.counters = counters
+        self.replica = replica.Replica(cfg, fail)
+        self.reports = reports.Reports()
+        self.overseer = overseer.Overseer(
+            cfg, self.replica, self.reports, self._report_metrics, read_instances
+        )
+        self.replica.take_reports = self.overseer.take_relayed
+        self.publisher = publisher.Publisher(self._make_source())
+        self.replica.listen(self._on_change)
+        self._joiner = joiner.Joiner(cfg, self.replica) if cfg.seeds else None
+        self._links = channel.serve(cfg.link_listen, self._serve_link)
+
+    def start(self) -> None:
+        """Start all parts; the threads run until ``stop``."""
+        self.replica.start()
+        self.publisher.start()
+        self.overseer.start()
+        if self._joiner:
+            self._joiner.start()
+        threading.Thread(target=self._links.serve_forever, name="links", daemon=True).start()
+
+    def use_seeds(self, seeds: tuple[tuple[str, int], ...]) -> None:
+        """Use other replicas to ask for admission."""
+        if self._joiner:
+            self._joiner.use_seeds(seeds)
+
+    def hand_over(self) -> None:
+        """Let other replicas lead, before the interfaces stop."""
+        self.overseer.stop()
+        if self._joiner:
+            self._joiner.stop()
+        self.replica.hand_over()
+
+    def stop(self) -> None:
+        """Stop what ``hand_over`` has left."""
+        self.publisher.stop()
+        self._links.shutdown()
+        self.replica.stop()
+
+    def _make_source(self):
+        def confirm(timeout_s):
+            result = concurrent.futures.Future()
+            fut = self.replica.call("config", messages.ConfirmRead(), timeout_s)
+            fut.add_done_callback(
+                lambda done: result.set_result(isinstance(done.result(), messages.Confirmed))
+            )
+            return result
+
+        return publisher.Source(
+            index=lambda: self.replica.configuration().index,
+            changes_since=self.replica.changes_since,
+            confirm=confirm,
+            call=lambda payload: uplink_calls.serve(self.replica, payload),
+            take_reports=self.overseer.take_local,
+        )
+
+    def _report_metrics(self):
+        self.counters.gauge("control.index", self.replica.configuration().index)
+        self.counters.gauge("control.subscribers", len(self.publisher.subscriber_names()))
+
+    def _on_change(self, group):
+        if group == "config":
+            self.publisher.wake()
+
+    def extra_state(self) -> dict:
+        """Return what a state dump shows besides the replica."""
+        return {
+            "metrics": self.counters.dump(),
+            "subscribers": self.publisher.subscriber_names(),
+            "confirmed": self.publisher.confirmed(clock.monotonic_s()),
+            "held_back": list(self.overseer.held_back),
+        }
+
+    def _serve_link(self, conn):
+        cfg = self._cfg
+        accepted = channel.accept(
+            conn, cfg.name, cfg.cluster, cfg.cluster_token, self.counters.count
+        )
+        if accepted is None:
+            return
+        if accepted.peer.role == "control":
+            self.replica.serve_peer(accepted)
+        else:
+            self.publisher.serve(accepted)
--- a/oriolelock/control/replica.py
+++ b/oriolelock/control/replica.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import concurrent.futures
+import dataclasses
 import threading
 
 from oriolelock import logs
@@ -20,6 +21,7 @@
     machines,
     messages,
     peer_link,
+    peer_links,
     preferences,
 )
 from oriolelock.distribution import messages as distribution_messages
@@ -34,6 +36,8 @@
 # Bounds the wait for another leader at a planned stop.
 HAND_OVER_TIMEOUT_S = 2.0
 HAND_OVER_CHECK_S = 0.05
+# A replica with an outdated idea of the leader passes a request to join on once more.
+MAX_JOIN_HOPS = 2
 
 CONSENSUS_MESSAGES = (
     consensus_messages.Append,
@@ -61,14 +65,14 @@
         self._stores = {group: store.open(cfg.data_folder, group) for group in cfg.groups()}
         self._hosts = {group: self._make_host(group) for group in cfg.groups()}
         greet = peer_link.make_greeting(cfg, self._stores["config"].incarnation)
-        self._links = {peer.name: peer_link.PeerLink(peer, greet) for peer in cfg.others()}
+        self._links = peer_links.PeerLinks(cfg, greet)
         self._calls = calls.Calls(cfg.name, self._hosts, self.send)
         self.take_reports: collections.abc.Callable = lambda batch: None
 
     def _make_host(self, group):
         cfg = self.cfg
         opened = self._stores[group]
-        preferred = preferences.preferred_leader(group, cfg.peers) == cfg.name
+        preferred = bool(cfg.peers) and (preferences.preferred_leader(group, cfg.peers) == cfg.name)
         node_cfg = node_settings.NodeSettings(cfg.name, opened.incarnation, preferred=preferred)
 
         def send(target, msg):
@@ -76,7 +80,13 @@
 
         return host.Host(
             host_settings.HostSettings(
-                group, node_cfg, cfg.snapshot_every, send, self._fail, self._notify_listeners
+                group,
+                node_cfg,
+                cfg.snapshot_every,
+                send,
+                self._fail,
+                self._notify_listeners,
+                cfg.min_voters if cfg.seeds else None,
             ),
             opened,
             machines.make_machine(group),
@@ -85,8 +95,7 @@
     def start(self) -> None:
         """Start to connect and to take part in all groups."""
         self._calls.start()
-        for link in self._links.values():
-            link.start()
+        self._links.start()
         for item in self._hosts.values():
             item.start()
 
@@ -108,8 +117,7 @@
         self._calls.stop()
         for item in self._hosts.values():
             item.stop()
-        for link in self._links.values():
-            link.stop()
+        self._links.stop()
 
     def listen(self, listener: collections.abc.Callable) -> None:
         """Have ``listener(group)`` called after each commit and change of leader."""
@@ -121,14 +129,26 @@
 
     def send(self, target: str, msg: object) -> bool:
         """Send a message to another replica; returns False when it is dropped."""
-        link = self._links.get(target)
-        return link is not None and link.send(msg)
+        return self._links.send(target, msg)
 
     def broadcast(self, msg: object) -> None:
         """Send a message to all other replicas."""
-        for link in self._links.values():
+        for link in self._links.all().values():
             link.send(msg)
 
+    @property
+    def incarnation(self) -> str:
+        """The random id of the data folder of the group ``config``."""
+        return self._stores["config"].incarnation
+
+    def member_names(self) -> tuple[str, ...]:
+        """Return the names of the replicas in the group ``config``."""
+        return self._hosts["config"].member_names()
+
+    def drop_links(self, kept: collections.abc.Collection[str]) -> None:
+        """Close links to replicas that are not among ``kept``."""
+        self._links.retain(kept)
+
     def configuration(self) -> configuration.Configuration:
         """Return the configuration as far as it is applied here."""
         return self._hosts["config"].machine.view()
@@ -145,7 +165,7 @@
         """Return the state of groups and links for a state dump."""
         return {
             "groups": {group: vars(item.status()) for group, item in self._hosts.items()},
-            "connected": sorted(name for name, link in self._links.items() if link.connected),
+            "connected": sorted(n for n, link in self._links.all().items() if link.connected),
         }
 
     def call(self, group: str, payload: object, timeout_s: float) -> concurrent.futures.Future:
@@ -162,7 +182,7 @@
     def serve_peer(self, conn: channel.Channel) -> None:
         """Take the messages of another replica until its connection ends."""
         sender = conn.peer.name
-        if sender not in self._links:
+        if not self._links.knows(sender):
             log.warning("{} is not among the peers in the settings.", sender)
             conn.close()
             return
@@ -182,6 +202,8 @@
         if isinstance(msg, messages.GroupMessage):
             if msg.group in self._hosts and isinstance(msg.msg, CONSENSUS_MESSAGES):
                 self._hosts[msg.group].receive(sender, msg.incarnation, msg.msg)
+        elif isinstance(msg, messages.Join):
+            self._serve_join(msg)
         elif isinstance(msg, messages.Forward):
             self._serve_forward(sender, msg)
         elif isinstance(msg, messages.ForwardReply):
@@ -191,6 +213,14 @@
         elif isinstance(msg, report_packing.PackedReports):
             self.take_reports(report_packing.unpack(msg))
 
+    def _serve_join(self, msg):
+        config = self._hosts["config"]
+        leader = config.status().leader
+        if leader == self.cfg.name:
+            config.admit(msg.name, msg.incarnation)
+        elif leader and msg.hops < MAX_JOIN_HOPS:
+            self.send(leader, dataclasses.replace(msg, hops=msg.hops + 1))
+
     def _serve_forward(self, sender, msg):
         if msg.group not in self._hosts:
             return
@@ -203,7 +233,7 @@
 
 def form(cfg: settings.ControlSettings) -> None:
     """Create the data folders of an initial replica; raises StorageError when they exist."""
-    names = sorted(peer.name for peer in cfg.peers)
+    names = sorted(peer.name for peer in cfg.peers) or [f"{h}:{p}" for h, p in cfg.seeds]
     replicas = [consensus_messages.Replica(n, store.INITIAL_INCARNATION, True) for n in names]
     for group in cfg.groups():
         store.form(cfg.data_folder, group, consensus_messages.Membership(tuple(replicas)))
--- a/oriolelock/control/state.py
+++ b/oriolelock/control/state.py
@@ -75,13 +75,20 @@
         if kept is not None:
             return codec.from_plain(kept.result)
         result = self._apply_operator_change(index, payload)
-        self._keep(payload.change_id, KeptResult(self.wall_s, digest, codec.to_plain(result)))
+        is_route_change = isinstance(payload.change, changes.RouteChange)
+        if not is_route_change or isinstance(result, results.Applied):
+            # A route change that lost a race may be sent again once its base is in force.
+            self._keep(payload.change_id, KeptResult(self.wall_s, digest, codec.to_plain(result)))
         return result
 
     def _apply_operator_change(self, index, payload):
         version = self.view().version
         if payload.expect_version is not None and payload.expect_version != version:
             return results.Conflict(version)
+        if isinstance(payload.change, changes.RouteChange):
+            revision = self.view().table.revision
+            if payload.change.base != revision:
+                return results.Conflict(revision)
         return self._apply_change(index, payload.change)
 
     def _apply_change(self, index, change):
--- a/oriolelock/control/uplink_calls.py
+++ b/oriolelock/control/uplink_calls.py
@@ -17,6 +17,8 @@
 
 # Covers a commit between far regions with one retry; an entry waits less than its deadline.
 CALL_TIMEOUT_S = 4.0
+# An entry registers itself where the instance list does not name it.
+CONFIG_CALLS = (changes.ReportCrash, changes.SetMember, distribution_messages.ConfirmIndex)
 RECORD_COMMANDS = (messages.ClaimKey, messages.CompleteKey, messages.ReleaseKey)
 
 
@@ -44,7 +46,7 @@
 
 
 def _group_of(rep, payload):
-    if isinstance(payload, (changes.ReportCrash, distribution_messages.ConfirmIndex)):
+    if isinstance(payload, CONFIG_CALLS):
         return "config"
     if isinstance(payload, RECORD_COMMANDS) and rep.cfg.record_groups:
         return record_state.group_of(payload.key, rep.cfg.record_groups)
--- /dev/null
+++ b/oriolelock/dispatch/chooser.py
@@ -0,0 +1,225 @@
+"""
+oriolelock.dispatch.chooser
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+    Chooses the endpoint of each request, or refuses it before it is sent.
+
+    The endpoint with the least expected cost wins: time until the answer against the request's
+    objective, bytes between failure domains and regions, errors, and work without the object
+    at hand. Among equals a hash of the object decides, so that all entries agree.
+"""
+
+import random
+
+from oriolelock.dispatch import (
+    cold_quota,
+    costs,
+    decisions,
+    endpoint_view,
+    ranking,
+    region_share,
+    service_times,
+)
+from oriolelock.model import configuration, endpoint, service
+
+__all__ = ["Chooser"]
+
+REGION_TRIP_S = 0.05
+HASH_COST = 0.03
+# How long a request may wait at its endpoint, as a part of its objective, by priority: the most
+# urgent wait as long as they can be served at all.
+WAIT_PARTS = (4.0, 0.7, 0.5)
+RETRY_AFTER_MIN_S = 0.1
+RETRY_AFTER_MAX_S = 1.0
+# Cold endpoints work at about half of their speed.
+COLD_SLOWNESS = 2.0
+FALLBACK_COLD_MS = 3000.0
+
+
+class Chooser:
+    """Routing state of one entry; not thread-safe. Times are monotonic seconds.
+
+    ``most_away``: the largest part of requests that may leave the region in calm times.
+    """
+
+    def __init__(self, name: str, region: str, domain: str, most_away: float, rng: random.Random):
+        self.name = name
+        self._region = region
+        self._domain = domain
+        self._rng = rng
+        self.views: dict[str, endpoint_view.EndpointView] = {}
+        self._by_service: dict[str, list[endpoint_view.EndpointView]] = {}
+        self._services: dict[str, service.Service] = {}
+        self._drained: set[str] = set()
+        self._times: dict[str, service_times.ServiceTimes] = {}
+        self._cold = cold_quota.ColdQuota()
+        self._away = region_share.RegionShare(most_away)
+        self._entries_of_region: dict[str, tuple[str, ...]] = {}
+        self.entries = 1
+        self._is_configured = False
+
+    def configure(self, cfg: configuration.Configuration, now: float, wall_s: float) -> None:
+        """Use a configuration."""
+        self._services = cfg.table.services
+        self._configure_entries(cfg)
+        drained = self._find_drained(cfg, wall_s)
+        for name in [name for name in self.views if name not in cfg.endpoints]:
+            del self.views[name]
+        for item in cfg.endpoints.values():
+            self._configure_endpoint(item, now)
+        for name in self._drained - drained:
+            # It may have become cold meanwhile; a health check tells.
+            if name in self.views:
+                self.views[name].needs_check = True
+        self._drained = drained
+        self._by_service = {}
+        for view in self.views.values():
+            self._by_service.setdefault(view.endpoint.service, []).append(view)
+        self._cold.retain(self.views)
+        self._times = {k: v for k, v in self._times.items() if k in cfg.table.routes}
+        self._is_configured = self._is_configured or bool(cfg.endpoints)
+
+    def _configure_entries(self, cfg):
+        found: dict[str, set[str]] = {self._region: {self.name}}
+        for item in cfg.members.values():
+            if item.role == "entry" and item.state == "live":
+                found.setdefault(item.region, set()).add(item.name)
+        self._entries_of_region = {k: tuple(sorted(v)) for k, v in found.items()}
+        self.entries = sum(len(names) for names in found.values())
+
+    def _find_drained(self, cfg, wall_s):
+        due = [item for item in cfg.drains.values() if item.start_s <= wall_s]
+        return {
+            item.name
+            for item in cfg.endpoints.values()
+            if any(found.covers_endpoint(item) for found in due)
+        }
+
+    def _configure_endpoint(self, item: endpoint.Endpoint, now: float):
+        view = self.views.get(item.name)
+        known = view and (view.endpoint.address, view.endpoint.started_ms)
+        if known != (item.address, item.started_ms):
+            self.views[item.name] = endpoint_view.EndpointView(item)
+            return
+        if item.cold and not view.endpoint.cold:
+            view.forget_objects()
+        view.endpoint = item
+
+    def times(self, item) -> service_times.ServiceTimes:
+        """Return the service times of a route."""
+        known = self._times.get(item.name)
+        if known is None:
+            known = service_times.ServiceTimes(item.objective_ms / 1000.0, item.affinity)
+            self._times[item.name] = known
+        return known
+
+    def cold_s(self, view: endpoint_view.EndpointView) -> float:
+        """Return how long an endpoint of this service is cold after its start."""
+        found = self._services.get(view.endpoint.service)
+        return (found.cold_ms if found else FALLBACK_COLD_MS) / 1000.0
+
+    def choose(self, asked: decisions.Question, now: float) -> decisions.Send | decisions.Refuse:
+        """Return where to send a request now, or why it is refused."""
+        times = self.times(asked.route)
+        near, far = [], []
+        for view in self._by_service.get(asked.service, ()):
+            if not self._may_use(view, asked, now):
+                continue
+            (near if view.endpoint.region == self._region else far).append(view)
+        usable = near
+        if far and (not near or self._away.may_leave(now)):
+            usable = near + far
+        best, best_cost, least_wait_s = None, float("inf"), float("inf")
+        for view in usable:
+            found, cost = self._estimate(view, asked, times, now)
+            least_wait_s = min(least_wait_s, found.wait_s)
+            if cost < best_cost and self._fits(found, asked):
+                best, best_cost = found, cost
+        if best is not None:
+            return best
+        if not usable:
+            return decisions.Refuse("no-endpoint", self._jittered(0.4))
+        return decisions.Refuse("overloaded", self._jittered(least_wait_s / 2.0), least_wait_s)
+
+    def _jittered(self, delay_s):
+        bounded_s = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, delay_s))
+        return bounded_s * self._rng.uniform(0.8, 1.2)
+
+    def _may_use(self, view, asked, now):
+        item = view.endpoint
+        if item.name in asked.tried or item.name in self._drained or not view.is_usable(now):
+            return False
+        if asked.route.regions and item.region not in asked.route.regions:
+            return False
+        return not view.is_cold(now) or self._may_use_cold(view, now)
+
+    def _may_use_cold(self, view, now):
+        known = self._services.get(view.endpoint.service)
+        rate = known.cold_rate if known else 1.0
+        near = self._entries_of_region.get(view.endpoint.region) or (self.name,)
+        if self.name not in near:
+            return False
+        if not cold_quota.senders(view.endpoint.name, rate, near, self.name):
+            return False
+        return self._cold.may_send(view.endpoint.name, now)
+
+    def _estimate(self, view, asked, times, now):
+        item = view.endpoint
+        away = item.region != self._region
+        warm = not times.has_affinity or (bool(asked.key) and view.has_object(asked.key))
+        is_cold = view.is_cold(now)
+        wait_s = view.wait_s(times.expected_s(warm), now)
+        service_s = times.expected_s(warm) * view.slowness(now)
+        if is_cold:
+            service_s *= COLD_SLOWNESS
+        trip_s = REGION_TRIP_S if away else 0.0
+        found = decisions.Send(view, wait_s, service_s, warm, away, is_cold)
+        cost = costs.time_cost(wait_s + service_s + trip_s, asked.objective_s, asked.left_s)
+        cost += view.error_part(now)
+        if away:
+            cost += costs.REGION
+        elif item.failure_domain != self._domain:
+            cost += costs.DOMAIN
+        if not warm:
+            cost += costs.COLD_RUN
+        if asked.key:
+            cost -= HASH_COST * ranking.weight(asked.key, item.name) / 2.0**64
+        else:
+            cost -= HASH_COST * self._rng.random()
+        return found, cost
+
+    def _fits(self, found, asked):
+        if found.wait_s + found.service_s >= asked.left_s:
+            return found.wait_s <= 0.0 and asked.left_s > 0.5 * found.service_s
+        part = WAIT_PARTS[min(asked.route.priority, len(WAIT_PARTS) - 1)]
+        return found.wait_s <= part * asked.route.objective_ms / 1000.0
+
+    def started(self, sent: decisions.Send, number: int, now: float) -> None:
+        """Note that a request was sent as chosen."""
+        sent.view.started(number, sent.wait_s + sent.service_s, now)
+        self._away.sent(sent.away, now)
+        if sent.cold:
+            self._cold.sent(sent.view.endpoint.name, now)
+
+    def answered(
+        self,
+        sent: decisions.Send,
+        asked: decisions.Question,
+        elapsed_s: float,
+        load: endpoint_view.Load | None,
+        is_error: bool,
+        now: float,
+    ) -> None:
+        """Take the answer to a request after ``elapsed_s``."""
+        view, times = sent.view, self.times(asked.route)
+        expected_s = sent.wait_s + sent.service_s
+        view.answered(elapsed_s / max(0.05, expected_s), is_error, now)
+        if load is not None:
+            view.reported(load, now)
+        if is_error:
+            return
+        worked_s = max(0.001, elapsed_s - sent.wait_s)
+        if not sent.cold and view.slowness(now) < 1.5:
+            times.observe(worked_s, sent.warm)
+        if asked.key and times.has_affinity:
+            view.handled(asked.key, now)
--- /dev/null
+++ b/oriolelock/http1/messages.py
@@ -0,0 +1,55 @@
+"""
+oriolelock.http1.messages
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+    A request and a response, whole.
+"""
+
+import dataclasses
+
+__all__ = ["Headers", "Request", "Response", "find"]
+
+# Names in lower case, values without surrounding space.
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+def find(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header, or None; ``name`` in lower case."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+@dataclasses.dataclass(frozen=True)
+class Request:
+    """``target``: as the caller sent it, in origin form; ``received_s``: monotonic seconds."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes = b""
+    received_s: float = 0.0
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, or None."""
+        return find(self.headers, name)
+
+    @property
+    def path(self) -> bytes:
+        """The target without its query."""
+        return self.target.partition(b"?")[0]
+
+
+@dataclasses.dataclass(frozen=True)
+class Response:
+    """``closes``: the connection ends after it."""
+
+    status: int
+    headers: Headers = ()
+    body: bytes = b""
+    closes: bool = False
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, or None."""
+        return find(self.headers, name)
--- /dev/null
+++ b/oriolelock/http1/server.py
@@ -0,0 +1,70 @@
+"""
+oriolelock.http1.server
+~~~~~~~~~~~~~~~~~~~~~~~
+
+    A listening socket and the connections of its callers.
+"""
+
+import selectors
+
+from oriolelock.http1 import inbound, server_rules, sockets
+from oriolelock.http1 import loop as loops
+
+__all__ = ["Server"]
+
+MAX_ACCEPTS = 64
+
+
+class Server:
+    """Not thread-safe. ``most``: connections beyond this are closed at once."""
+
+    def __init__(
+        self,
+        loop: loops.Loop,
+        address: tuple[str, int],
+        rules: server_rules.ServerRules,
+        most: int = 3000,
+    ):
+        self._loop = loop
+        self._most = most
+        self._rules = rules
+        rules.closed = self._closed
+        self._connections: set[inbound.Inbound] = set()
+        self._sock = sockets.listen(address)
+        self.is_listening = True
+        loop.watch(self._sock, selectors.EVENT_READ, self._on_connection)
+
+    def _on_connection(self, events):
+        for _ in range(MAX_ACCEPTS):
+            try:
+                sock, _ = self._sock.accept()
+            except OSError:
+                # None is left, or it ended before it was accepted.
+                return
+            if len(self._connections) >= self._most:
+                sock.close()
+                continue
+            self._connections.add(inbound.Inbound(self._loop, sock, self._rules))
+
+    def _closed(self, conn):
+        self._connections.discard(conn)
+
+    def __len__(self) -> int:
+        return len(self._connections)
+
+    @property
+    def busy(self) -> int:
+        """How many connections read or answer a request."""
+        return sum(conn.is_busy for conn in self._connections)
+
+    def stop_listening(self) -> None:
+        """Take no new connections."""
+        if self.is_listening:
+            self.is_listening = False
+            self._loop.watch(self._sock, 0, self._on_connection)
+            self._sock.close()
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is under way."""
+        for conn in list(self._connections):
+            conn.close_if_idle()
--- a/oriolelock/model/changes.py
+++ b/oriolelock/model/changes.py
@@ -7,18 +7,21 @@
 
 import dataclasses
 
-from oriolelock.model import drain, endpoint, member, preset
+from oriolelock.model import drain, endpoint, member, preset, route_table
 from oriolelock.wire import codec
 
 __all__ = [
     "AddDrain",
     "CancelDrain",
     "Change",
+    "PatchRoutes",
     "PutBlocks",
     "PutPreset",
+    "PutRoutes",
     "RemoveEndpoint",
     "RemoveMember",
     "ReportCrash",
+    "RouteChange",
     "SetEndpoint",
     "SetMember",
     "UsePreset",
@@ -107,6 +110,25 @@
     site_regions: dict[str, str]
 
 
+@codec.register("put-routes")
+@dataclasses.dataclass(frozen=True)
+class PutRoutes:
+    """Replaces all routes, services and limits, if the revision in force is ``base``."""
+
+    base: int
+    table: route_table.RouteTable
+
+
+@codec.register("patch-routes")
+@dataclasses.dataclass(frozen=True)
+class PatchRoutes:
+    """Changes named routes and services, if the revision in force is ``base``."""
+
+    base: int
+    patch: route_table.RoutePatch
+
+
+RouteChange = PutRoutes | PatchRoutes
 Change = (
     PutPreset
     | UsePreset
@@ -118,4 +140,6 @@
     | RemoveEndpoint
     | ReportCrash
     | PutBlocks
+    | PutRoutes
+    | PatchRoutes
 )
--- a/oriolelock/model/configuration.py
+++ b/oriolelock/model/configuration.py
@@ -16,6 +16,7 @@
     errors,
     member,
     preset,
+    route_table,
     validation,
 )
 from oriolelock.wire import codec
@@ -40,6 +41,7 @@
     endpoints: dict[str, endpoint.Endpoint] = dataclasses.field(default_factory=dict)
     crashes: dict[str, crash_record.CrashRecord] = dataclasses.field(default_factory=dict)
     block_sites: bytes = b""
+    table: route_table.RouteTable = route_table.RouteTable()
 
     def preset_in_force(self) -> preset.Preset | None:
         """Return the preset in force, or None before the first one."""
@@ -53,6 +55,8 @@
     changes.AddDrain,
     changes.CancelDrain,
     changes.PutBlocks,
+    changes.PutRoutes,
+    changes.PatchRoutes,
 )
 
 
@@ -145,6 +149,17 @@
     return {"block_sites": packing.update(cfg.block_sites, change.blocks, change.site_regions)}
 
 
+def _put_routes(cfg, change, wall_s):
+    route_table.check(change.table, cfg.table.revision)
+    return {"table": change.table}
+
+
+def _patch_routes(cfg, change, wall_s):
+    table = route_table.patched(cfg.table, change.patch)
+    route_table.check(table, cfg.table.revision)
+    return {"table": table}
+
+
 _HANDLERS = {
     changes.PutPreset: _put_preset,
     changes.UsePreset: _use_preset,
@@ -156,4 +171,6 @@
     changes.RemoveEndpoint: _remove_endpoint,
     changes.ReportCrash: _report_crash,
     changes.PutBlocks: _put_blocks,
+    changes.PutRoutes: _put_routes,
+    changes.PatchRoutes: _patch_routes,
 }
--- a/oriolelock/model/endpoint.py
+++ b/oriolelock/model/endpoint.py
@@ -15,7 +15,11 @@
 @codec.register("endpoint")
 @dataclasses.dataclass(frozen=True)
 class Endpoint:
-    """``slots`` requests run at once; ``connections`` is the limit over all entries."""
+    """``slots`` requests run at once; ``connections`` is the limit over all entries.
+
+    ``cold``: it has started a short while ago and is still slow. ``started_ms``: Unix time of
+    its start, 0 if unknown; a name may be used again.
+    """
 
     name: str
     service: str
@@ -25,3 +29,5 @@
     slots: int
     connections: int
     state: str = "live"
+    cold: bool = False
+    started_ms: int = 0
--- a/oriolelock/settings/control.py
+++ b/oriolelock/settings/control.py
@@ -51,6 +51,11 @@
     log_level: str
     log_json: bool
     statsd: tuple[str, int] | None
+    # Link addresses of replicas to start from, where ``peers`` is empty; the own name is then
+    # the own link address.
+    seeds: tuple[tuple[str, int], ...] = ()
+    # Voters that are left at least when one that is silent is removed.
+    min_voters: int = 3
 
     def groups(self) -> tuple[str, ...]:
         """Return the names of all groups, the configuration first."""
@@ -65,6 +70,7 @@
     """Return the settings in ``top``; raises SettingsError."""
     name = getters.get_str(top, "name")
     log = getters.get_node(top, "log", {})
+    seeds = _parse_seeds(top, name)
     return ControlSettings(
         name=name,
         cluster=getters.get_str(top, "cluster"),
@@ -73,7 +79,7 @@
         listen=getters.get_address(top, "listen"),
         link_listen=getters.get_address(top, "link_listen"),
         data_folder=getters.get_str(top, "data_folder"),
-        peers=_parse_peers(top, name),
+        peers=() if seeds else _parse_peers(top, name),
         record_groups=getters.get_int(top, "record_groups", 1, 0, MAX_RECORD_GROUPS),
         operator_token=_parse_token(top, "operator_token"),
         cluster_token=_parse_token(top, "cluster_token"),
@@ -83,9 +89,21 @@
         log_level=getters.get_choice(log, "level", LOG_LEVELS, "INFO"),
         log_json=getters.get_bool(log, "json", False),
         statsd=getters.get_address(top, "statsd", None),
+        seeds=seeds,
+        min_voters=getters.get_int(top, "min_voters", 3, 1),
     )
 
 
+def _parse_seeds(top, name):
+    listed = getters.get_list(top, "seeds", [])
+    node = top.child("seeds", {f"[{n}]": item for n, item in enumerate(listed)})
+    names = node.keys()
+    seeds = tuple(getters.get_address(node, key) for key in names)
+    if seeds and getters.get_address(top, "link_listen") != getters.get_address(top, "name"):
+        raise top.fail("name", name, "the own link address, where replicas start from seeds")
+    return seeds
+
+
 def _parse_peers(top, name):
     peers = []
     for node in getters.get_nodes(top, "peers"):
--- a/oriolelock/storage/store.py
+++ b/oriolelock/storage/store.py
@@ -21,7 +21,7 @@
 from oriolelock.wire import codec
 from oriolelock.wire import errors as wire_errors
 
-__all__ = ["INITIAL_INCARNATION", "Store", "form", "open"]
+__all__ = ["INITIAL_INCARNATION", "Store", "exists", "form", "open"]
 
 INITIAL_INCARNATION = "initial"
 NO_MEMBERSHIP = messages.Membership(())
@@ -30,6 +30,11 @@
 ENTRIES_PER_RECORD = 1000
 
 
+def exists(folder: str | os.PathLike, name: str) -> bool:
+    """Return whether the folder holds a store of the group ``name``."""
+    return (pathlib.Path(folder) / name).exists()
+
+
 def form(folder: str | os.PathLike, name: str, membership: messages.Membership) -> None:
     """Create the store of an initial member of the group ``name``, once.
 
