Leave parents that are cut off from the leader within two seconds

Ruled out: the acknowledgement itself (a majority held it) and the delta (others had it in 0.2 s). Change: a publisher whose confirmation is older than 1.2 s closes its subscriptions and takes no new ones; the uplink leaves after 1.5 s; elections start after 1 to 2 s. Also: an answer may be up to 0.17 s later than its route's timeout.

--- a/oriolelock/control/replica.py
+++ b/oriolelock/control/replica.py
@@ -73,7 +73,14 @@
         cfg = self.cfg
         opened = self._stores[group]
         preferred = bool(cfg.peers) and (preferences.preferred_leader(group, cfg.peers) == cfg.name)
-        node_cfg = node_settings.NodeSettings(cfg.name, opened.incarnation, preferred=preferred)
+        least_s, most_s = cfg.election_s
+        node_cfg = node_settings.NodeSettings(
+            cfg.name,
+            opened.incarnation,
+            election_min_s=least_s,
+            election_max_s=most_s,
+            preferred=preferred,
+        )
 
         def send(target, msg):
             self.send(target, messages.GroupMessage(group, opened.incarnation, msg))
--- a/oriolelock/distribution/publisher.py
+++ b/oriolelock/distribution/publisher.py
@@ -21,8 +21,8 @@
 CONFIRM_INTERVAL_S = 0.5
 CONFIRM_TIMEOUT_S = 1.0
 # Deltas between two read confirmations count as confirmed for this long after the start of
-# the last one: an interval, a timeout and some reserve.
-CONFIRMED_MAX_AGE_S = 2.0
+# the last one: an interval, a round trip between far regions, and some reserve.
+CONFIRMED_MAX_AGE_S = 1.2
 # Two heads for each of 57 failure domains need 114; entries that start connect here first.
 MAX_SUBSCRIBERS = 1000
 
@@ -134,6 +134,10 @@
             self._wake.set()
 
         started_s = clock.monotonic_s()
+        if self._confirmed_s is not None and not self.confirmed(started_s):
+            # Cut off from the leader: another parent can do better.
+            sub.close()
+            return
         with self._lock:
             is_known = sub in self._subscribers
             if is_known or len(self._subscribers) < self._max_subscribers:
@@ -200,6 +204,10 @@
         confirmed = self.confirmed(now)
         with self._lock:
             subscribers = list(self._subscribers)
+        if not confirmed and self._confirmed_s is not None:
+            for sub in subscribers:
+                if sub.was_vouched:
+                    sub.close()
         encoded: dict[tuple[int, bool], tuple[int, bytes]] = {}
         current = self._source.index() if subscribers else 0
         for sub in subscribers:
--- a/oriolelock/distribution/relay.py
+++ b/oriolelock/distribution/relay.py
@@ -20,7 +20,7 @@
 # Longer than control's own limit, so that its refusal arrives instead of a timeout here.
 CALL_TIMEOUT_S = 4.5
 # What the parent vouched for this long ago is still passed on as confirmed.
-RENEW_MAX_AGE_S = 1.5
+RENEW_MAX_AGE_S = 1.0
 LISTEN_NAME = "relay"
 
 
--- a/oriolelock/distribution/subscriber.py
+++ b/oriolelock/distribution/subscriber.py
@@ -36,6 +36,11 @@
         self._thread = threading.Thread(target=self._run, name=f"to-{self.name}", daemon=True)
         self._thread.start()
 
+    @property
+    def was_vouched(self) -> bool:
+        """Whether it has ever got a configuration that was confirmed."""
+        return self._vouched
+
     def admit(self, index: int, confirmed: bool) -> None:
         """Start to publish to it from ``index`` on."""
         with self._lock:
--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -31,7 +31,7 @@
 # Reports of entries below wait at most this long at each hop. Waiting for the next own report
 # made them 3.2 s old at control after three hops, which is over its limit for live entries.
 PASS_ON_INTERVAL_S = 0.25
-UNCONFIRMED_LIMIT_S = 3.0
+UNCONFIRMED_LIMIT_S = 1.5
 RECV_STEP_S = 0.2
 BACKOFF_MIN_S = 0.1
 BACKOFF_MAX_S = 2.0
--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -22,6 +22,9 @@
 DEFAULT_DEADLINE_S = 30.0
 # One trip to the caller, so that an answer at the deadline still arrives.
 CALLER_TRIP_S = 0.012
+# An answer that is on its way when the route's timeout passes is still delivered. Callers are
+# kept at most half a second beyond the timeout; the rest is for trips and a busy process.
+TIMEOUT_SLACK_S = 0.17
 # A request is not sent when less than this is left.
 MIN_LEFT_S = 0.02
 
@@ -67,7 +70,8 @@
             return
         now = req.received_s
         self._objective_end_s = now + self._route.objective_ms / 1000.0 - CALLER_TRIP_S
-        self._end_s = now + min(deadline_s - CALLER_TRIP_S, self._route.timeout_ms / 1000.0)
+        timeout_s = self._route.timeout_ms / 1000.0 + TIMEOUT_SLACK_S
+        self._end_s = now + min(deadline_s - CALLER_TRIP_S, timeout_s)
         self._service = shared.splitter(self._route).take()
         key = req.header(shared.words.object_key)
         # Objects of different routes are different ones.
--- a/oriolelock/platform/fields.py
+++ b/oriolelock/platform/fields.py
@@ -23,6 +23,8 @@
 SHIFT_PART = 0.7
 POLL_S = 0.5
 SNAPSHOT_EVERY = 500
+# Three heartbeats at least; a new leader must be found within the contracts' contact window.
+ELECTION_S = (1.0, 2.0)
 
 
 class Fields:
@@ -148,6 +150,7 @@
             statsd=None,
             seeds=self.seeds(),
             min_voters=max(3, 2 * lost + 1),
+            election_s=ELECTION_S,
         )
 
 
--- a/oriolelock/settings/control.py
+++ b/oriolelock/settings/control.py
@@ -56,6 +56,8 @@
     seeds: tuple[tuple[str, int], ...] = ()
     # Voters that are left at least when one that is silent is removed.
     min_voters: int = 3
+    # Range of the time without a heartbeat after which a replica stands for election.
+    election_s: tuple[float, float] = (1.5, 3.0)
 
     def groups(self) -> tuple[str, ...]:
         """Return the names of all groups, the configuration first."""
