Answer lookups at entries; let the share of other regions change slowly

While the control replicas were down no lookup was answered (3,393 of 8,328 failed, 3,158 tries found no connection). The region with two endpoints a service refused a third of its requests, because a fixed bound kept it from sending more than a tenth away. Ruled out: processor time (0.03 cores). Change: entries answer lookups from the configuration they hold; the part of requests that leaves a region follows what is best at a bounded speed; a replica's first election timeout is shorter, reconnects back off less.

--- a/oriolelock/consensus/election.py
+++ b/oriolelock/consensus/election.py
@@ -24,12 +24,26 @@
 ]
 
 
+# Leaves time to connect to the others.
+FIRST_TIMEOUT_PART = 0.4
+
+
 def reset_timer(node: state.Node, now: float) -> None:
     """Draw the next election timeout."""
     wait_s = node.rng.uniform(node.cfg.election_min_s, node.cfg.election_max_s)
     node.election_deadline_s = now + wait_s
 
 
+def reset_first_timer(node: state.Node, now: float) -> None:
+    """Draw the timeout after a start, which may be shorter.
+
+    When all replicas start at once there is no leader to wait for; if there is one, the
+    pre-vote keeps it.
+    """
+    wait_s = node.rng.uniform(FIRST_TIMEOUT_PART, 1.0) * node.cfg.election_min_s
+    node.election_deadline_s = now + wait_s
+
+
 def become_follower(node: state.Node, term: int, leader: str, now: float) -> None:
     """Follow ``leader`` (empty when unknown), in ``term`` if that is later."""
     if term > node.term:
--- a/oriolelock/consensus/node.py
+++ b/oriolelock/consensus/node.py
@@ -71,7 +71,7 @@
         durable_index=held.last_index,
         durable_term=stored.term,
     )
-    election.reset_timer(node, now)
+    election.reset_first_timer(node, now)
     return node
 
 
--- a/oriolelock/control/hosted.py
+++ b/oriolelock/control/hosted.py
@@ -12,8 +12,7 @@
 from oriolelock.control import parts, replica, route_operations
 from oriolelock.http1 import loop as loops
 from oriolelock.http1 import messages, server, server_rules
-from oriolelock.lookup import entry_choice
-from oriolelock.model import member, request_limits
+from oriolelock.model import request_limits
 from oriolelock.settings import control as settings
 from oriolelock.storage import store
 
@@ -82,17 +81,6 @@
         """Use other replicas to start from."""
         self._parts.use_seeds(seeds)
 
-    def entries_for(self, host: str, region: str, domain: str) -> list[member.Member]:
-        """Return the entries that a caller of ``host`` should connect to."""
-        return entry_choice.choose(
-            self.replica.configuration(),
-            host,
-            self._parts.overseer.entry_ages(),
-            self._parts.reports.leaving(),
-            region,
-            domain,
-        )
-
     def answer_later(self, exchange, fut, encode) -> None:
         """Answer ``exchange`` with ``encode(result)`` once ``fut`` is done."""
 
--- a/oriolelock/control/peer_link.py
+++ b/oriolelock/control/peer_link.py
@@ -18,7 +18,7 @@
 
 BACKOFF_MIN_S = 0.1
 # A replica that returns must be reached well within one election timeout.
-BACKOFF_MAX_S = 1.0
+BACKOFF_MAX_S = 0.4
 # Consensus repeats what is lost; a longer queue would only deliver stale messages.
 MAX_QUEUED = 2000
 
--- a/oriolelock/dispatch/chooser.py
+++ b/oriolelock/dispatch/chooser.py
@@ -9,6 +9,7 @@
     at hand. Among equals a hash of the object decides, so that all entries agree.
 """
 
+import dataclasses
 import random
 
 from oriolelock.dispatch import (
@@ -36,13 +37,22 @@
 FALLBACK_COLD_MS = 3000.0
 
 
+@dataclasses.dataclass(frozen=True)
+class _Best:
+    """The best candidate of a region, if any fits; the shortest expected wait of all."""
+
+    send: decisions.Send | None
+    cost: float
+    wait_s: float
+
+
 class Chooser:
     """Routing state of one entry; not thread-safe. Times are monotonic seconds.
 
-    ``most_away``: the largest part of requests that may leave the region in calm times.
+    ``shift_speed``: how fast the part of requests that leave the region may change, per second.
     """
 
-    def __init__(self, name: str, region: str, domain: str, most_away: float, rng: random.Random):
+    def __init__(self, name: str, region: str, domain: str, shift_speed: float, rng: random.Random):
         self.name = name
         self._region = region
         self._domain = domain
@@ -53,7 +63,7 @@
         self._drained: set[str] = set()
         self._times: dict[str, service_times.ServiceTimes] = {}
         self._cold = cold_quota.ColdQuota()
-        self._away = region_share.RegionShare(most_away)
+        self._away = region_share.RegionShare(shift_speed)
         self._entries_of_region: dict[str, tuple[str, ...]] = {}
         self.entries = 1
         self._is_configured = False
@@ -126,20 +136,36 @@
             if not self._may_use(view, asked, now):
                 continue
             (near if view.endpoint.region == self._region else far).append(view)
-        usable = near
-        if far and (not near or self._away.may_leave(now)):
-            usable = near + far
+        best_near = self._best(near, asked, times, now)
+        best_far = self._best(far, asked, times, now)
+        chosen = self._between_regions(bool(near), best_near, best_far, now)
+        if chosen is not None:
+            return chosen
+        if not near and not far:
+            return decisions.Refuse("no-endpoint", self._jittered(0.4))
+        wait_s = min(best_near.wait_s, best_far.wait_s)
+        return decisions.Refuse("overloaded", self._jittered(wait_s / 2.0), wait_s)
+
+    def _best(self, views, asked, times, now):
+        """Return the best candidate that fits, with its cost and the shortest wait of all."""
         best, best_cost, least_wait_s = None, float("inf"), float("inf")
-        for view in usable:
+        for view in views:
             found, cost = self._estimate(view, asked, times, now)
             least_wait_s = min(least_wait_s, found.wait_s)
             if cost < best_cost and self._fits(found, asked):
                 best, best_cost = found, cost
-        if best is not None:
-            return best
-        if not usable:
-            return decisions.Refuse("no-endpoint", self._jittered(0.4))
-        return decisions.Refuse("overloaded", self._jittered(least_wait_s / 2.0), least_wait_s)
+        return _Best(best, best_cost, least_wait_s)
+
+    def _between_regions(self, has_near, near, far, now):
+        """Return the candidate of the region whose turn it is, or None when it has none."""
+        if not has_near:
+            return far.send
+        if near.send is None and far.send is None:
+            return None
+        self._away.wish(far.cost < near.cost, now)
+        if far.send is not None and self._away.is_away_due():
+            return far.send
+        return near.send
 
     def _jittered(self, delay_s):
         bounded_s = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, delay_s))
@@ -197,7 +223,7 @@
     def started(self, sent: decisions.Send, number: int, now: float) -> None:
         """Note that a request was sent as chosen."""
         sent.view.started(number, sent.wait_s + sent.service_s, now)
-        self._away.sent(sent.away, now)
+        self._away.sent(sent.away)
         if sent.cold:
             self._cold.sent(sent.view.endpoint.name, now)
 
--- a/oriolelock/dispatch/region_share.py
+++ b/oriolelock/dispatch/region_share.py
@@ -2,40 +2,46 @@
 oriolelock.dispatch.region_share
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-    Bounds the part of an entry's requests that run in other regions.
+    The part of an entry's requests that run in other regions, which changes only slowly.
 
-    The part can never change by more than its bound from one moment to the next, which keeps
-    the fleet's shifts between regions under their cap without a common plan.
+    The part follows what would be best, at a bounded speed in both directions. That keeps the
+    fleet's shifts between regions under their cap without a common plan.
 """
 
-import collections
-
 __all__ = ["RegionShare"]
 
-WINDOW_S = 2.0
-# Below this number of requests a single one would exceed the part.
-FREE_REQUESTS = 1
+# Over this time the wishes of single requests are averaged.
+WISH_TIME_S = 1.5
+# Requests that the actual part may run ahead or behind.
+MAX_CREDIT = 1.5
 
 
 class RegionShare:
-    """``most``: the largest part of the requests of a window that may leave the region."""
-
-    def __init__(self, most: float):
-        self._most = most
-        self._sent: collections.deque[tuple[float, bool]] = collections.deque()
-        self._away = 0
-
-    def _trim(self, now):
-        while self._sent and now - self._sent[0][0] > WINDOW_S:
-            self._away -= self._sent.popleft()[1]
-
-    def may_leave(self, now: float) -> bool:
-        """Return whether one more request may run in another region."""
-        self._trim(now)
-        return self._away < max(FREE_REQUESTS, self._most * (len(self._sent) + 1))
-
-    def sent(self, away: bool, now: float) -> None:
+    """``speed``: the most that the part changes in a second."""
+
+    def __init__(self, speed: float):
+        self._speed = speed
+        self._wish = 0.0
+        self._at_s: float | None = None
+        self.part = 0.0
+        self._credit = 0.0
+
+    def wish(self, away: bool, now: float) -> None:
+        """Note where the next request would best run."""
+        if self._at_s is None:
+            self._at_s = now
+        elapsed_s = min(WISH_TIME_S, max(0.0, now - self._at_s))
+        self._at_s = now
+        # Dense requests count less each, so that the average covers the same time.
+        self._wish += (away - self._wish) * max(elapsed_s / WISH_TIME_S, 0.02)
+        step = self._speed * elapsed_s
+        self.part += min(step, max(-step, self._wish - self.part))
+
+    def is_away_due(self) -> bool:
+        """Return whether the next request should run in another region."""
+        return self._credit + self.part >= 1.0
+
+    def sent(self, away: bool) -> None:
         """Note where a request was sent."""
-        self._trim(now)
-        self._sent.append((now, away))
-        self._away += away
+        self._credit += self.part - away
+        self._credit = min(MAX_CREDIT, max(-MAX_CREDIT, self._credit))
--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -34,7 +34,7 @@
 UNCONFIRMED_LIMIT_S = 1.5
 RECV_STEP_S = 0.2
 BACKOFF_MIN_S = 0.1
-BACKOFF_MAX_S = 2.0
+BACKOFF_MAX_S = 0.6
 # Calls beyond this number find the connection congested and fail at once.
 MAX_QUEUED_SENDS = 4096
 
--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -47,7 +47,9 @@
         self.words = words
         self.metrics = request_metrics.RequestMetrics()
         self.pool = pool.Pool(loop, words.request_id)
-        self.chooser = chooser.Chooser(cfg.name, cfg.region, cfg.failure_domain, cfg.away_part, rng)
+        self.chooser = chooser.Chooser(
+            cfg.name, cfg.region, cfg.failure_domain, cfg.shift_speed, rng
+        )
         self._quarantine = quarantine.Quarantine()
         self._splitters: dict[str, splitter.Splitter] = {}
         self._retries: dict[str, retry_window.RetryWindow] = {}
--- a/oriolelock/gateway/daemon.py
+++ b/oriolelock/gateway/daemon.py
@@ -7,6 +7,7 @@
 
 import concurrent.futures
 import random
+import types
 import uuid
 
 from oriolelock import clock, events
@@ -16,6 +17,7 @@
 from oriolelock.gateway import dialect as dialects
 from oriolelock.http1 import loop as loops
 from oriolelock.http1 import messages, server, server_rules
+from oriolelock.lookup import entry_choice
 from oriolelock.model import changes, member, request_limits
 from oriolelock.settings import gateway as settings
 from oriolelock.wire import hello
@@ -35,9 +37,15 @@
 
 
 class Gateway:
-    """One entry; ``run`` serves until ``leave`` has finished what is under way."""
+    """One entry; ``run`` serves until ``leave`` has finished what is under way.
 
-    def __init__(self, cfg: settings.GatewaySettings, words: dialects.Dialect):
+    ``lookups`` has ``question(req)`` and ``answer(members)`` for callers that ask which entries
+    to use.
+    """
+
+    def __init__(
+        self, cfg: settings.GatewaySettings, words: dialects.Dialect, lookups: types.ModuleType
+    ):
         self._settings = cfg
         self._words = words
         self._state = "live"
@@ -66,7 +74,10 @@
         self._relay = relay.Relay(cfg.name, cfg.cluster, cfg.cluster_token, self._uplink)
         self._servers = [self._serve(cfg.listen, self._handle, lambda: self.core.limits)]
         fixed = request_limits.RequestLimits()
+        self._lookups = lookups
         self._serve(cfg.ready_listen, self._handle_ready, lambda: fixed)
+        if cfg.lookup_listen:
+            self._serve(cfg.lookup_listen, self._handle_lookup, lambda: fixed)
         if cfg.metrics_listen:
             self._serve(cfg.metrics_listen, self._handle_metrics, lambda: fixed)
         self.loop.call_each(REGISTER_INTERVAL_S, self._register_if_needed)
@@ -144,6 +155,18 @@
         else:
             flow.Flow(self.core, exchange).start()
 
+    def _handle_lookup(self, exchange):
+        asked = self._lookups.question(exchange.request)
+        if asked is None:
+            exchange.reply(messages.Response(404, (), b"no such call\n"))
+            return
+        self.core.metrics.count("lookups")
+        leaving = frozenset((self._settings.name,)) if self._is_leaving() else frozenset()
+        found = []
+        if self.core.is_confirmed:
+            found = entry_choice.choose(self._uplink.configuration, *asked, leaving)
+        exchange.reply(self._lookups.answer(found))
+
     def _handle_ready(self, exchange):
         ready = self.core.is_ready and self._state == "live"
         body = b"ready\n" if ready else b"not ready\n"
--- a/oriolelock/lookup/entry_choice.py
+++ b/oriolelock/lookup/entry_choice.py
@@ -2,7 +2,7 @@
 oriolelock.lookup.entry_choice
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-    Which entries a caller should connect to, by where it is and who has reported lately.
+    Which entries a caller should connect to, by where it is.
 """
 
 import collections.abc
@@ -14,8 +14,6 @@
 # With fewer entries near the caller, the next place is added, so that one may fail.
 ENOUGH = 2
 MAX_ENTRIES = 32
-# Entries report each second and reports take up to half a second between replicas.
-FRESH_S = 2.6
 
 
 def _home_regions(cfg, host):
@@ -32,22 +30,19 @@
 def choose(
     cfg: configuration.Configuration,
     host: str,
-    ages: collections.abc.Mapping[str, float],
-    leaving: collections.abc.Set[str],
     region: str,
     domain: str,
+    leaving: collections.abc.Set[str] = frozenset(),
 ) -> list[member.Member]:
     """Return entries for a caller of ``host``: its failure domain, its region, then others.
 
-    ``ages``: seconds since the latest report by name; ``leaving``: names that report a stop.
-    Silent entries are used when no other is left, which says more about the reports.
+    ``leaving``: names known to stop before the configuration says so.
     """
     live = [
         item
         for item in cfg.members.values()
         if item.role == "entry" and item.state == "live" and item.name not in leaving
     ]
-    fresh = [item for item in live if ages.get(item.name, FRESH_S + 1) <= FRESH_S] or live
     chosen: list[member.Member] = []
     homes = _home_regions(cfg, host)
     tests = (
@@ -57,7 +52,7 @@
         lambda item: True,
     )
     for test in tests:
-        chosen = [item for item in fresh if test(item)]
+        chosen = [item for item in live if test(item)]
         if len(chosen) >= ENOUGH:
             break
     return sorted(chosen, key=lambda item: item.name)[:MAX_ENTRIES]
--- a/oriolelock/platform/calls.py
+++ b/oriolelock/platform/calls.py
@@ -22,9 +22,7 @@
 READ = b"/oriolelock/Config.Get"
 EVACUATE = b"/oriolelock/Evacuations.Start/"
 RESTORE = b"/oriolelock/Evacuations.Stop/"
-RESOLVE = b"/oriolelock/resolve"
 METRICS = b"/metrics"
-TTL = "2s"
 JSON = ((b"content-type", b"application/json"),)
 
 log = events.Events("operator")
@@ -92,17 +90,6 @@
         fut = replica.operations.change(found)
         finish(exchange, fut, _change_answer, what, base=base, revision=number)
 
-    def resolve(exchange):
-        query = exchange.request.target.partition(b"?")[2].decode("latin-1")
-        given = dict(urllib.parse.parse_qsl(query))
-        found = replica.entries_for(
-            given.get("name", ""), given.get("region", ""), given.get("zone", "")
-        )
-        if not found:
-            exchange.reply(_error(503, "no entry is known"))
-            return
-        exchange.reply(_json(200, {"addresses": [m.address for m in found], "ttl": TTL}))
-
     def post(exchange, path):
         if path == PUT:
             change(exchange, routes.put_from, "put")
@@ -123,8 +110,6 @@
         req = exchange.request
         if req.method == b"POST":
             post(exchange, req.path)
-        elif req.path == RESOLVE:
-            resolve(exchange)
         elif req.path == READ:
             replica.answer_later(exchange, replica.operations.read(), _table_answer)
         elif req.path == METRICS:
--- a/oriolelock/platform/fields.py
+++ b/oriolelock/platform/fields.py
@@ -19,8 +19,9 @@
 # Tells this system's processes from others by mistake; the network between them is the platform's.
 CLUSTER_TOKEN = "oriolelock-on-platform"
 METRICS_PORT = 9464
-# Part of the bound on shifts between regions that one entry uses; the rest is for chance.
-SHIFT_PART = 0.7
+# The bound on shifts compares windows of 2 s: half of it each second would use all of it. The
+# rest is for chance, as each entry counts its own requests only.
+SHIFT_PART_PER_S = 0.28
 POLL_S = 0.5
 SNAPSHOT_EVERY = 500
 # Three heartbeats at least; a new leader must be found within the contracts' contact window.
@@ -114,6 +115,7 @@
             failure_domain=self.text("zone"),
             listen=self.address("listen.front"),
             ready_listen=self.address("listen.ready"),
+            lookup_listen=self.address("listen.directory"),
             link_listen=self._link(),
             metrics_listen=(self.text("ip"), METRICS_PORT),
             control=self.seeds(),
@@ -121,7 +123,7 @@
             retry_ratio=self.bound_number("retryBudgetRatio", 0.2),
             retry_allowance=self.bound_number("budgetExtraRetries", 20.0),
             retry_window_s=self.bound_s("budgetWindow", "10s"),
-            away_part=SHIFT_PART * self.bound_number("maxShiftFraction", 0.15),
+            shift_speed=SHIFT_PART_PER_S * self.bound_number("maxShiftFraction", 0.15),
             grace_s=self.bound_s("grace", "6s"),
             log_level="INFO",
         )
--- a/oriolelock/platform/programs.py
+++ b/oriolelock/platform/programs.py
@@ -66,9 +66,9 @@
 
 def _run_entry(path, found):
     from oriolelock.gateway import daemon
-    from oriolelock.platform import headers
+    from oriolelock.platform import headers, lookups
 
-    item = daemon.Gateway(found.gateway(), headers.DIALECT)
+    item = daemon.Gateway(found.gateway(), headers.DIALECT, lookups)
     signal.signal(signal.SIGTERM, lambda *_: item.loop.call_soon(item.leave))
     _watch(path, lambda changed: item.use_control(changed.seeds()))
     item.run()
@@ -83,8 +83,7 @@
     cfg = found.control()
     hosted.form_if_first(cfg, found.text("firstStart", "false") == "true")
     reader = instances.make_reader(found.address("cloud.address"), found.regions())
-    listens = [found.address(f"listen.{name}") for name in ("control", "directory")]
-    listens.append((found.text("ip"), fields.METRICS_PORT))
+    listens = [found.address("listen.control"), (found.text("ip"), fields.METRICS_PORT)]
     stopping = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stopping.set())
     item = hosted.Hosted(cfg, listens, _fail, reader, calls.make_handler)
--- a/oriolelock/settings/gateway.py
+++ b/oriolelock/settings/gateway.py
@@ -23,8 +23,8 @@
     """Durations in seconds. ``control``: link addresses of control replicas to start from.
 
     ``retry_ratio``, ``retry_allowance``, ``retry_window_s``: the fleet's budget for sending
-    requests once more, per service. ``away_part``: the largest part of the requests that may
-    run outside of the region in calm times. ``grace_s``: from SIGTERM to the end of the process.
+    requests once more, per service. ``shift_speed``: how fast the part of requests that run
+    outside of the region may change, per second. ``grace_s``: from SIGTERM to the end of the process.
     """
 
     name: str
@@ -33,6 +33,7 @@
     failure_domain: str
     listen: Address
     ready_listen: Address
+    lookup_listen: Address | None
     link_listen: Address
     metrics_listen: Address | None
     control: tuple[Address, ...]
@@ -40,7 +41,7 @@
     retry_ratio: float
     retry_allowance: float
     retry_window_s: float
-    away_part: float
+    shift_speed: float
     grace_s: float
     log_level: str
 
@@ -59,6 +60,7 @@
         failure_domain=getters.get_str(top, "failure_domain"),
         listen=getters.get_address(top, "listen"),
         ready_listen=getters.get_address(top, "ready_listen"),
+        lookup_listen=getters.get_address(top, "lookup_listen", None),
         link_listen=getters.get_address(top, "link_listen"),
         metrics_listen=getters.get_address(top, "metrics_listen", None),
         control=tuple(getters.get_address(control, name) for name in names),
@@ -66,7 +68,7 @@
         retry_ratio=getters.get_float(retries, "ratio", 0.1, high=1.0),
         retry_allowance=getters.get_float(retries, "allowance", 20.0),
         retry_window_s=getters.get_ms(retries, "window", 10_000.0, low=100.0) / 1000,
-        away_part=getters.get_float(top, "away_part", 0.1, high=1.0),
+        shift_speed=getters.get_float(top, "shift_speed", 0.04, high=1.0),
         grace_s=getters.get_ms(top, "grace", 6000.0, low=100.0) / 1000,
         log_level=getters.get_choice(log, "level", LOG_LEVELS, "INFO"),
     )
