--- a/oriolelock/dispatch/endpoint_view.py
+++ b/oriolelock/dispatch/endpoint_view.py
@@ -13,7 +13,7 @@
 __all__ = ["EndpointView", "Health", "Load"]
 
 # Requests of other entries come and go; a report counts half after this time.
-REPORT_HALF_LIFE_S = 1.0
+REPORT_HALF_LIFE_S = 2.0
 SLOWNESS_WEIGHT = 0.25
 MAX_SLOWNESS = 20.0
 # A slow endpoint gets no work and so no measurement; the belief fades to be tried again.
--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -20,8 +20,8 @@
 MAX_UNSENT = 3
 # Callers without a deadline.
 DEFAULT_DEADLINE_S = 30.0
-# One trip to the caller, so that an answer at the deadline still arrives.
-CALLER_TRIP_S = 0.012
+# Both trips between caller and entry, which the caller's deadline includes.
+CALLER_TRIP_S = 0.03
 # An answer that is on its way when the route's timeout passes is still delivered. Callers are
 # kept at most half a second beyond the timeout; the rest is for trips and a busy process.
 TIMEOUT_SLACK_S = 0.17
--- a/oriolelock/settings/gateway.py
+++ b/oriolelock/settings/gateway.py
@@ -24,7 +24,8 @@
 
     ``retry_ratio``, ``retry_allowance``, ``retry_window_s``: the fleet's budget for sending
     requests once more, per service. ``shift_speed``: how fast the part of requests that run
-    outside of the region may change, per second. ``grace_s``: from SIGTERM to the end of the process.
+    outside of the region may change, per second.
+    ``grace_s``: from SIGTERM to the end of the process.
     """
 
     name: str
