Put an object's requests on the same endpoint for all entries of a region

Cause: each entry learned on its own which endpoints have an object at hand, and preferred its failure domain, so that every object was made ready several times in a region; a run without the object takes three times as long. Change: the hash of the object weighs more than the failure domain (0.3 of a request's value); what an endpoint keeps is learned from how long requests take.

--- a/oriolelock/dispatch/chooser.py
+++ b/oriolelock/dispatch/chooser.py
@@ -26,7 +26,7 @@
 __all__ = ["Chooser"]
 
 REGION_TRIP_S = 0.05
-HASH_COST = 0.03
+HASH_COST = 0.3
 # How long a request may wait at its endpoint, as a part of its objective, by priority: the most
 # urgent wait as long as they can be served at all.
 WAIT_PARTS = (6.0, 1.6, 1.0)
@@ -246,6 +246,8 @@
             return
         worked_s = max(0.001, elapsed_s - sent.wait_s)
         if not sent.cold and view.slowness(now) < 1.5:
+            if sent.warm and times.has_affinity:
+                view.found(times.seems_warm(worked_s))
             times.observe(worked_s, sent.warm)
         if asked.key and times.has_affinity:
             view.handled(asked.key, now)
--- a/oriolelock/dispatch/endpoint_view.py
+++ b/oriolelock/dispatch/endpoint_view.py
@@ -22,8 +22,11 @@
 ERROR_HALF_LIFE_S = 4.0
 # After a shed the endpoint counts as full for this long.
 SHED_S = 0.15
-# Objects that an endpoint has handled; what it really keeps is not known.
-MAX_OBJECTS = 64
+# Objects that an endpoint probably keeps: how many is learned from how long requests take.
+MAX_OBJECTS = 64.0
+MIN_OBJECTS = 4.0
+KEEP_GROWTH = 0.1
+KEEP_FACTOR = 0.93
 BACKOFF_MIN_S = 0.5
 BACKOFF_MAX_S = 4.0
 
@@ -74,6 +77,7 @@
         # Gone from its address, or silent: not used before a health check passes.
         self.needs_check = False
         self.checking = False
+        self._keeps = MAX_OBJECTS
         self._objects: collections.OrderedDict[str, float] = collections.OrderedDict()
 
     def has_object(self, key: str) -> bool:
@@ -84,12 +88,15 @@
         """Note that it has handled an object."""
         self._objects[key] = now
         self._objects.move_to_end(key)
-        if len(self._objects) > MAX_OBJECTS:
+        while len(self._objects) > self._keeps:
             self._objects.popitem(last=False)
 
-    def forget_object(self, key: str) -> None:
-        """Note that it took as long as without the object."""
-        self._objects.pop(key, None)
+    def found(self, was_there: bool) -> None:
+        """Note whether an object that was expected at hand seems to have been there."""
+        if was_there:
+            self._keeps = min(MAX_OBJECTS, self._keeps + KEEP_GROWTH)
+        else:
+            self._keeps = max(MIN_OBJECTS, self._keeps * KEEP_FACTOR)
 
     def forget_objects(self) -> None:
         """It has started again and holds nothing."""
