--- a/oriolelock/cli/verbs.py
+++ b/oriolelock/cli/verbs.py
@@ -23,6 +23,7 @@
     "members": ("members", "list the instances of the system"),
     "status": ("status", "show which version every instance has in force"),
     "state": ("state", "show the state dump of one process"),
+    "explain": ("explain", "show what happened to one request, from logs"),
 }
 GROUPS = {
     "preset": "presets: put, list, use",
--- a/oriolelock/dispatch/chooser.py
+++ b/oriolelock/dispatch/chooser.py
@@ -29,7 +29,7 @@
 HASH_COST = 0.3
 # How long a request may wait at its endpoint, as a part of its objective, by priority: the most
 # urgent wait as long as they can be served at all.
-WAIT_PARTS = (6.0, 1.6, 1.0)
+WAIT_PARTS = (6.0, 3.0, 2.0)
 RETRY_AFTER_MIN_S = 0.1
 RETRY_AFTER_MAX_S = 1.0
 # Cold endpoints work at about half of their speed.
