Add a fault soak; keep subscribers of a cut-off replica until they decide themselves

Change: whether a list names members is told, not guessed; a cut-off publisher ends the subscriptions it had confirmed, but serves new ones unconfirmed; the uplink leaves these after 1.2 s.

--- a/oriolelock/consensus/election.py
+++ b/oriolelock/consensus/election.py
@@ -25,7 +25,7 @@
 
 
 # Leaves time to connect to the others.
-FIRST_TIMEOUT_PART = 0.4
+FIRST_TIMEOUT_PARTS = (0.25, 0.7)
 
 
 def reset_timer(node: state.Node, now: float) -> None:
@@ -40,7 +40,7 @@
     When all replicas start at once there is no leader to wait for; if there is one, the
     pre-vote keeps it.
     """
-    wait_s = node.rng.uniform(FIRST_TIMEOUT_PART, 1.0) * node.cfg.election_min_s
+    wait_s = node.rng.uniform(*FIRST_TIMEOUT_PARTS) * node.cfg.election_min_s
     node.election_deadline_s = now + wait_s
 
 
--- a/oriolelock/control/instance_list.py
+++ b/oriolelock/control/instance_list.py
@@ -106,9 +106,13 @@
 
 
 class InstanceDiff:
-    """Finds changes; counts for how many readings in a row an instance was missing."""
+    """Finds changes; counts for how many readings in a row an instance was missing.
 
-    def __init__(self) -> None:
+    ``names_members``: the list shows the instances of the system too.
+    """
+
+    def __init__(self, names_members: bool = True) -> None:
+        self._names_members = names_members
         self._missing: dict[str, int] = {}
 
     def find_changes(
@@ -126,8 +130,7 @@
         if not listed:
             return []
         known: dict = dict(cfg.endpoints)
-        if any(isinstance(item, member.Member) for item in listed.values()):
-            # A list that names no instance of the system says nothing about them.
+        if self._names_members:
             known |= cfg.members
         found = [change for item in listed.values() for change in _changes_of(cfg, item, leaving)]
         missing = [name for name in known if name not in listed and name not in seen]
--- a/oriolelock/control/overseer.py
+++ b/oriolelock/control/overseer.py
@@ -112,10 +112,11 @@
         )
 
     def _poll(self):
-        diff = instance_list.InstanceDiff()
+        names_members = bool(self._cfg.instance_list)
+        diff = instance_list.InstanceDiff(names_members)
         while not self._stopping.wait(self._cfg.instance_poll_s):
             if not self._replica.status().is_leader:
-                diff = instance_list.InstanceDiff()
+                diff = instance_list.InstanceDiff(names_members)
                 continue
             try:
                 listed = self._read_instances()
--- a/oriolelock/distribution/publisher.py
+++ b/oriolelock/distribution/publisher.py
@@ -19,7 +19,7 @@
 
 # Subscribers hear from the publisher at least each second, also without changes.
 CONFIRM_INTERVAL_S = 0.5
-CONFIRM_TIMEOUT_S = 1.0
+CONFIRM_TIMEOUT_S = 0.7
 # Deltas between two read confirmations count as confirmed for this long after the start of
 # the last one: an interval, a round trip between far regions, and some reserve.
 CONFIRMED_MAX_AGE_S = 1.2
@@ -134,10 +134,6 @@
             self._wake.set()
 
         started_s = clock.monotonic_s()
-        if self._confirmed_s is not None and not self.confirmed(started_s):
-            # Cut off from the leader: another parent can do better.
-            sub.close()
-            return
         with self._lock:
             is_known = sub in self._subscribers
             if is_known or len(self._subscribers) < self._max_subscribers:
--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -32,6 +32,8 @@
 # made them 3.2 s old at control after three hops, which is over its limit for live entries.
 PASS_ON_INTERVAL_S = 0.25
 UNCONFIRMED_LIMIT_S = 1.5
+# A parent that is not cut off confirms a new subscription within a few round trips.
+FIRST_CONFIRMATION_LIMIT_S = 1.2
 RECV_STEP_S = 0.2
 BACKOFF_MIN_S = 0.1
 BACKOFF_MAX_S = 0.6
@@ -230,7 +232,7 @@
         self._post(messages.Subscribe(self._greeting.name, self._held.cfg.index))
 
     def _read_until_broken(self, link):
-        vouched_s = clock.monotonic_s()
+        vouched_s, was_vouched = clock.monotonic_s(), False
         rebalance_s = vouched_s + self._rng.uniform(1.0, 2.0) * REBALANCE_AFTER_S
         report_due_s = pass_on_due_s = 0.0
         while not self._stopping.is_set():
@@ -240,8 +242,9 @@
                 self._post_reports(is_due)
                 pass_on_due_s = now + PASS_ON_INTERVAL_S
                 report_due_s = now + REPORT_INTERVAL_S if is_due else report_due_s
-            if now - vouched_s > UNCONFIRMED_LIMIT_S:
-                raise errors.Disconnected(f"not confirmed for {UNCONFIRMED_LIMIT_S} s")
+            limit_s = UNCONFIRMED_LIMIT_S if was_vouched else FIRST_CONFIRMATION_LIMIT_S
+            if now - vouched_s > limit_s:
+                raise errors.Disconnected(f"not confirmed for {limit_s} s")
             if now >= rebalance_s:
                 rebalance_s = now + REBALANCE_AFTER_S
                 if self._choose(now) != self._parent:
@@ -251,7 +254,7 @@
             msg = link.recv(max(0.0, min(RECV_STEP_S, due_s)))
             was_ready = self.is_ready
             if msg is not None and self._handle(msg):
-                vouched_s = clock.monotonic_s()
+                vouched_s, was_vouched = clock.monotonic_s(), True
                 if not was_ready:
                     report_due_s = 0.0
 
--- /dev/null
+++ b/oriolelock/soak/__init__.py
@@ -0,0 +1,6 @@
+"""
+oriolelock.soak
+~~~~~~~~~~~~~~~
+
+    A randomized soak: the real programs on loopback, with faults from outside of them.
+"""
--- /dev/null
+++ b/oriolelock/soak/fleet.py
@@ -0,0 +1,123 @@
+"""
+oriolelock.soak.fleet
+~~~~~~~~~~~~~~~~~~~~~
+
+    The real programs as processes on loopback addresses, ended by their ids only.
+"""
+
+import os
+import pathlib
+import shutil
+import signal
+import subprocess
+import sys
+import threading
+
+__all__ = ["Fleet"]
+
+PORT_CONTROL = 18649
+PORT_FRONT = 18641
+PORT_READY = 18640
+PORT_LOOKUP = 18644
+PORT_INNER = 17620
+STOP_LIMIT_S = 10.0
+
+
+class Fleet:
+    """``entries`` and ``controls`` are counts; every process has a loopback address of its own."""
+
+    def __init__(self, folder: pathlib.Path, net: int, entries: int, controls: int, listing: str):
+        self._folder = folder
+        self._listing = listing
+        self.control_hosts = [f"127.{net}.1.{n + 1}" for n in range(controls)]
+        self.entry_hosts = [f"127.{net}.2.{n + 1}" for n in range(entries)]
+        self._lock = threading.Lock()
+        self._processes: dict[str, subprocess.Popen] = {}
+        self._is_first = True
+        for host in (*self.control_hosts, *self.entry_hosts):
+            self._write(host)
+
+    def names(self) -> list[str]:
+        """Return the addresses of all processes."""
+        return [*self.control_hosts, *self.entry_hosts]
+
+    def _write(self, host):
+        number = int(host.rpartition(".")[2])
+        zone = f"z{number % 2 + 1}"
+        lines = [
+            f"nodeName=n-{host}",
+            f"ip={host}",
+            f"zone={zone}",
+            "region=r1",
+            "zones.z1=r1",
+            "zones.z2=r1",
+            f"listen.front={host}:{PORT_FRONT}",
+            f"listen.ready={host}:{PORT_READY}",
+            f"listen.directory={host}:{PORT_LOOKUP}",
+            f"listen.control={host}:{PORT_CONTROL}",
+            f"internalPortRange={PORT_INNER},{PORT_INNER + 15}",
+            "seeds=" + ",".join(f"{seed}:{PORT_CONTROL}" for seed in self.control_hosts[:3]),
+            f"firstStart={'true' if self._is_first else 'false'}",
+            "faultTolerance.machines=1",
+            f"dataDir={self._folder / host}",
+            f"cloud.address={self._listing}",
+            "bounds=grace=6s,retryBudgetRatio=0.2,budgetWindow=10s,budgetExtraRetries=60",
+        ]
+        temporary = self._folder / f"{host}.new"
+        temporary.write_text("\n".join(lines) + "\n", encoding="utf-8")
+        os.replace(temporary, self._folder / f"{host}.conf")
+
+    def start_all(self) -> None:
+        """Start every process for the first time."""
+        for host in self.names():
+            self.start(host)
+        self._is_first = False
+
+    def settle(self) -> None:
+        """Say in the settings that this is no first start any more."""
+        for host in self.names():
+            self._write(host)
+
+    def start(self, host: str) -> None:
+        """Start the process of an address unless it runs."""
+        role = "control" if host in self.control_hosts else "entry"
+        with self._lock:
+            old = self._processes.get(host)
+            if old is not None and old.poll() is None:
+                return
+            with open(self._folder / f"{host}.log", "ab") as log:
+                self._processes[host] = subprocess.Popen(
+                    [sys.executable, "-m", "oriolelock.platform", role],
+                    stdout=log,
+                    stderr=log,
+                    stdin=subprocess.DEVNULL,
+                    env={**os.environ, "ORIOLELOCK_SETTINGS": str(self._folder / f"{host}.conf")},
+                )
+
+    def signal(self, host: str, number: int) -> None:
+        """Send a signal to the process of an address."""
+        process = self._processes.get(host)
+        if process is not None and process.poll() is None:
+            process.send_signal(number)
+
+    def kill(self, host: str) -> None:
+        """End a process at once and wait for its end."""
+        self.signal(host, signal.SIGKILL)
+        process = self._processes.get(host)
+        if process is not None:
+            process.wait(STOP_LIMIT_S)
+
+    def wipe(self, host: str) -> None:
+        """Remove the data of a process that does not run."""
+        shutil.rmtree(self._folder / host, ignore_errors=True)
+
+    def ended(self) -> dict[str, int]:
+        """Return the exit codes of processes that do not run."""
+        found = {host: process.poll() for host, process in self._processes.items()}
+        return {host: code for host, code in found.items() if code is not None}
+
+    def stop_all(self) -> None:
+        """End everything that was started here."""
+        for host in list(self._processes):
+            self.signal(host, signal.SIGCONT)
+            self.kill(host)
--- a/tests/distribution/test_publisher.py
+++ b/tests/distribution/test_publisher.py
@@ -184,3 +184,14 @@
     conn.incoming.put(messages.UplinkCall("c1", once_messages.ReleaseKey("1-k", "1", False)))
     reply = conn.next(lambda msg: isinstance(msg, messages.UplinkReply))
     assert reply == messages.UplinkReply("c1", once_messages.Done(), "")
+
+
+def test_subscriptions_end_when_the_leader_is_out_of_reach(rig):
+    """An entry of a cut-off parent would miss changes that others have in force."""
+    conn = rig.connect(0)
+    conn.next(lambda msg: msg.confirmed)
+    rig.confirmable = False
+    cluster.wait_for(lambda: not rig.publisher.subscriber_names(), "the end of it", 4.0)
+    # A new one is told that nothing is confirmed, and decides for itself.
+    late = rig.connect(0)
+    assert not late.next(lambda msg: True).confirmed
--- /dev/null
+++ b/tests/soak/test_ledger.py
@@ -0,0 +1,70 @@
+"""The checks of the soak catch each broken promise, and the plan depends on the seed alone."""
+
+import pytest
+
+from oriolelock.soak import ledger, plan
+
+
+def run(name="a", endpoint="e", at_s=1.0, digest="h"):
+    return ledger.Run(name, endpoint, at_s, digest)
+
+
+def answer(name="a", idempotent=False, status=200, body=b"made", stamp="e"):
+    return ledger.Answer(name, idempotent, status, body, stamp, 0.1, 2.0, "h")
+
+
+def book(runs=(), answers=()):
+    found = ledger.Ledger()
+    for item in runs:
+        found.add_run(item, b"made")
+    for item in answers:
+        found.add_answer(item)
+    return found
+
+
+def test_a_good_run_breaks_nothing():
+    assert book([run()], [answer()]).broken() == []
+    refused = answer("b", status=503, body=b"", stamp="")
+    assert book([run()], [answer(), refused]).broken() == []
+
+
+@pytest.mark.parametrize(
+    ("found", "word"),
+    [
+        (book([run(), run(endpoint="f")], [answer()]), "twice"),
+        (book([run()], [answer(status=503, body=b"", stamp="")]), "refused"),
+        (book([run()], [answer(body=b"ma")]), "not the endpoint's"),
+        (book([run()], [answer(stamp="")]), "not the endpoint's"),
+        (book([run(digest="other")], [answer()]), "not as sent"),
+        (book([run("z")], []), "not as sent"),
+        (book([], [answer(status=-1)]), "no answer"),
+    ],
+)
+def test_each_broken_promise_is_caught(found, word):
+    assert any(line.startswith(word) for line in found.broken())
+
+
+def test_work_for_a_leaving_endpoint_is_caught():
+    found = book([run(at_s=20.0)], [answer()])
+    found.leaving["e"] = 20.0 - ledger.DRAIN_S - 0.1
+    assert found.broken()
+    found.leaving["e"] = 20.0 - ledger.DRAIN_S + 0.1
+    assert not found.broken()
+
+
+def test_older_and_lost_revisions_are_caught():
+    found = book()
+    found.acknowledged = [(1.0, 1), (2.0, 2)]
+    found.reads = [(1.5, 1), (2.5, 2)]
+    found.final_revision = 2
+    assert not found.broken()
+    found.reads.append((3.0, 1))
+    assert len(found.broken()) == 1
+    found.final_revision = 1
+    assert len(found.broken()) == 2
+
+
+def test_a_seed_gives_the_same_plan():
+    assert plan.make(7, 30.0) == plan.make(7, 30.0)
+    assert plan.make(7, 30.0) != plan.make(8, 30.0)
+    assert all(fault.kind in plan.KINDS for fault in plan.make(9, 200.0))
--- /dev/null
+++ b/tests/soak/test_short.py
@@ -0,0 +1,13 @@
+"""A short seeded run of the real programs; seeds that ever failed are added here."""
+
+import pytest
+
+from oriolelock.soak import main
+
+SEEDS = (1,)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.timeout(180)
+def test_promises_hold(seed, tmp_path):
+    assert main.play(seed, 8.0, 3, 3, 6, tmp_path) == []
