--- a/oriolelock/dispatch/service_times.py
+++ b/oriolelock/dispatch/service_times.py
@@ -18,6 +18,7 @@
 
     def __init__(self, objective_s: float, has_affinity: bool):
         self.has_affinity = has_affinity
+        self._counts = {True: 0, False: 0}
         self.warm_s = FIRST_WARM_PART * objective_s
         self.cold_s = FIRST_COLD_PART * objective_s if has_affinity else self.warm_s
 
@@ -32,10 +33,15 @@
     def observe(self, elapsed_s: float, warm: bool) -> None:
         """Take a measured service time; ``warm`` is what was expected."""
         if not self.has_affinity:
-            self.warm_s += WEIGHT * (elapsed_s - self.warm_s)
+            self.warm_s = self._smoothed(True, self.warm_s, elapsed_s)
             self.cold_s = self.warm_s
         elif warm and self.seems_warm(elapsed_s):
-            self.warm_s += WEIGHT * (elapsed_s - self.warm_s)
+            self.warm_s = self._smoothed(True, self.warm_s, elapsed_s)
         elif not self.seems_warm(elapsed_s):
-            self.cold_s += WEIGHT * (elapsed_s - self.cold_s)
-            self.cold_s = max(self.cold_s, self.warm_s)
+            self.cold_s = max(self.warm_s, self._smoothed(False, self.cold_s, elapsed_s))
+
+    def _smoothed(self, warm, old_s, elapsed_s):
+        """Return the mean of the first measurements, then a moving average."""
+        self._counts[warm] += 1
+        weight = max(WEIGHT, 1.0 / (self._counts[warm] + 1))
+        return old_s + weight * (elapsed_s - old_s)
--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -52,6 +52,8 @@
         self._sent_s = 0.0
         self._timer = None
         self._may_have_run = False
+        # An error of an endpoint, to be passed on if no other endpoint does better.
+        self._answer: messages.Response | None = None
 
     def start(self) -> None:
         """Route the request and send it on, or refuse it."""
@@ -160,15 +162,17 @@
         shared.chooser.answered(sent, self._asked, elapsed_s, found.load, bad, now)
         self._may_have_run = True
         self._tried |= {sent.view.endpoint.name}
+        passable = found.genuine and (self._route.idempotent or not found.promises)
+        self._answer = forwarded.to_caller(response) if passable else None
         if bad and self._route.idempotent and self._may_retry(now):
             self._attempt()
-        elif not found.genuine or (found.promises and not self._route.idempotent):
+        elif self._answer is None:
             # A status that promises "not run" would be untrue here.
             self._fail(502, "bad-answer")
         else:
             if not bad:
                 shared.completed(self._mark, now)
-            self._reply(forwarded.to_caller(response), "complete")
+            self._reply(self._answer, "complete")
 
     def _not_run(self, found, now):
         """The endpoint refused before it ran the request; another may take it."""
@@ -199,7 +203,9 @@
 
     def _give_up(self, reason, retry_after_s=0.3, wait_s=0.0):
         """End a request for which there is no endpoint (any more)."""
-        if self._may_have_run:
+        if self._answer is not None:
+            self._reply(self._answer, "complete")
+        elif self._may_have_run:
             self._fail(502, reason)
         else:
             self._refuse(503, reason, retry_after_s, wait_s)
--- a/tests/dispatch/test_parts.py
+++ b/tests/dispatch/test_parts.py
@@ -133,6 +133,13 @@
     assert times.warm_s == pytest.approx(0.26, abs=0.02)
 
 
+def test_first_measurements_replace_the_guess():
+    times = service_times.ServiceTimes(4.0, True)
+    for _ in range(4):
+        times.observe(3.5, warm=False)
+    assert times.cold_s == pytest.approx(3.5, abs=0.5)
+
+
 def test_time_cost_grows_and_never_prefers_a_missed_deadline():
     values = [costs.time_cost(t / 100, 0.6, 1.2) for t in range(1, 130)]
     assert values == sorted(values)
--- a/tests/gateway/test_flow.py
+++ b/tests/gateway/test_flow.py
@@ -78,6 +78,14 @@
     assert all(len(item.requests) for item in path.endpoints.values())
 
 
+def test_an_endpoints_error_is_passed_on_when_no_other_can_do_better(path):
+    path.add("x", failing)
+    path.configure()
+    status, head, body = path.send(b"/safe/1")
+    assert (status, body) == (500, b"broken")
+    assert b"x-stamp: s" in head
+
+
 def test_attempts_are_bounded_by_the_route(path):
     for name in ("x", "y", "z"):
         path.add(name, shedding)
