Move the soak to the tests, remove what nothing uses

The soak speaks the platform's protocol, which only the adapter, tests and deploy/ know. Unused: a fact of answers, a getter, settings of the route entry in YAML, an argument.

--- a/oriolelock/control/route_operations.py
+++ b/oriolelock/control/route_operations.py
@@ -22,7 +22,7 @@
 ALWAYS_S = 0.0
 
 
-def precheck(change: changes.RouteChange, current: route_table.RouteTable) -> str:
+def precheck(change: changes.RouteChange) -> str:
     """Return why a change can't be valid on any table, or an empty text."""
     if not isinstance(change, changes.PutRoutes):
         return ""
--- a/oriolelock/gateway/facts.py
+++ b/oriolelock/gateway/facts.py
@@ -22,14 +22,13 @@
 class AnswerFacts:
     """``not_run``: the endpoint did not run it; ``misdirected``: it is another endpoint;
     ``genuine``: it can be passed on as this endpoint's answer; ``failed``: an error of the
-    endpoint itself; ``leaving``: it ends its connections."""
+    endpoint itself; ``promises``: its status says "not run"."""
 
     not_run: bool
     misdirected: bool
     genuine: bool
     failed: bool
     promises: bool
-    leaving: bool
     load: endpoint_view.Load | None
 
 
@@ -44,7 +43,6 @@
         genuine=genuine or not 200 <= response.status < 300,
         failed=not not_run and response.status >= 500,
         promises=response.status in PROMISES,
-        leaving=(response.header(b"connection") or b"").lower() == b"close",
         load=words.parse_load(load) if load else None,
     )
 
--- a/oriolelock/platform/calls.py
+++ b/oriolelock/platform/calls.py
@@ -79,7 +79,7 @@
         base = (req.header(headers.BASE_VERSION) or b"r0").decode("latin-1")
         try:
             found = read(base, req.body)
-            problem = route_operations.precheck(found, replica.replica.configuration().table)
+            problem = route_operations.precheck(found)
             if problem:
                 raise errors.InvalidData(problem)
         except errors.InvalidData as exc:
--- a/oriolelock/platform/fields.py
+++ b/oriolelock/platform/fields.py
@@ -47,10 +47,6 @@
         """Return an address."""
         return getters.get_address(self._node, key)
 
-    def is_set(self, key: str) -> bool:
-        """Return whether a value is there and not empty."""
-        return bool(self._values.get(key))
-
     def addresses(self, key: str) -> tuple[tuple[str, int], ...]:
         """Return a list of addresses."""
         found = [part for part in self.text(key, "").split(",") if part]
--- a/oriolelock/settings/gateway.py
+++ b/oriolelock/settings/gateway.py
@@ -2,18 +2,13 @@
 oriolelock.settings.gateway
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-    Settings of the entry for routes.
+    Settings of the entry for routes; they are read from the file of the platform it runs on.
 """
 
 import dataclasses
 import typing
 
-from oriolelock.settings import getters
-from oriolelock.settings import node as nodes
-
-__all__ = ["GatewaySettings", "parse"]
-
-LOG_LEVELS = ("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR", "CRITICAL")
+__all__ = ["GatewaySettings"]
 
 Address: typing.TypeAlias = tuple[str, int]
 
@@ -45,31 +40,3 @@
     shift_speed: float
     grace_s: float
     log_level: str
-
-
-def parse(top: nodes.Node) -> GatewaySettings:
-    """Return the settings in ``top``; raises SettingsError."""
-    log = getters.get_node(top, "log", {})
-    retries = getters.get_node(top, "retries", {})
-    listed = getters.get_list(top, "control")
-    control = top.child("control", {f"[{n}]": item for n, item in enumerate(listed)})
-    names = control.keys()
-    return GatewaySettings(
-        name=getters.get_str(top, "name"),
-        cluster=getters.get_str(top, "cluster"),
-        region=getters.get_str(top, "region"),
-        failure_domain=getters.get_str(top, "failure_domain"),
-        listen=getters.get_address(top, "listen"),
-        ready_listen=getters.get_address(top, "ready_listen"),
-        lookup_listen=getters.get_address(top, "lookup_listen", None),
-        link_listen=getters.get_address(top, "link_listen"),
-        metrics_listen=getters.get_address(top, "metrics_listen", None),
-        control=tuple(getters.get_address(control, name) for name in names),
-        cluster_token=getters.get_str(top, "cluster_token"),
-        retry_ratio=getters.get_float(retries, "ratio", 0.1, high=1.0),
-        retry_allowance=getters.get_float(retries, "allowance", 20.0),
-        retry_window_s=getters.get_ms(retries, "window", 10_000.0, low=100.0) / 1000,
-        shift_speed=getters.get_float(top, "shift_speed", 0.04, high=1.0),
-        grace_s=getters.get_ms(top, "grace", 6000.0, low=100.0) / 1000,
-        log_level=getters.get_choice(log, "level", LOG_LEVELS, "INFO"),
-    )
--- a/oriolelock/soak/__init__.py
+++ /dev/null
@@ -1,6 +0,0 @@
-"""
-oriolelock.soak
-~~~~~~~~~~~~~~~
-
-    A randomized soak: the real programs on loopback, with faults from outside of them.
-"""
--- a/tests/soak/__init__.py
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: the real programs on loopback, with faults from outside of them."""
--- a/oriolelock/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,9 +1,4 @@
-"""
-oriolelock.soak.callers
-~~~~~~~~~~~~~~~~~~~~~~~
-
-    Callers that keep their connections until these end, and an operator that changes routes.
-"""
+"""Callers that keep their connections until these end, and an operator that changes routes."""
 
 import hashlib
 import json
@@ -14,7 +9,7 @@
 
 import h11
 
-from oriolelock.soak import fleet, ledger
+from tests.soak import fleet, ledger
 
 __all__ = ["Caller", "Operator"]
 
--- a/oriolelock/soak/endpoint.py
+++ b/tests/soak/endpoint.py
@@ -1,9 +1,4 @@
-"""
-oriolelock.soak.endpoint
-~~~~~~~~~~~~~~~~~~~~~~~~
-
-    An endpoint behind a faulty link: it delays, resets, falls silent or cuts answers short.
-"""
+"""An endpoint behind a faulty link: it delays, resets, falls silent or cuts answers short."""
 
 import contextlib
 import hashlib
@@ -15,7 +10,7 @@
 
 import h11
 
-from oriolelock.soak import ledger
+from tests.soak import ledger
 
 __all__ = ["Endpoint"]
 
--- a/oriolelock/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -1,9 +1,4 @@
-"""
-oriolelock.soak.fleet
-~~~~~~~~~~~~~~~~~~~~~
-
-    The real programs as processes on loopback addresses, ended by their ids only.
-"""
+"""The real programs as processes on loopback addresses, ended by their ids only."""
 
 import os
 import pathlib
--- a/oriolelock/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -1,9 +1,4 @@
-"""
-oriolelock.soak.ledger
-~~~~~~~~~~~~~~~~~~~~~~
-
-    What callers, endpoints and operators saw, and which promises that breaks.
-"""
+"""What callers, endpoints and operators saw, and which promises that breaks."""
 
 import collections
 import dataclasses
--- a/oriolelock/soak/main.py
+++ b/tests/soak/main.py
@@ -1,9 +1,4 @@
-"""
-oriolelock.soak.main
-~~~~~~~~~~~~~~~~~~~~
-
-    ``scripts/soak``: plays seeds and says which promise each of them broke.
-"""
+"""``scripts/soak``: plays seeds and says which promise each of them broke."""
 
 import argparse
 import http.server
@@ -16,7 +11,7 @@
 import threading
 import time
 
-from oriolelock.soak import callers, endpoint, fleet, ledger, plan
+from tests.soak import callers, endpoint, fleet, ledger, plan
 
 __all__ = ["main", "play"]
 
--- a/oriolelock/soak/plan.py
+++ b/tests/soak/plan.py
@@ -1,9 +1,4 @@
-"""
-oriolelock.soak.plan
-~~~~~~~~~~~~~~~~~~~~
-
-    Which faults come when: the same seed gives the same plan.
-"""
+"""Which faults come when: the same seed gives the same plan."""
 
 import dataclasses
 import random
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from oriolelock.soak import ledger, plan
+from tests.soak import ledger, plan
 
 
 def run(name="a", endpoint="e", at_s=1.0, digest="h"):
--- a/tests/soak/test_short.py
+++ b/tests/soak/test_short.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from oriolelock.soak import main
+from tests.soak import main
 
 SEEDS = (1,)
 
