--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -20,6 +20,7 @@
 CALM_SERVED = 0.8
 PORT_ENDPOINT = 18080
 PORT_LIST = 18642
+NETS = 200
 
 
 class _List:
@@ -133,17 +134,29 @@
             item.mode = ""
 
 
+def _take_net(seed, endpoints):
+    """Return a part of the loopback range that no other soak uses, and the list served there."""
+    for offset in range(NETS):
+        net = 10 + (seed + offset) % NETS
+        try:
+            return net, _List(f"127.{net}.4.1", endpoints)
+        except OSError:
+            # Another soak on this machine has it.
+            continue
+    raise RuntimeError("every part of the loopback range is in use")
+
+
 def play(
     seed: int, length_s: float, entries: int, controls: int, endpoints: int, folder: pathlib.Path
 ) -> list[str]:
     """Play one seed and return a line for each broken promise."""
-    net = 10 + seed % 200
     book = ledger.Ledger()
-    served = [
+    served: list[endpoint.Endpoint] = []
+    net, listing = _take_net(seed, served)
+    served += [
         endpoint.Endpoint(f"e{n}", f"127.{net}.3.{n + 1}", PORT_ENDPOINT, book, seed + n)
         for n in range(endpoints)
     ]
-    listing = _List(f"127.{net}.4.1", served)
     group = fleet.Fleet(folder, net, entries, controls, f"127.{net}.4.1:{PORT_LIST}")
     operator = callers.Operator(group.control_hosts, book, seed)
     asking: list[callers.Caller] = []
