Keep one rule for replaced endpoints; remove two unused methods

A misdirected request and a health check answered by another endpoint applied the same backoff in two places. Behaviour is unchanged.

--- a/oriolelock/control/overseer.py
+++ b/oriolelock/control/overseer.py
@@ -77,10 +77,6 @@
             except Exception:
                 log.exception("A round failed.")
 
-    def entry_ages(self) -> dict[str, float]:
-        """Return seconds since the latest report of each instance."""
-        return self._reports.ages(clock.monotonic_s())
-
     def _watch_once(self, now):
         self.take_local(messages.StatusBatch((self._own_report(),)))
         self._replica.broadcast(report_packing.pack(self._reports.take_fresh(now).reports))
--- a/oriolelock/dispatch/endpoint_view.py
+++ b/oriolelock/dispatch/endpoint_view.py
@@ -29,6 +29,8 @@
 KEEP_FACTOR = 0.93
 BACKOFF_MIN_S = 0.5
 BACKOFF_MAX_S = 4.0
+# The instance list will say what became of a replaced endpoint; until then the longest backoff.
+FAILURES_OF_REPLACED = 3
 
 
 @dataclasses.dataclass(frozen=True)
@@ -175,6 +177,11 @@
         self.out_until_s = now + backoff_s
         self.needs_check = True
 
+    def replaced(self, now: float) -> None:
+        """Note that another endpoint has its address; it rests longer than after one failure."""
+        self.failures = max(self.failures, FAILURES_OF_REPLACED)
+        self.failed(now)
+
     def broke_off(self, now: float) -> None:
         """Note that it ended a connection without an answer; others may still work."""
         self._errors = self.error_part(now) * (1 - ERROR_WEIGHT) + ERROR_WEIGHT
@@ -191,8 +198,7 @@
             return
         if health.instance and health.instance != self.endpoint.name:
             # Another endpoint has its address; the instance list will say what became of it.
-            self.failures = max(self.failures, 3)
-            self.failed(now)
+            self.replaced(now)
             return
         self.needs_check = False
         self.out_until_s = 0.0
--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -140,8 +140,7 @@
     def misdirected(self, view: endpoint_view.EndpointView, now: float) -> None:
         """Note that another endpoint answers at the address."""
         log.notable("endpoint-replaced", endpoint=view.endpoint.name)
-        view.failures = max(view.failures, 3)
-        view.failed(now)
+        view.replaced(now)
         self.pool.drop(view.endpoint.name)
 
     def lost(self, view: endpoint_view.EndpointView, mark: str, reason: str, now: float) -> None:
--- a/oriolelock/gateway/pool.py
+++ b/oriolelock/gateway/pool.py
@@ -68,8 +68,3 @@
                 else:
                     conn.close()
             self._idle[name] = kept
-
-    def close(self) -> None:
-        """Close all idle connections."""
-        for name in list(self._idle):
-            self.drop(name)
