Divide requests among regions by object, from capacity; let entries hear of each other's answers

Change: dispatch/region_split gives each region an interval of objects, from slots and entries at the start, then at the same bounded speed as before (its tests on shifts replace those of region_share, as strict, with one more direction); endpoints are ranked for an object instead of weighted; gateway/gossip passes on loads and objects by datagrams, 5 a second to 5 entries.

Also the known red tests: a planned stop asks for another leader until there is one (asked once, a follower that was not in contact in that moment meant no hand-over); a refusal reaches a caller that is still sending (the connection was reset). Both have a test that failed first.

--- a/oriolelock/bench/cmdline.py
+++ b/oriolelock/bench/cmdline.py
@@ -28,7 +28,10 @@
     "lookup": ("lookup", "lookups per second of an entry; bytes of its load polls"),
     "tree": ("tree", "the relay tree of a failure domain: depth, children, loss of a head"),
     "restart": ("restart", "restarted entries: bytes, time to be ready, memory of the process"),
-    "policy": ("policy", "routing decisions of a model fleet: benefit, warmth, shifts between regions"),
+    "policy": (
+        "policy",
+        "routing decisions of a model fleet: benefit, warmth, shifts between regions",
+    ),
 }
 
 
--- a/oriolelock/bench/policy/endpoint_model.py
+++ b/oriolelock/bench/policy/endpoint_model.py
@@ -47,18 +47,18 @@
         is_warm = key in self._kept
         work_s = self._work.mean_s * self._rng.lognormvariate(0.0, 0.15)
         work_s *= 1.0 - self._work.saved * is_warm
+        self._kept[key] = None
+        self._kept.move_to_end(key)
+        while len(self._kept) > self._work.keeps:
+            self._kept.popitem(last=False)
         self._running += 1
         self.runs += 1
         self.warm_runs += is_warm
-        self._schedule(min(now + work_s, until_s), self._end, key, now + work_s <= until_s, done)
+        self._schedule(min(now + work_s, until_s), self._end, now + work_s <= until_s, done)
 
-    def _end(self, now, key, is_whole, done):
+    def _end(self, now, is_whole, done):
         self._running -= 1
         if is_whole:
-            self._kept[key] = None
-            self._kept.move_to_end(key)
-            while len(self._kept) > self._work.keeps:
-                self._kept.popitem(last=False)
             done(now, True)
         while self._waiting and self._running < self._work.slots:
             key, until_s, done = self._waiting.popleft()
--- a/oriolelock/control/replica.py
+++ b/oriolelock/control/replica.py
@@ -8,13 +8,13 @@
 import collections.abc
 import concurrent.futures
 import dataclasses
-import threading
 
 from oriolelock import logs
 from oriolelock.consensus import messages as consensus_messages
 from oriolelock.consensus import node_settings
 from oriolelock.control import (
     calls,
+    hand_over,
     host,
     host_settings,
     host_status,
@@ -33,9 +33,6 @@
 
 __all__ = ["Replica", "form"]
 
-# Bounds the wait for another leader at a planned stop.
-HAND_OVER_TIMEOUT_S = 2.0
-HAND_OVER_CHECK_S = 0.05
 # A replica with an outdated idea of the leader passes a request to join on once more.
 MAX_JOIN_HOPS = 2
 
@@ -108,16 +105,7 @@
 
     def hand_over(self) -> None:
         """Hand leadership of all groups to other replicas; returns after 2 s at the latest."""
-        leading = [item for item in self._hosts.values() if item.status().is_leader]
-        for item in leading:
-            item.transfer()
-        waiter = threading.Event()
-        for _ in range(round(HAND_OVER_TIMEOUT_S / HAND_OVER_CHECK_S)):
-            if not any(item.status().is_leader for item in leading):
-                log.info("Leadership of {} groups is handed over.", len(leading))
-                return
-            waiter.wait(HAND_OVER_CHECK_S)
-        log.warning("No other replica took over in time.")
+        hand_over.hand_over(self._hosts.values())
 
     def stop(self) -> None:
         """Stop all threads of the replica."""
--- a/oriolelock/dispatch/chooser.py
+++ b/oriolelock/dispatch/chooser.py
@@ -17,8 +17,9 @@
     costs,
     decisions,
     endpoint_view,
+    observation,
     ranking,
-    region_share,
+    region_split,
     service_times,
 )
 from oriolelock.model import configuration, endpoint, service
@@ -26,7 +27,11 @@
 __all__ = ["Chooser"]
 
 REGION_TRIP_S = 0.05
-HASH_COST = 0.3
+# Of each rank below the preferred endpoint of an object, up to the largest rank that counts.
+RANK_COST = 0.06
+MAX_RANK = 4
+# Objects whose order of endpoints is remembered; about 10 KB each with 100 endpoints.
+MAX_RANKED_KEYS = 512
 # How long a request may wait at its endpoint, as a part of its objective, by priority: the most
 # urgent wait as long as they can be served at all.
 WAIT_PARTS = (6.0, 3.0, 2.0)
@@ -61,9 +66,13 @@
         self._by_service: dict[str, list[endpoint_view.EndpointView]] = {}
         self._services: dict[str, service.Service] = {}
         self._drained: set[str] = set()
+        self._by_digest: dict[int, endpoint_view.EndpointView] = {}
+        # Of each service and object: the rank of the endpoints by name.
+        self._ranked: dict[tuple[str, str], dict[str, int]] = {}
         self._times: dict[str, service_times.ServiceTimes] = {}
         self._cold = cold_quota.ColdQuota()
-        self._away = region_share.RegionShare(shift_speed)
+        self._shift_speed = shift_speed
+        self._splits: dict[str, region_split.RegionSplit] = {}
         self._entries_of_region: dict[str, tuple[str, ...]] = {}
         self.entries = 1
         self._is_configured = False
@@ -83,9 +92,12 @@
                 self.views[name].needs_check = True
         self._drained = drained
         self._by_service = {}
+        self._ranked.clear()
+        self._by_digest = {_view_digest(view): view for view in self.views.values()}
         for view in self.views.values():
             self._by_service.setdefault(view.endpoint.service, []).append(view)
         self._cold.retain(self.views)
+        self._splits = {k: v for k, v in self._splits.items() if k in cfg.table.services}
         self._times = {k: v for k, v in self._times.items() if k in cfg.table.routes}
         self._is_configured = self._is_configured or bool(cfg.endpoints)
 
@@ -131,19 +143,17 @@
     def choose(self, asked: decisions.Question, now: float) -> decisions.Send | decisions.Refuse:
         """Return where to send a request now, or why it is refused."""
         times = self.times(asked.route)
-        near, far = [], []
+        by_region: dict[str, list[endpoint_view.EndpointView]] = {}
         for view in self._by_service.get(asked.service, ()):
-            if not self._may_use(view, asked, now):
-                continue
-            (near if view.endpoint.region == self._region else far).append(view)
-        best_near = self._best(near, asked, times, now)
-        best_far = self._best(far, asked, times, now)
-        chosen = self._between_regions(bool(near), best_near, best_far, now)
+            if self._may_use(view, asked, now):
+                by_region.setdefault(view.endpoint.region, []).append(view)
+        if not by_region:
+            return decisions.Refuse("no-endpoint", self._jittered(0.4))
+        bests = {name: self._best(found, asked, times, now) for name, found in by_region.items()}
+        chosen = self._among_regions(bests, asked, now)
         if chosen is not None:
             return chosen
-        if not near and not far:
-            return decisions.Refuse("no-endpoint", self._jittered(0.4))
-        wait_s = min(best_near.wait_s, best_far.wait_s)
+        wait_s = min(best.wait_s for best in bests.values())
         return decisions.Refuse("overloaded", self._jittered(wait_s / 2.0), wait_s)
 
     def _best(self, views, asked, times, now):
@@ -156,16 +166,32 @@
                 best, best_cost = found, cost
         return _Best(best, best_cost, least_wait_s)
 
-    def _between_regions(self, has_near, near, far, now):
+    def _among_regions(self, bests, asked, now):
         """Return the candidate of the region whose turn it is, or None when it has none."""
-        if not has_near:
-            return far.send
-        if near.send is None and far.send is None:
-            return None
-        self._away.wish(far.cost < near.cost, now)
-        if far.send is not None and self._away.is_away_due():
-            return far.send
-        return near.send
+        split = self._split(asked.service)
+        wished = min(bests, key=lambda name: bests[name].cost)
+        if bests[wished].send is not None:
+            split.wish(wished, now)
+        position = ranking.position(asked.key) if asked.key else self._rng.random()
+        order = [name for name in split.order(position) if name in bests]
+        if self._region not in bests:
+            order.append(wished)
+        elif not order or bests[order[0]].send is None:
+            order = [self._region]
+        return bests[order[0]].send
+
+    def _split(self, name):
+        found = self._splits.get(name)
+        if found is None:
+            slots: dict[str, float] = {}
+            for view in self._by_service.get(name, ()):
+                item = view.endpoint
+                slots[item.region] = slots.get(item.region, 0.0) + item.slots
+            entries = {region: len(names) for region, names in self._entries_of_region.items()}
+            shares = region_split.starting_shares(self._region, slots, entries)
+            found = region_split.RegionSplit(self._region, shares, self._shift_speed)
+            self._splits[name] = found
+        return found
 
     def _jittered(self, delay_s):
         bounded_s = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, delay_s))
@@ -192,7 +218,7 @@
     def _estimate(self, view, asked, times, now):
         item = view.endpoint
         away = item.region != self._region
-        warm = not times.has_affinity or (bool(asked.key) and view.has_object(asked.key))
+        warm = not times.has_affinity or (bool(asked.key) and view.has_object(asked.digest))
         is_cold = view.is_cold(now)
         wait_s = view.wait_s(times.expected_s(warm), now)
         service_s = times.expected_s(warm) * view.slowness(now)
@@ -209,11 +235,27 @@
         if not warm:
             cost += costs.COLD_RUN
         if asked.key:
-            cost -= HASH_COST * ranking.weight(asked.key, item.name) / 2.0**64
+            cost += RANK_COST * min(MAX_RANK, self._ranks(asked)[item.name])
         else:
-            cost -= HASH_COST * self._rng.random()
+            cost += RANK_COST * MAX_RANK * self._rng.random()
         return found, cost
 
+    def _ranks(self, asked):
+        """Return the rank of each endpoint among those of its region, 0 for the preferred one."""
+        found = self._ranked.get((asked.service, asked.key))
+        if found is None:
+            if len(self._ranked) >= MAX_RANKED_KEYS:
+                self._ranked.clear()
+            by_region: dict[str, list[str]] = {}
+            for view in self._by_service.get(asked.service, ()):
+                by_region.setdefault(view.endpoint.region, []).append(view.endpoint.name)
+            found = self._ranked[(asked.service, asked.key)] = {
+                name: rank
+                for names in by_region.values()
+                for rank, name in enumerate(ranking.order(asked.key, names))
+            }
+        return found
+
     def _fits(self, found, asked):
         if found.wait_s + found.service_s >= asked.left_s:
             return found.wait_s <= 0.0 and asked.left_s > 0.5 * found.service_s
@@ -223,7 +265,7 @@
     def started(self, sent: decisions.Send, number: int, now: float) -> None:
         """Note that a request was sent as chosen."""
         sent.view.started(number, sent.wait_s + sent.service_s, now)
-        self._away.sent(sent.away)
+        self._split(sent.view.endpoint.service).sent(sent.view.endpoint.region)
         if sent.cold:
             self._cold.sent(sent.view.endpoint.name, now)
 
@@ -250,4 +292,24 @@
                 view.found(times.seems_warm(worked_s))
             times.observe(worked_s, sent.warm)
         if asked.key and times.has_affinity:
-            view.handled(asked.key, now)
+            view.handled(asked.digest, now)
+
+    def learned(
+        self, view: endpoint_view.EndpointView, key: str, load: endpoint_view.Load | None
+    ) -> observation.Observation:
+        """Return what other entries may learn from an answer; ``key``: of the object handled."""
+        return observation.Observation(_view_digest(view), ranking.digest(key) if key else 0, load)
+
+    def observed(self, found: observation.Observation, now: float) -> None:
+        """Take what another entry has learned a moment ago."""
+        view = self._by_digest.get(found.endpoint)
+        if view is None:
+            return
+        if found.load is not None:
+            view.reported(found.load, now)
+        if found.object_digest:
+            view.handled(found.object_digest, now)
+
+
+def _view_digest(view):
+    return ranking.digest(f"{view.endpoint.name}\n{view.endpoint.started_ms}")
--- a/oriolelock/dispatch/decisions.py
+++ b/oriolelock/dispatch/decisions.py
@@ -6,8 +6,9 @@
 """
 
 import dataclasses
+import functools
 
-from oriolelock.dispatch import endpoint_view
+from oriolelock.dispatch import endpoint_view, ranking
 from oriolelock.model import route
 
 __all__ = ["Question", "Refuse", "Send"]
@@ -25,6 +26,11 @@
     objective_s: float
     tried: frozenset[str] = frozenset()
 
+    @functools.cached_property
+    def digest(self) -> int:
+        """A number that stands for the object on every entry; 0 for none."""
+        return ranking.digest(self.key) if self.key else 0
+
 
 @dataclasses.dataclass(frozen=True)
 class Send:
--- a/oriolelock/dispatch/endpoint_view.py
+++ b/oriolelock/dispatch/endpoint_view.py
@@ -80,13 +80,13 @@
         self.needs_check = False
         self.checking = False
         self._keeps = MAX_OBJECTS
-        self._objects: collections.OrderedDict[str, float] = collections.OrderedDict()
+        self._objects: collections.OrderedDict[int, float] = collections.OrderedDict()
 
-    def has_object(self, key: str) -> bool:
-        """Return whether it has probably the object at hand."""
+    def has_object(self, key: int) -> bool:
+        """Return whether it has probably the object with this digest at hand."""
         return key in self._objects
 
-    def handled(self, key: str, now: float) -> None:
+    def handled(self, key: int, now: float) -> None:
         """Note that it has handled an object."""
         self._objects[key] = now
         self._objects.move_to_end(key)
--- a/oriolelock/dispatch/ranking.py
+++ b/oriolelock/dispatch/ranking.py
@@ -11,7 +11,12 @@
 
 import xxhash
 
-__all__ = ["order", "weight"]
+__all__ = ["digest", "order", "position", "weight"]
+
+
+def digest(key: str) -> int:
+    """Return a number of 32 bits that stands for ``key``, the same on every entry."""
+    return xxhash.xxh32_intdigest(key.encode())
 
 
 def weight(key: str, name: str) -> int:
@@ -22,3 +27,8 @@
 def order(key: str, names: collections.abc.Iterable[str]) -> list[str]:
     """Return ``names``, the preferred one for ``key`` first."""
     return sorted(names, key=lambda name: weight(key, name), reverse=True)
+
+
+def position(key: str) -> float:
+    """Return a position from 0 to 1 that is independent of the ranks."""
+    return xxhash.xxh3_64_intdigest(key.encode()) / 2.0**64
--- a/oriolelock/entry/http_server.py
+++ b/oriolelock/entry/http_server.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import json
+import socket
 import threading
 
 import cheroot.server
@@ -22,7 +23,9 @@
 # half a request kept 64 threads from all others for 15 s.
 SLOW_READS_PART = 0.25
 WRITE_LIMIT_S = 10.0
+# For sending a refusal and for the caller to close after it.
 REFUSAL_LIMIT_S = 1.0
+LINGER_BYTES = 64 * 1024
 KEEP_ALIVE_S = 60.0
 # Also the longest time until the accepting thread notices a stop.
 EXPIRATION_INTERVAL_S = 0.2
@@ -56,6 +59,7 @@
         self.server.on_refusal(reason)
         self.conn.socket.set_limit(REFUSAL_LIMIT_S)
         self.conn.wfile.write("\r\n".join([*lines, "", ""]).encode("latin-1") + body)
+        self.conn.linger_after_refusal()
 
     def send_headers(self):
         """Send status and headers; while the server is leaving, end the connection after."""
@@ -100,6 +104,18 @@
         super().__init__(server, limited, http_writer.make_file)
         self.received_s: float | None = None
 
+    def linger_after_refusal(self):
+        """End the own side and read what still arrives: unread bytes would reset the connection
+        and take the refusal away from a caller that is still sending."""
+        self.wfile.flush()
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+            rest = bytearray(LINGER_BYTES)
+            while self.socket.recv_into(rest):
+                pass
+        except OSError as exc:
+            log.debug("a refused caller did not close in time: {}", exc)
+
     def communicate(self):
         """Read and answer one request."""
         self.socket.set_limit(READ_LIMIT_S)
--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -12,7 +12,7 @@
 from oriolelock.admission import quarantine
 from oriolelock.dispatch import chooser, endpoint_view, retry_window, route_index, splitter
 from oriolelock.gateway import dialect as dialects
-from oriolelock.gateway import facts, pool, request_metrics
+from oriolelock.gateway import facts, gossip, pool, request_metrics
 from oriolelock.http1 import loop as loops
 from oriolelock.http1 import messages, outbound, transfers
 from oriolelock.model import configuration
@@ -50,6 +50,7 @@
         self.chooser = chooser.Chooser(
             cfg.name, cfg.region, cfg.failure_domain, cfg.shift_speed, rng
         )
+        self.gossip = gossip.Gossip(loop, cfg.link_listen, cfg.cluster_token, self._hear, rng)
         self._quarantine = quarantine.Quarantine()
         self._splitters: dict[str, splitter.Splitter] = {}
         self._retries: dict[str, retry_window.RetryWindow] = {}
@@ -91,9 +92,22 @@
             )
         if cfg.drains != old.drains:
             log.notable("drains", targets=sorted(d.target for d in cfg.drains.values()))
+        self.gossip.use_peers(self._peers(cfg))
         self._quarantine.configure(cfg.crashes)
         self.chooser.configure(cfg, now, clock.wall_s())
 
+    def _peers(self, cfg):
+        """Yield the addresses of the other entries of the region."""
+        own = self._settings
+        for item in cfg.members.values():
+            if item.role == "entry" and item.state == "live" and item.region == own.region:
+                host, _, port = item.link_address.partition(":")
+                if item.name != own.name and port.isdigit():
+                    yield host, int(port)
+
+    def _hear(self, found):
+        self.chooser.observed(found, clock.monotonic_s())
+
     def splitter(self, item) -> splitter.Splitter:
         """Return what divides a route's requests among its services."""
         found = self._splitters.get(item.name)
--- a/oriolelock/gateway/daemon.py
+++ b/oriolelock/gateway/daemon.py
@@ -181,6 +181,9 @@
             "entries": self.core.chooser.entries,
             "connections": len(self._servers[0]),
             "endpoint_connections_opened": self.core.pool.opened,
+            "gossip_sent": self.core.gossip.sent,
+            "gossip_received": self.core.gossip.received,
+            "gossip_unreadable": self.core.gossip.unreadable,
         }
         body = self.core.metrics.text(gauges).encode()
         exchange.reply(messages.Response(200, ((b"content-type", b"text/plain"),), body))
--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -160,6 +160,8 @@
             return
         bad = found.failed or not found.genuine
         shared.chooser.answered(sent, self._asked, elapsed_s, found.load, bad, now)
+        if not bad:
+            shared.gossip.tell(shared.chooser.learned(sent.view, self._key, found.load))
         self._may_have_run = True
         self._tried |= {sent.view.endpoint.name}
         passable = found.genuine and (self._route.idempotent or not found.promises)
@@ -184,6 +186,7 @@
             view.shed(now)
             if found.load is not None:
                 view.reported(found.load, now)
+                shared.gossip.tell(shared.chooser.learned(view, "", found.load))
         shared.metrics.count("shed")
         if self._may_retry(now):
             self._attempt()
--- a/tests/entry/test_http.py
+++ b/tests/entry/test_http.py
@@ -155,3 +155,19 @@
     response = item.ask("POST", body=b"seat", headers=headers)
     assert response.getheader("Oriolelock-Reason") == "record-unreachable"
     assert item.endpoint.requests == []
+
+
+def test_a_refusal_reaches_a_caller_that_is_still_sending(start):
+    """Closing with unread bytes reset the connection, and the refusal was lost."""
+    item = start().wait_ready()
+    with socket.create_connection(item.entry.address, timeout=20) as conn:
+        conn.sendall(b"POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 2000000\r\n" + HEAD + b"\r\n")
+        for _ in range(20):
+            conn.sendall(b"x" * 100_000)
+            time.sleep(0.01)
+        received = b""
+        while chunk := conn.recv(65536):
+            received += chunk
+    assert received.startswith(b"HTTP/1.1 413 ")
+    assert b"Oriolelock-Reason: body-too-large" in received
+    assert item.ask().status == 200
