--- a/oriolelock/bench/experiments/policy.py
+++ b/oriolelock/bench/experiments/policy.py
@@ -36,6 +36,7 @@
         "warm": round(warm / max(1, runs), 3),
         "largest_shift": round(found.largest_shift(), 3),
         "counts": dict(found.counts),
+        "windows": [round(value, 2) for value in found.windows()],
         "by_work": {work.name: round(found.share(work.name), 3) for work in scene.works},
         "by_place": {place.name: round(found.share(place.name), 3) for place in scene.places},
     }
--- a/oriolelock/bench/policy/outcome.py
+++ b/oriolelock/bench/policy/outcome.py
@@ -24,19 +24,23 @@
         self.counts: collections.Counter[str] = collections.Counter()
         self._runs: collections.defaultdict = collections.defaultdict(collections.Counter)
 
-    def owed(self, place, work) -> None:
+    def owed(self, place, work, now: float) -> None:
         """Count a request that a caller made."""
         self.counts["requests"] += 1
-        for key in ("", place.name, work.name):
+        for key in ("", place.name, work.name, int(now / WINDOW_S)):
             self._owed[key] += work.worth
 
-    def answered(self, place, work, elapsed_s: float) -> None:
+    def answered(self, place, work, began_s: float, elapsed_s: float) -> None:
         """Count an answer that reached its caller after ``elapsed_s``."""
         in_time = elapsed_s <= work.objective_s
         self.counts["in time" if in_time else "late"] += 1
-        for key in ("", place.name, work.name):
+        for key in ("", place.name, work.name, int(began_s / WINDOW_S)):
             self._earned[key] += work.worth if in_time else work.late
 
+    def windows(self) -> list[float]:
+        """Return the share of the requests that began in each window of 2 s."""
+        return [self.share(at) for at in range(round(self._scene.duration_s / WINDOW_S))]
+
     def failed(self, place, work, reason: str) -> None:
         """Count an attempt that ended without an answer."""
         self.counts[reason] += 1
@@ -46,8 +50,8 @@
         self.counts["away" if item.region != place.region else "near"] += 1
         self._runs[(place.region, int(now / WINDOW_S))][item.region] += 1
 
-    def share(self, key: str = "") -> float:
-        """Return benefit earned by benefit owed, of all, of a place or of a kind of request."""
+    def share(self, key: str | int = "") -> float:
+        """Return benefit earned by benefit owed, of all, a place, a kind of request, a window."""
         return self._earned[key] / self._owed[key] if self._owed[key] else 1.0
 
     def worst_place(self) -> float:
--- a/oriolelock/bench/policy/simulation.py
+++ b/oriolelock/bench/policy/simulation.py
@@ -127,7 +127,7 @@
         self._began_s = now
         self._key = sim.pick_key(place, work)
         self._comebacks = 0
-        sim.outcome.owed(place, work)
+        sim.outcome.owed(place, work, now)
 
     def send(self, now):
         """Begin an attempt at a random entry of the failure domain."""
@@ -178,7 +178,7 @@
                     self._chooser, self._chooser.learned(found.view, asked.key, load), at_s
                 )
                 self._sim.outcome.answered(
-                    self._place, self._work, at_s + CALLER_TRIP_S - self._began_s
+                    self._place, self._work, self._began_s, at_s + CALLER_TRIP_S - self._began_s
                 )
                 return
             found.view.shed(at_s)
