Log and count what entries know of the rates that endpoints announce

Observability for the incident: nothing named a rate, so logs could not tell an unread rate from one that each entry keeps alone. Entries read the header, log each change (endpoint-limit) and count requests to such endpoints (sent_to_limited_endpoints). No decision uses it yet.

--- a/oriolelock/dispatch/chooser.py
+++ b/oriolelock/dispatch/chooser.py
@@ -16,6 +16,7 @@
     cold_quota,
     costs,
     decisions,
+    endpoint_limits,
     endpoint_view,
     observation,
     ranking,
@@ -71,6 +72,7 @@
         self._rank_cache: dict[tuple[str, str], dict[str, int]] = {}
         self._route_times: dict[str, service_times.ServiceTimes] = {}
         self._cold_quota = cold_quota.ColdQuota()
+        self.limits = endpoint_limits.EndpointLimits()
         self._shift_speed = shift_speed
         self._splits: dict[str, region_split.RegionSplit] = {}
         self._entries_of_region: dict[str, tuple[str, ...]] = {}
@@ -97,6 +99,7 @@
         for view in self.views.values():
             self._by_service.setdefault(view.endpoint.service, []).append(view)
         self._cold_quota.retain(self.views)
+        self.limits.retain(self.views)
         self._splits = {k: v for k, v in self._splits.items() if k in cfg.table.services}
         self._route_times = {k: v for k, v in self._route_times.items() if k in cfg.table.routes}
         self._is_configured = self._is_configured or bool(cfg.endpoints)
--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -10,7 +10,14 @@
 
 from oriolelock import clock, events
 from oriolelock.admission import quarantine
-from oriolelock.dispatch import chooser, endpoint_view, retry_budget, route_index, splitter
+from oriolelock.dispatch import (
+    chooser,
+    endpoint_limits,
+    endpoint_view,
+    retry_budget,
+    route_index,
+    splitter,
+)
 from oriolelock.gateway import dialect as dialects
 from oriolelock.gateway import facts, gossip, pool, request_metrics
 from oriolelock.http1 import loop as loops
@@ -28,6 +35,11 @@
 log = events.Events("gateway")
 
 
+def _loggable_rate(rate):
+    # JSON has no infinity.
+    return None if rate == endpoint_limits.UNLIMITED else rate
+
+
 class Core:
     """Not thread-safe: used in the loop's thread.
 
@@ -144,6 +156,23 @@
         """Return whether a request that may have crashed an endpoint may be retried."""
         return self._quarantine.may_retry(fingerprint, clock.monotonic_s(), clock.wall_s())
 
+    def record_rate_limit(
+        self, view: endpoint_view.EndpointView, rate: float | None, now: float
+    ) -> None:
+        """Record the request rate that an endpoint announced in a response."""
+        name = view.endpoint.name
+        if rate is None:
+            log.notable("endpoint-limit-malformed", endpoint=name)
+            return
+        previous_rate = self.chooser.limits.rate(name, now)
+        if self.chooser.limits.record(name, rate, now):
+            log.notable(
+                "endpoint-limit",
+                endpoint=name,
+                per_s=_loggable_rate(rate),
+                previous_per_s=_loggable_rate(previous_rate),
+            )
+
     def record_success(self, fingerprint: str, now: float) -> None:
         """Record that a request completed without an error."""
         self._quarantine.record_completion(fingerprint, now)
--- a/oriolelock/gateway/daemon.py
+++ b/oriolelock/gateway/daemon.py
@@ -178,6 +178,7 @@
             "routes_revision": self.core.revision,
             "control_age_seconds": -1.0 if age_s is None else round(age_s, 3),
             "endpoints": len(self.core.chooser.views),
+            "endpoints_limited": self.core.chooser.limits.limited_count(clock.monotonic_s()),
             "entries": self.core.chooser.entry_count,
             "connections": len(self._servers[0]),
             "endpoint_connections_opened": self.core.pool.opened,
--- a/oriolelock/gateway/dialect.py
+++ b/oriolelock/gateway/dialect.py
@@ -31,8 +31,9 @@
     ``request_id``: set by the caller, repeated by the endpoint; ``deadline_ms``: remaining time;
     ``object_key``: affinity key; ``stamp``: proof that an endpoint sent the response, empty for
     none; ``expected_endpoint``: id of the only endpoint that may run the request; ``load``: load
-    report, read by ``parse_load``; ``not_run``: the endpoint did not run the request;
-    ``endpoint_id`` and ``cold_ms``: in responses to health checks.
+    report, read by ``parse_load``; ``rate_limit``: requests per second that an overloaded endpoint
+    takes from all entries; ``not_run``: the endpoint did not run the request; ``endpoint_id`` and
+    ``cold_ms``: in responses to health checks.
     """
 
     request_id: bytes = b"x-request-id"
@@ -42,6 +43,7 @@
     expected_endpoint: bytes = b"x-expected-endpoint"
     load: bytes = b"x-load"
     parse_load: collections.abc.Callable[[bytes], endpoint_view.Load | None] = _parse_default_load
+    rate_limit: bytes = b"x-rate-limit"
     not_run: bytes = b"x-not-run"
     endpoint_id: bytes = b"x-endpoint-id"
     cold_ms: bytes = b"x-cold-ms"
--- a/oriolelock/gateway/facts.py
+++ b/oriolelock/gateway/facts.py
@@ -6,12 +6,13 @@
 """
 
 import dataclasses
+import math
 
-from oriolelock.dispatch import endpoint_view
+from oriolelock.dispatch import endpoint_limits, endpoint_view
 from oriolelock.gateway import dialect as dialects
 from oriolelock.http1 import messages
 
-__all__ = ["ResponseFacts", "health", "classify"]
+__all__ = ["ResponseFacts", "classify", "health", "parse_rate_limit"]
 
 MISDIRECTED_STATUS = 421
 # Statuses that assure the caller that its request was not and will not be run.
@@ -24,7 +25,9 @@
 
     ``not_run``: the endpoint did not run the request; ``misdirected``: another endpoint answered;
     ``genuine``: the response may be passed on as this endpoint's; ``failed``: the endpoint failed;
-    ``implies_not_run``: its status tells the caller that the request was not run.
+    ``implies_not_run``: its status tells the caller that the request was not run;
+    ``rate_limit``: requests per second that the endpoint takes, ``endpoint_limits.UNLIMITED`` if it
+    announces no limit, None if the announcement is malformed.
     """
 
     not_run: bool
@@ -33,6 +36,18 @@
     failed: bool
     implies_not_run: bool
     load: endpoint_view.Load | None
+    rate_limit: float | None
+
+
+def parse_rate_limit(header: bytes | None) -> float | None:
+    """Return requests per second, ``UNLIMITED`` without a header, or None if it is malformed."""
+    if header is None:
+        return endpoint_limits.UNLIMITED
+    try:
+        rate = float(header)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0.0 else None
 
 
 def classify(response: messages.Response, dialect: dialects.Dialect) -> ResponseFacts:
@@ -47,6 +62,7 @@
         failed=not not_run and response.status >= 500,
         implies_not_run=response.status in NOT_RUN_STATUSES,
         load=dialect.parse_load(load) if load else None,
+        rate_limit=parse_rate_limit(response.header(dialect.rate_limit)),
     )
 
 
--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -8,7 +8,7 @@
 import itertools
 
 from oriolelock import clock, events
-from oriolelock.dispatch import decisions
+from oriolelock.dispatch import decisions, endpoint_limits
 from oriolelock.gateway import core, facts, forwarded
 from oriolelock.http1 import inbound, messages, outbound, transfers
 
@@ -114,6 +114,8 @@
         self._decision, self._sent_s = decision, now
         instance = view.endpoint
         shared.chooser.started(decision, self._number, now)
+        if shared.chooser.limits.rate(instance.name, now) != endpoint_limits.UNLIMITED:
+            shared.metrics.count("sent_to_limited_endpoints")
         self._conn = shared.pool.acquire(instance.name, view.address, self._route.idempotent, now)
         req = forwarded.to_endpoint(
             self._req, shared.words, instance.name, self._deadline_at_s - now
@@ -157,6 +159,8 @@
         shared, decision = self._core, self._decision
         response_facts = facts.classify(response, shared.words)
         elapsed_s = now - self._sent_s
+        if not response_facts.misdirected:
+            shared.record_rate_limit(decision.view, response_facts.rate_limit, now)
         if response_facts.not_run:
             self._handle_not_run(response_facts, now)
             return
--- a/oriolelock/platform/headers.py
+++ b/oriolelock/platform/headers.py
@@ -30,6 +30,7 @@
     expected_endpoint=b"x-expected-instance",
     load=b"x-server-load",
     parse_load=_read_load,
+    rate_limit=b"server-limit",
     not_run=b"x-not-executed",
     endpoint_id=b"x-instance-id",
     cold_ms=b"x-cold-ms",
--- /dev/null
+++ b/tests/gateway/test_rate_limit.py
@@ -0,0 +1,51 @@
+"""Request rates that endpoints announce in their responses."""
+
+import time
+
+import pytest
+
+from oriolelock import clock
+from oriolelock.dispatch import endpoint_limits
+from oriolelock.gateway import facts
+from tests.gateway import conftest
+
+LIMIT_PER_S = 2.0
+
+
+def limiting(conn, head, body):
+    conn.sendall(
+        conftest.make_response(head, extra_headers=b"X-Rate-Limit: %.1f\r\n" % LIMIT_PER_S)
+    )
+
+
+@pytest.mark.parametrize(
+    ("header", "rate"),
+    [
+        (None, endpoint_limits.UNLIMITED),
+        (b"5.1", 5.1),
+        (b"0", 0.0),
+        (b"", None),
+        (b"many", None),
+        (b"-1", None),
+        (b"nan", None),
+        (b"inf", None),
+    ],
+)
+def test_announced_rate_is_a_finite_decimal_number(header, rate):
+    assert facts.parse_rate_limit(header) == rate
+
+
+def test_announced_rate_is_known_until_a_response_comes_without_it(gateway):
+    limits = gateway.core.chooser.limits
+    responses = iter((b"X-Rate-Limit: 3\r\n", b"X-Rate-Limit: bad\r\n", b""))
+    gateway.add_endpoint(
+        "x",
+        lambda conn, head, body: conn.sendall(
+            conftest.make_response(head, extra_headers=next(responses))
+        ),
+    )
+    gateway.configure()
+    for expected_rate in (3.0, 3.0, endpoint_limits.UNLIMITED):
+        assert gateway.send(b"/safe/1")[0] == 200
+        assert limits.rate("x", clock.monotonic_s()) == expected_rate
+        time.sleep(1.0)
