--- a/tests/gateway/test_rate_limit.py
+++ b/tests/gateway/test_rate_limit.py
@@ -49,3 +49,16 @@
         assert gateway.send(b"/safe/1")[0] == 200
         assert limits.rate("x", clock.monotonic_s()) == expected_rate
         time.sleep(1.0)
+
+
+def test_endpoint_gets_no_more_requests_than_the_rate_that_it_announces(gateway):
+    endpoint = gateway.add_endpoint("x", limiting)
+    gateway.configure()
+    end_s = time.monotonic() + 1.5
+    statuses = []
+    while time.monotonic() < end_s:
+        status, head, _ = gateway.send(b"/once/1")
+        statuses.append((status, b"retry-after" in head))
+    assert set(statuses) == {(200, False), (503, True)}
+    # The users' bound for any 4 seconds: one and a half times the rate, and 5 more.
+    assert 2 <= len(endpoint.requests) <= 1.5 * LIMIT_PER_S * 4 + 5
