Keep the requests of all entries within the rate that an endpoint announces

Cause: no entry read the announcement. Change: each entry has a fixed share of an announced rate in a token bucket. Health checks count too. A request that finds no token goes to another endpoint or is refused at once with the time of the next token.

--- a/oriolelock/dispatch/chooser.py
+++ b/oriolelock/dispatch/chooser.py
@@ -18,6 +18,7 @@
     decisions,
     endpoint_limits,
     endpoint_view,
+    entry_census,
     observation,
     ranking,
     region_split,
@@ -72,7 +73,8 @@
         self._rank_cache: dict[tuple[str, str], dict[str, int]] = {}
         self._route_times: dict[str, service_times.ServiceTimes] = {}
         self._cold_quota = cold_quota.ColdQuota()
-        self.limits = endpoint_limits.EndpointLimits()
+        self._census = entry_census.EntryCensus(name, region)
+        self.limits = endpoint_limits.EndpointLimits(name, self._census)
         self._shift_speed = shift_speed
         self._splits: dict[str, region_split.RegionSplit] = {}
         self._entries_of_region: dict[str, tuple[str, ...]] = {}
@@ -83,6 +85,7 @@
         """Apply a configuration; ``wall_s``: Unix time, to which drains refer."""
         self._services = cfg.table.services
         self._configure_entries(cfg)
+        self._census.configure(cfg.members.values(), now)
         drained = self._find_drained(cfg, wall_s)
         for name in [name for name in self.views if name not in cfg.endpoints]:
             del self.views[name]
@@ -149,9 +152,18 @@
         """Select an endpoint for a request, or refuse the request."""
         times = self.service_times_of(context.route)
         by_region: dict[str, list[endpoint_view.EndpointView]] = {}
+        limit_waits_s = []
         for view in self._by_service.get(context.service, ()):
-            if self._is_eligible(view, context, now):
+            if not self._is_eligible(view, context, now):
+                continue
+            limit_wait_s = self._limit_wait_s(view, context, now)
+            if limit_wait_s > 0.0:
+                limit_waits_s.append(limit_wait_s)
+            else:
                 by_region.setdefault(view.endpoint.region, []).append(view)
+        if not by_region and limit_waits_s:
+            wait_s = min(RETRY_AFTER_MAX_S, *limit_waits_s)
+            return decisions.Refuse("endpoint-limit", self._jittered(wait_s), wait_s)
         if not by_region:
             return decisions.Refuse("no-endpoint", self._jittered(0.4))
         candidates = {
@@ -220,6 +232,10 @@
             return False
         return not view.is_cold(now) or self._may_send_cold(view, now)
 
+    def _limit_wait_s(self, view, context, now):
+        instance = view.endpoint
+        return self.limits.wait_s(instance.name, instance.region, context.route.priority, now)
+
     def _may_send_cold(self, view, now):
         config = self._services.get(view.endpoint.service)
         rate = config.cold_rate if config else 1.0
@@ -279,11 +295,16 @@
 
     def started(self, decision: decisions.Send, number: int, now: float) -> None:
         """Record that a request was sent to the selected endpoint."""
+        self.limits.record_sent(decision.view.endpoint.name, now)
         decision.view.record_start(number, decision.wait_s + decision.service_s, now)
         self._split_for(decision.view.endpoint.service).record_sent(decision.view.endpoint.region)
         if decision.cold:
             self._cold_quota.record_sent(decision.view.endpoint.name, now)
 
+    def not_sent(self, decision: decisions.Send, now: float) -> None:
+        """Record that no byte of a request that was started reached the endpoint."""
+        self.limits.record_sent(decision.view.endpoint.name, now, -1.0)
+
     def answered(
         self,
         decision: decisions.Send,
--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -228,6 +228,7 @@
             view.health_check_pending = False
             return
         self.metrics.count("health_checks")
+        self.chooser.limits.record_sent(view.endpoint.name, clock.monotonic_s())
         headers = ((b"host", view.endpoint.address.encode()), (b"connection", b"close"))
         req = messages.Request(b"GET", service.health_path.encode(), headers)
         conn = outbound.Outbound(self.loop, view.address, self.words.request_id, lambda c: None)
--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -137,6 +137,7 @@
 
     def _handle_not_sent(self, result, now):
         view = self._decision.view
+        self._core.chooser.not_sent(self._decision, now)
         self._unsent_attempts += 1
         if result.reason != "connection-ended":
             self._core.record_unreachable(view, result.reason, now)
