Tell all entries of the rates that endpoints announce

An entry learned of a rate, and of its end, only from its own responses. An entry without a share gets no responses and would have stayed away until its knowledge expired; one that restarted or never used the endpoint would have sent until its first response.

--- a/oriolelock/dispatch/chooser.py
+++ b/oriolelock/dispatch/chooser.py
@@ -9,6 +9,7 @@
     misses. Rendezvous hashing of the object breaks ties, so that all entries agree.
 """
 
+import collections.abc
 import dataclasses
 import random
 
@@ -346,6 +347,26 @@
         if received.object_digest:
             view.record_object(received.object_digest, now)
 
+    def limit_reports(
+        self, endpoints: collections.abc.Container[str] | None, now: float
+    ) -> list[observation.LimitReport]:
+        """Return what is known of announced rates; ``endpoints``: only of these, None for all."""
+        return [
+            observation.LimitReport(
+                _view_digest(self.views[name]), known.rate, max(0.0, now - known.stated_s)
+            )
+            for name, known in self.limits.statements(now).items()
+            if name in self.views and (endpoints is None or name in endpoints)
+        ]
+
+    def apply_limit_report(self, report: observation.LimitReport, now: float) -> str:
+        """Apply a report of another entry; returns the endpoint's name if the rate changed."""
+        view = self._by_digest.get(report.endpoint_digest)
+        if view is None:
+            return ""
+        name = view.endpoint.name
+        return name if self.limits.record(name, report.rate, now - report.age_s) else ""
+
 
 def _view_digest(view):
     return ranking.digest(f"{view.endpoint.name}\n{view.endpoint.started_ms}")
--- a/oriolelock/dispatch/observation.py
+++ b/oriolelock/dispatch/observation.py
@@ -2,14 +2,14 @@
 oriolelock.dispatch.observation
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-    What a response revealed about an endpoint, to be shared with other entries.
+    What responses revealed about endpoints, to be shared with other entries.
 """
 
 import dataclasses
 
 from oriolelock.dispatch import endpoint_view
 
-__all__ = ["Observation"]
+__all__ = ["LimitReport", "Observation"]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -20,3 +20,14 @@
     endpoint_digest: int
     object_digest: int
     load: endpoint_view.Load | None
+
+
+@dataclasses.dataclass(frozen=True)
+class LimitReport:
+    """``endpoint_digest``: of the endpoint's name and start time; ``rate``: requests per second
+    that it announced, ``endpoint_limits.UNLIMITED`` for the end of a limit; ``age_s``: seconds
+    since the response that announced it."""
+
+    endpoint_digest: int
+    rate: float
+    age_s: float
--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -14,12 +14,13 @@
     chooser,
     endpoint_limits,
     endpoint_view,
+    observation,
     retry_budget,
     route_index,
     splitter,
 )
 from oriolelock.gateway import dialect as dialects
-from oriolelock.gateway import facts, gossip, pool, request_metrics
+from oriolelock.gateway import facts, gossip, limit_gossip, pool, request_metrics
 from oriolelock.http1 import loop as loops
 from oriolelock.http1 import messages, outbound, transfers
 from oriolelock.model import configuration
@@ -35,11 +36,6 @@
 log = events.Events("gateway")
 
 
-def _loggable_rate(rate):
-    # JSON has no infinity.
-    return None if rate == endpoint_limits.UNLIMITED else rate
-
-
 class Core:
     """Not thread-safe: used in the loop's thread.
 
@@ -66,8 +62,9 @@
             cfg.name, cfg.region, cfg.failure_domain, cfg.shift_speed, rng
         )
         self.gossip = gossip.Gossip(
-            loop, cfg.link_listen, cfg.cluster_token, self._apply_observation, rng
+            loop, cfg.link_listen, cfg.cluster_token, self._apply_report, rng
         )
+        self._limit_gossip = limit_gossip.LimitGossip(loop, self.gossip, self.chooser, rng)
         self._quarantine = quarantine.Quarantine()
         self._splitters: dict[str, splitter.Splitter] = {}
         self._retries: dict[str, retry_budget.RetryBudget] = {}
@@ -109,21 +106,29 @@
             )
         if cfg.drains != previous.drains:
             log.notable("drains", targets=sorted(d.target for d in cfg.drains.values()))
-        self.gossip.use_peers(self._peers(cfg))
+        self.gossip.use_peers(self._peers(cfg, (self._settings.region,)))
+        self._limit_gossip.use_peers(self._peers(cfg, None))
         self._quarantine.configure(cfg.crashes)
         self.chooser.configure(cfg, now, clock.wall_s())
 
-    def _peers(self, cfg):
-        """Yield the addresses of the other entries of the region."""
-        own = self._settings
+    def _peers(self, cfg, regions):
+        """Yield the addresses of the other live entries in ``regions``; None for all regions."""
         for entry in cfg.members.values():
-            if entry.role == "entry" and entry.state == "live" and entry.region == own.region:
+            if entry.role == "entry" and entry.state == "live":
                 host, _, port = entry.link_address.partition(":")
-                if entry.name != own.name and port.isdigit():
+                is_included = regions is None or entry.region in regions
+                if is_included and entry.name != self._settings.name and port.isdigit():
                     yield host, int(port)
 
-    def _apply_observation(self, received):
-        self.chooser.observed(received, clock.monotonic_s())
+    def _apply_report(self, report):
+        now = clock.monotonic_s()
+        match report:
+            case observation.Observation():
+                self.chooser.observed(report, now)
+            case observation.LimitReport():
+                endpoint = self._limit_gossip.apply(report, now)
+                if endpoint:
+                    self._log_limit(endpoint, report.rate, report.age_s, "gossip")
 
     def splitter_of(self, route) -> splitter.Splitter:
         """Return the splitter of a route's requests among its services."""
@@ -164,14 +169,14 @@
         if rate is None:
             log.notable("endpoint-limit-malformed", endpoint=name)
             return
-        previous_rate = self.chooser.limits.rate(name, now)
         if self.chooser.limits.record(name, rate, now):
-            log.notable(
-                "endpoint-limit",
-                endpoint=name,
-                per_s=_loggable_rate(rate),
-                previous_per_s=_loggable_rate(previous_rate),
-            )
+            self._limit_gossip.announce(name)
+            self._log_limit(name, rate, 0.0, "response")
+
+    def _log_limit(self, endpoint, rate, age_s, source):
+        # JSON has no infinity.
+        per_s = None if rate == endpoint_limits.UNLIMITED else rate
+        log.notable("endpoint-limit", endpoint=endpoint, per_s=per_s, age_s=age_s, source=source)
 
     def record_success(self, fingerprint: str, now: float) -> None:
         """Record that a request completed without an error."""
--- a/oriolelock/gateway/gossip.py
+++ b/oriolelock/gateway/gossip.py
@@ -2,7 +2,7 @@
 oriolelock.gateway.gossip
 ~~~~~~~~~~~~~~~~~~~~~~~~~
 
-    Shares observations of endpoints with other entries of the region, by UDP datagrams.
+    Shares observations of endpoints with other entries, by UDP datagrams.
 
     Each round goes to a few randomly selected entries, so that an entry's cost does not grow with
     the fleet. A lost datagram only leaves estimates older than necessary.
@@ -17,10 +17,10 @@
 import cbor2
 
 from oriolelock import clock, events
-from oriolelock.dispatch import endpoint_view, observation
+from oriolelock.dispatch import endpoint_limits, endpoint_view, observation
 from oriolelock.http1 import loop as loops
 
-__all__ = ["Gossip", "Unreadable", "decode", "encode"]
+__all__ = ["Gossip", "Report", "Unreadable", "decode", "encode", "encode_limits"]
 
 INTERVAL_S = 0.2
 # Recipients of each round.
@@ -34,9 +34,13 @@
 # Datagrams read per event, so that gossip does not delay requests.
 MAX_READS_PER_EVENT = 32
 TAG_BYTES = 8
+MAX_LIMITS_PER_DATAGRAM = 50
+# Datagrams of observations and of limits.
 FORMAT_VERSION = 1
+LIMITS_FORMAT_VERSION = 2
 
 Address = tuple[str, int]
+Report = observation.Observation | observation.LimitReport
 log = events.Events("gossip")
 
 
@@ -55,20 +59,39 @@
         load = seen.load
         load_values = (load.running, load.waiting, load.slots) if load else ()
         rows.append((seen.endpoint_digest, seen.object_digest, *load_values))
-    payload = cbor2.dumps((FORMAT_VERSION, rows))
+    return _authenticated((FORMAT_VERSION, rows), token)
+
+
+def encode_limits(reports: collections.abc.Iterable[observation.LimitReport], token: str) -> bytes:
+    """Encode a datagram of announced rates, authenticated with the cluster's token."""
+    rows = [
+        (
+            report.endpoint_digest,
+            # CBOR null stands for the end of a limit.
+            None if report.rate == endpoint_limits.UNLIMITED else report.rate,
+            round(report.age_s * 1000),
+        )
+        for report in reports
+    ]
+    return _authenticated((LIMITS_FORMAT_VERSION, rows), token)
+
+
+def _authenticated(content, token):
+    payload = cbor2.dumps(content)
     return _authentication_tag(payload, token) + payload
 
 
-def decode(data: bytes, token: str) -> list[observation.Observation]:
-    """Return the observations in a datagram; raises Unreadable."""
+def decode(data: bytes, token: str) -> list[Report]:
+    """Return the observations or limit reports in a datagram; raises Unreadable."""
     payload = data[TAG_BYTES:]
     if data[:TAG_BYTES] != _authentication_tag(payload, token):
         raise Unreadable("wrong authentication tag")
     try:
         version, rows = cbor2.loads(payload)
-        if version != FORMAT_VERSION:
+        parse = PARSERS.get(version)
+        if parse is None:
             raise Unreadable(f"unsupported format version {version}")
-        return [_parse_observation(*row) for row in rows]
+        return [parse(*row) for row in rows]
     except (cbor2.CBORDecodeError, TypeError, ValueError) as exc:
         raise Unreadable(str(exc)) from exc
 
@@ -83,10 +106,23 @@
     )
 
 
+def _parse_limit(endpoint, rate, age_ms):
+    if not all(type(value) is int and value >= 0 for value in (endpoint, age_ms)):
+        raise ValueError("field is not a non-negative integer")
+    if rate is None:
+        rate = endpoint_limits.UNLIMITED
+    elif type(rate) not in (int, float) or not 0.0 <= rate < endpoint_limits.UNLIMITED:
+        raise ValueError("rate is not a finite non-negative number")
+    return observation.LimitReport(endpoint, float(rate), age_ms / 1000.0)
+
+
+PARSERS = {FORMAT_VERSION: _parse_observation, LIMITS_FORMAT_VERSION: _parse_limit}
+
+
 class Gossip:
     """Not thread-safe: used in the loop's thread.
 
-    ``on_observation(observation)`` is called for each received observation.
+    ``on_report(report)`` is called for each received observation or limit report.
     """
 
     def __init__(
@@ -94,11 +130,11 @@
         loop: loops.Loop,
         address: Address,
         token: str,
-        on_observation: collections.abc.Callable[[observation.Observation], None],
+        on_report: collections.abc.Callable[[Report], None],
         rng: random.Random,
     ):
         self._token = token
-        self._on_observation = on_observation
+        self._on_report = on_report
         self._rng = rng
         self._peers: list[Address] = []
         self._pending: list[tuple[float, observation.Observation]] = []
@@ -110,7 +146,7 @@
         loop.call_each(INTERVAL_S, self._send_round)
 
     def use_peers(self, peers: collections.abc.Iterable[Address]) -> None:
-        """Replace the addresses of the other entries."""
+        """Replace the addresses of the other entries of the region."""
         self._peers = sorted(peers)
 
     def publish(self, new_observation: observation.Observation) -> None:
@@ -118,6 +154,17 @@
         self._pending.append((clock.monotonic_s(), new_observation))
         del self._pending[:-MAX_PENDING]
 
+    def send_limits(
+        self,
+        reports: collections.abc.Sequence[observation.LimitReport],
+        peers: collections.abc.Iterable[Address],
+    ) -> None:
+        """Send limit reports to ``peers``, which may be in other regions."""
+        for start in range(0, len(reports), MAX_LIMITS_PER_DATAGRAM):
+            data = encode_limits(reports[start : start + MAX_LIMITS_PER_DATAGRAM], self._token)
+            for peer in peers:
+                self._send(data, peer)
+
     def _send_round(self):
         now = clock.monotonic_s()
         fresh = [pending for recorded_s, pending in self._pending if now - recorded_s <= MAX_AGE_S]
@@ -151,11 +198,11 @@
 
     def _receive(self, data, sender):
         try:
-            observations = decode(data, self._token)
+            reports = decode(data, self._token)
         except Unreadable as exc:
             self.unreadable += 1
             log.usual("unreadable", sender=sender[0], reason=str(exc))
             return
         self.received += 1
-        for received in observations:
-            self._on_observation(received)
+        for report in reports:
+            self._on_report(report)
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from oriolelock.dispatch import endpoint_view, observation
+from oriolelock.dispatch import endpoint_limits, endpoint_view, observation
 from oriolelock.gateway import gossip
 
 OBSERVATIONS = [
@@ -19,6 +19,32 @@
     assert gossip.decode(gossip.encode(OBSERVATIONS, "token"), "token") == OBSERVATIONS
 
 
+LIMITS = [
+    observation.LimitReport(7, 5.1, 0.25),
+    observation.LimitReport(4_000_000_000, endpoint_limits.UNLIMITED, 0.0),
+]
+
+
+def test_encoded_limits_are_decoded():
+    assert gossip.decode(gossip.encode_limits(LIMITS, "token"), "token") == LIMITS
+
+
+def test_largest_datagram_of_limits_fits_the_size_limit():
+    largest = observation.LimitReport(2**32 - 1, 1.0 / 3.0, 60.0)
+    data = gossip.encode_limits([largest] * gossip.MAX_LIMITS_PER_DATAGRAM, "token")
+    assert len(data) <= gossip.MAX_DATAGRAM_BYTES
+
+
+@pytest.mark.parametrize(
+    "row",
+    [(1, 2.0), (1, -1.0, 0), (1, float("inf"), 0), (1, float("nan"), 0), (1, "2", 0), (1, 2.0, -1)],
+)
+def test_malformed_limits_are_rejected(row):
+    payload = gossip.cbor2.dumps((gossip.LIMITS_FORMAT_VERSION, [row]))
+    with pytest.raises(gossip.Unreadable):
+        gossip.decode(gossip._authentication_tag(payload, "token") + payload, "token")
+
+
 def test_largest_datagram_fits_the_size_limit():
     largest = observation.Observation(2**32 - 1, 2**32 - 1, endpoint_view.Load(255, 255, 255))
     data = gossip.encode([largest] * gossip.MAX_OBSERVATIONS_PER_DATAGRAM, "token")
