Don't take a late copy of a response for the response to the next request

Operators of similar systems saw the next caller get an answer that wasn't its own. Change: bytes that come before a request was sent end the connection, and the request goes to another one; on a reused connection a response without an id is lost, since it can't be told from a copy.

--- a/oriolelock/http1/outbound.py
+++ b/oriolelock/http1/outbound.py
@@ -5,7 +5,8 @@
     Client side of a connection to an endpoint, with one request at a time.
 
     Requests are never resent here. A response whose id differs from the request's belongs to an
-    earlier request and is skipped.
+    earlier request and is skipped. On a reused connection, one without an id may be an extra
+    response to an earlier request and is not accepted.
 """
 
 import collections.abc
@@ -80,6 +81,7 @@
         self._on_result, self._request = on_result, req
         self._max_body_bytes = max_body_bytes
         self._has_sent_bytes = False
+        self._is_reused = self._connected
         self._stale_responses = 0
         self._start_exchange()
         if self._connected:
@@ -185,6 +187,10 @@
             # The endpoint closed an idle connection or sent unsolicited bytes.
             self._end_idle()
             return
+        if data and not self._has_sent_bytes:
+            # An extra response to an earlier request: it came before this one was sent.
+            self._finish(transfers.NotSent("connection-ended"))
+            return
         try:
             self._protocol.receive_data(data)
             self._read_events()
@@ -243,6 +249,9 @@
         if response_id is not None and expected_id is not None and response_id != expected_id:
             self._skip_stale_response(trailing_bytes, reusable)
             return
+        if response_id is None and expected_id is not None and self._is_reused:
+            self._finish(transfers.Lost("response without a request id"))
+            return
         response = messages.Response(self._head.status_code, headers, b"".join(self._body))
         reusable = reusable and not trailing_bytes and not self._send_buffer
         self._finish(transfers.Answered(response), reusable, headers)
--- a/tests/http1/test_outbound.py
+++ b/tests/http1/test_outbound.py
@@ -1,6 +1,8 @@
 """Responses of endpoints: only a complete response to the same request is accepted."""
 
 import concurrent.futures
+import threading
+import time
 
 import pytest
 
@@ -81,6 +83,64 @@
     assert dict(result.response.headers)[b"x-request-id"] == b"1"
 
 
+class TwoResponses:
+    """Endpoint whose first response is followed later by a second copy, without a request id."""
+
+    def __init__(self, copy):
+        self.copy_due = threading.Event()
+        self.copy_sent = threading.Event()
+        self.conn = None
+
+        def respond(conn, head, body):
+            conn.sendall(OK % raw_endpoint.header(head, b"x-request-id"))
+            if self.conn is None:
+                self.conn = conn
+                threading.Thread(target=send_copy, daemon=True).start()
+
+        def send_copy():
+            self.copy_due.wait(5)
+            self.conn.sendall(copy)
+            self.copy_sent.set()
+
+        self.endpoint = raw_endpoint.RawEndpoint(respond)
+
+
+COPY = b"HTTP/1.1 200 OK\r\n%sContent-Length: 4\r\n\r\nlate"
+
+
+@pytest.mark.parametrize("id_header", [b"", b"X-Request-Id: 1\r\n"])
+def test_late_copy_of_a_response_is_not_the_response_to_the_next_request(running, id_header):
+    twice = TwoResponses(COPY % id_header)
+    conn = connect(running, twice.endpoint.address)
+    assert isinstance(send(running, conn), transfers.Answered)
+    fut = concurrent.futures.Future()
+    headers = ((b"host", b"h"), (b"x-request-id", b"2"))
+    req = messages.Request(b"POST", b"/x", headers)
+
+    def send_after_the_copy():
+        # The copy is in the socket when the connection is used again.
+        twice.copy_due.set()
+        twice.copy_sent.wait(5)
+        time.sleep(0.05)
+        conn.send(req, 1.0, fut.set_result)
+
+    running.call(send_after_the_copy)
+    result = fut.result(10)
+    assert isinstance(result, transfers.NotSent) or result.response.body == b"hi"
+
+
+def test_response_without_an_id_on_a_reused_connection_is_lost(running):
+    responses = iter((OK % b"1", COPY % b""))
+
+    def respond(conn, head, body):
+        conn.sendall(next(responses))
+
+    endpoint = raw_endpoint.RawEndpoint(respond)
+    conn = connect(running, endpoint.address)
+    assert isinstance(send(running, conn), transfers.Answered)
+    assert isinstance(send(running, conn, b"2"), transfers.Lost)
+
+
 def test_extra_bytes_after_the_response_close_the_connection(running):
     def respond(conn, head, body):
         conn.sendall(OK % b"1" + OK % b"9")
