Discard readings of the instance list that a paused or deposed leader made

Operators of similar systems saw a process that had been paused act on a permission that had run out, and servers that had left in use again. Both can happen here: the leader reads the list for up to 1.5 s a page and then proposes changes, and calls are passed on to whoever leads by then. A leader that was frozen during the reading put endpoints back that its successor had removed or marked as leaving, until the successor's next readings. Change: a reading counts only if its replica has led the same term from its start to its end, and not after 3 s.

--- a/oriolelock/control/instance_monitor.py
+++ b/oriolelock/control/instance_monitor.py
@@ -22,6 +22,8 @@
 # silent.
 RELAY_INTERVAL_S = 0.5
 COMMIT_TIMEOUT_S = 3.0
+# A reading that took longer may list instances that have left since.
+MAX_READING_AGE_S = 3.0
 
 log = logs.get_logger("control.overseer")
 
@@ -113,11 +115,16 @@
         names_members = bool(self._cfg.instance_list)
         diff = instance_list.InstanceDiff(names_members)
         while not self._stopping.wait(self._cfg.instance_poll_s):
-            if not self._replica.status().is_leader:
+            status, started_s = self._replica.status(), clock.monotonic_s()
+            if not status.is_leader:
                 diff = instance_list.InstanceDiff(names_members)
                 continue
             try:
                 listed = self._read_instances()
+                if not self._is_current(status.term, started_s, clock.monotonic_s()):
+                    log.warning("A reading of the instance list is outdated and discarded.")
+                    diff = instance_list.InstanceDiff(names_members)
+                    continue
                 cfg = self._replica.configuration()
                 leaving = self._reports.leaving()
                 seen = self._reports.seen(clock.monotonic_s())
@@ -128,6 +135,15 @@
             except Exception:
                 log.exception("Reading the instance list failed.")
 
+    def _is_current(self, term, started_s, now):
+        """Return whether a reading begun as leader of ``term`` may be applied.
+
+        Calls go to whoever leads, so a replica that was paused could undo what its successor did.
+        """
+        status = self._replica.status()
+        is_recent = now - started_s <= MAX_READING_AGE_S
+        return status.is_leader and status.term == term and is_recent
+
     def _fetch_instance_list(self):
         listed = instance_list.parse(instance_list.fetch(self._cfg.instance_list))
         return {name: self._add_link_address(instance) for name, instance in listed.items()}
