--- a/tests/entry/test_steering.py
+++ b/tests/entry/test_steering.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from oriolelock import outcomes
+from oriolelock import clock, outcomes
 from oriolelock.endpoints import results
 from oriolelock.entry import steering
 from tests import fake_parent, waiting
@@ -27,12 +27,12 @@
     preset = fake_parent.make_preset(in_flight_limit=in_flight_limit)
     cfg = fake_parent.make_config(endpoints=ENDPOINTS, presets={"day": preset})
     decisions = steering.Steering("a", "perth", threads, worker_slots, random.Random(1))
-    decisions.configure(cfg, time.monotonic(), time.time())
+    decisions.configure(cfg, clock.monotonic_s(), time.time())
     return decisions, preset.services[0]
 
 
 def admit(decisions, policy, op="view", left_s=10.0, is_gone=lambda: False):
-    now = time.monotonic()
+    now = clock.monotonic_s()
     return decisions.admit("proofs", policy.find_operation(op), now + left_s, now, is_gone)
 
 
@@ -45,8 +45,8 @@
     first = admit(decisions, policy)
     second = pool.submit(admit, decisions, policy)
     waiting.until(lambda: count_waiting(decisions) == 1)
-    decisions.leave(first, time.monotonic())
-    decisions.leave(second.result(5), time.monotonic())
+    decisions.leave(first, clock.monotonic_s())
+    decisions.leave(second.result(5), clock.monotonic_s())
     assert decisions.dump()["scheduler"]["in_flight"] == 0
 
 
@@ -69,13 +69,13 @@
     def run(op):
         admitted = admit(decisions, policy, op)
         finish_order.append(op)
-        decisions.leave(admitted, time.monotonic())
+        decisions.leave(admitted, clock.monotonic_s())
 
     futures = [pool.submit(run, "view")]
     waiting.until(lambda: count_waiting(decisions) == 1)
     futures.append(pool.submit(run, "confirm"))
     waiting.until(lambda: count_waiting(decisions) == 2)
-    decisions.leave(first, time.monotonic())
+    decisions.leave(first, clock.monotonic_s())
     for fut in futures:
         fut.result(5)
     assert finish_order == ["confirm", "view"]
@@ -92,28 +92,28 @@
     assert set(refusal_reasons) == {"queue-full"}
     urgent = pool.submit(admit, decisions, policy, "confirm")
     waiting.until(lambda: decisions.dump()["waiting"]["urgent"] == 1)
-    decisions.leave(first, time.monotonic())
-    decisions.leave(urgent.result(5), time.monotonic())
+    decisions.leave(first, clock.monotonic_s())
+    decisions.leave(urgent.result(5), clock.monotonic_s())
     for fut in flood_futures:
         if not isinstance(fut.result(10), outcomes.NotRun):
-            decisions.leave(fut.result(), time.monotonic())
+            decisions.leave(fut.result(), clock.monotonic_s())
 
 
 def test_request_without_free_endpoint_waits_again(pool):
     decisions, policy = make_steering(in_flight_limit=50)
     admitted = admit(decisions, policy)
     chosen = []
-    while target := decisions.choose("proofs", "view", time.monotonic(), ()):
+    while target := decisions.choose("proofs", "view", clock.monotonic_s(), ()):
         chosen.append(target)
-    readmission = pool.submit(decisions.wait_again, admitted, time.monotonic())
+    readmission = pool.submit(decisions.wait_again, admitted, clock.monotonic_s())
     waiting.until(lambda: count_waiting(decisions) == 1)
-    decisions.finished(chosen[0], GOOD, 0, "m", False, time.monotonic())
+    decisions.finished(chosen[0], GOOD, 0, "m", False, clock.monotonic_s())
     assert readmission.result(5) is admitted
 
 
 def test_crash_is_reported_only_if_the_request_may_have_caused_it():
     decisions, policy = make_steering()
-    now = time.monotonic()
+    now = clock.monotonic_s()
     target = decisions.choose("proofs", "view", now, ())
     decisions.finished(target, GOOD, 0, "popular", False, now)
     for fingerprint, is_death, expected in (
