Divide the rate of a cold endpoint among all entries that may send to it

The same class of fault as with announced rates, a figure for the whole fleet that each entry keeps alone, found by looking at each such figure: with no entry in a cold endpoint's region every entry took itself for the only sender, and entries that leave divided the rate among those left with each of them counted anew. Callers would have seen the endpoint crash. Change: the census of entries that announced rates are divided by. Tests: test_cold_endpoint_in_a_region_without_entries_is_not_overrun and test_cold_endpoint_is_not_overrun_while_entries_leave failed before.

--- a/oriolelock/dispatch/chooser.py
+++ b/oriolelock/dispatch/chooser.py
@@ -240,7 +240,7 @@
     def _may_send_cold(self, view, now):
         config = self._services.get(view.endpoint.service)
         rate = config.cold_rate if config else 1.0
-        candidates = self._entries_of_region.get(view.endpoint.region) or (self.name,)
+        candidates, _ = self._census.senders(view.endpoint.region, now)
         if self.name not in candidates:
             return False
         if not cold_quota.is_permitted_sender(view.endpoint.name, rate, candidates, self.name):
