Forget a limit with the endpoint's restart; start without tokens whenever one is learned

An endpoint that starts again under its name knows nothing of before, but entries kept to the limit of its earlier run: callers were refused while it was free. An entry that learned of a limit by gossip got the tokens of the statement's age, so that one that restarts again and again began each time with a full bucket; the same held for a limit restated after it had expired. Responses to requests of an earlier run say nothing of the new one. Tests: four new cases in tests/dispatch/test_endpoint_limits.py failed before.

--- a/oriolelock/dispatch/chooser.py
+++ b/oriolelock/dispatch/chooser.py
@@ -128,6 +128,7 @@
         view = self.views.get(instance.name)
         identity = view and (view.endpoint.address, view.endpoint.started_ms)
         if identity != (instance.address, instance.started_ms):
+            self.limits.forget(instance.name)
             self.views[instance.name] = endpoint_view.EndpointView(instance)
             return
         if instance.cold and not view.endpoint.cold:
@@ -365,7 +366,8 @@
         if view is None:
             return ""
         name = view.endpoint.name
-        return name if self.limits.record(name, report.rate, now - report.age_s) else ""
+        is_changed = self.limits.record(name, report.rate, now - report.age_s, now)
+        return name if is_changed else ""
 
 
 def _view_digest(view):
--- a/oriolelock/dispatch/endpoint_limits.py
+++ b/oriolelock/dispatch/endpoint_limits.py
@@ -6,7 +6,8 @@
 
     Each entry has a fixed share of an endpoint's rate, in a token bucket. If there are more
     entries than the rate has room for, rendezvous hashing selects those that have a share. So no
-    coordination is needed, and an entry that restarts cannot exceed its share.
+    coordination is needed. An entry that learns of a rate starts without tokens, so that one that
+    restarts cannot exceed its share.
 """
 
 import collections.abc
@@ -118,21 +119,22 @@
         # By endpoint: what the share was computed from, and the share.
         self._shares: dict[str, tuple[tuple[float, int], Share]] = {}
 
-    def record(self, endpoint: str, rate: float, stated_s: float) -> bool:
+    def record(self, endpoint: str, rate: float, stated_s: float, now: float) -> bool:
         """Record a statement unless a newer one is known; returns whether the rate changed."""
         known = self._statements.get(endpoint)
         if known is None and rate == UNLIMITED:
             return False
         if known is not None and known.stated_s >= stated_s:
             return False
+        previous_rate = self.rate(endpoint, now)
         self._statements[endpoint] = Statement(rate, stated_s)
         if rate == UNLIMITED:
             self._buckets.pop(endpoint, None)
             self._ended_s.setdefault(endpoint, stated_s)
-        else:
-            self._buckets.setdefault(endpoint, _Bucket(stated_s))
+        elif previous_rate == UNLIMITED:
+            self._buckets[endpoint] = _Bucket(now)
             self._ended_s.pop(endpoint, None)
-        return known is None or known.rate != rate
+        return known is None or previous_rate != rate
 
     def rate(self, endpoint: str, now: float) -> float:
         """Return the announced rate in requests per second, or ``UNLIMITED``."""
@@ -148,10 +150,11 @@
             if known.rate == UNLIMITED:
                 memory_s, since_s = END_MEMORY_S, self._ended_s[name]
             if now - since_s > memory_s:
-                self._forget(name)
+                self.forget(name)
         return dict(self._statements)
 
-    def _forget(self, endpoint):
+    def forget(self, endpoint: str) -> None:
+        """Drop what is known of an endpoint, for example because it has restarted."""
         for by_endpoint in (self._statements, self._buckets, self._ended_s, self._shares):
             by_endpoint.pop(endpoint, None)
 
@@ -191,4 +194,4 @@
     def retain(self, endpoints: collections.abc.Container[str]) -> None:
         """Drop the state of endpoints that are not in ``endpoints``."""
         for name in [name for name in self._statements if name not in endpoints]:
-            self._forget(name)
+            self.forget(name)
--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -169,7 +169,8 @@
         if rate is None:
             log.notable("endpoint-limit-malformed", endpoint=name)
             return
-        if self.chooser.limits.record(name, rate, now):
+        is_current = self.chooser.views.get(name) is view
+        if is_current and self.chooser.limits.record(name, rate, now, now):
             self._limit_gossip.announce(name)
             self._log_limit(name, rate, 0.0, "response")
 
--- a/oriolelock/gateway/limit_gossip.py
+++ b/oriolelock/gateway/limit_gossip.py
@@ -32,11 +32,11 @@
         self,
         loop: loops.Loop,
         datagrams: gossip.Gossip,
-        limits: chooser.Chooser,
+        selector: chooser.Chooser,
         rng: random.Random,
     ):
         self._datagrams = datagrams
-        self._chooser = limits
+        self._chooser = selector
         self._rng = rng
         self._peers: list[gossip.Address] = []
         # By endpoint: rounds in which its change is still to be sent.
--- a/tests/dispatch/test_endpoint_limits.py
+++ b/tests/dispatch/test_endpoint_limits.py
@@ -5,7 +5,12 @@
 
 import pytest
 
-from oriolelock.dispatch import chooser, decisions, endpoint_limits, entry_census
+from oriolelock.dispatch import (
+    chooser,
+    decisions,
+    endpoint_limits,
+    entry_census,
+)
 from oriolelock.model import configuration, member, route_table, service
 from tests.dispatch import builders
 
@@ -64,14 +69,14 @@
 
     def start(self, name, now):
         selector = make_chooser(name, make_configuration(self.endpoints, self.members), now)
-        selector.limits.record("x", self.rate, now)
+        selector.limits.record("x", self.rate, now, now)
         self.choosers[name] = selector
 
     def state_rate(self, rate, now):
         """Let all entries learn of a rate."""
         self.rate = rate
         for selector in self.choosers.values():
-            selector.limits.record("x", rate, now)
+            selector.limits.record("x", rate, now, now)
 
     def configure(self, now):
         for selector in self.choosers.values():
@@ -174,16 +179,16 @@
 
 def test_limit_without_confirmation_expires():
     limits = endpoint_limits.EndpointLimits("a0", entry_census.EntryCensus("a0", "a"))
-    limits.record("x", 2.0, 0.0)
+    limits.record("x", 2.0, 0.0, 0.0)
     assert limits.rate("x", endpoint_limits.LIMIT_LIFETIME_S) == 2.0
     assert limits.rate("x", endpoint_limits.LIMIT_LIFETIME_S + 0.1) == endpoint_limits.UNLIMITED
 
 
 def test_end_of_a_limit_is_passed_on_for_a_while():
     limits = endpoint_limits.EndpointLimits("a0", entry_census.EntryCensus("a0", "a"))
-    limits.record("x", 2.0, 0.0)
+    limits.record("x", 2.0, 0.0, 0.0)
     for second in range(1, 60):
-        limits.record("x", endpoint_limits.UNLIMITED, float(second))
+        limits.record("x", endpoint_limits.UNLIMITED, float(second), float(second))
     end_s = 1.0 + endpoint_limits.END_MEMORY_S
     assert limits.statements(end_s)["x"].rate == endpoint_limits.UNLIMITED
     assert limits.statements(end_s + 0.1) == {}
@@ -191,10 +196,10 @@
 
 def test_older_statement_does_not_replace_a_newer_one():
     limits = endpoint_limits.EndpointLimits("a0", entry_census.EntryCensus("a0", "a"))
-    assert limits.record("x", 2.0, 5.0)
-    assert not limits.record("x", endpoint_limits.UNLIMITED, 4.0)
+    assert limits.record("x", 2.0, 5.0, 5.0)
+    assert not limits.record("x", endpoint_limits.UNLIMITED, 4.0, 5.0)
     assert limits.rate("x", 5.0) == 2.0
-    assert limits.record("x", endpoint_limits.UNLIMITED, 6.0)
+    assert limits.record("x", endpoint_limits.UNLIMITED, 6.0, 6.0)
 
 
 def test_urgent_requests_find_a_token_before_others():
@@ -256,3 +261,32 @@
             selector.configure(later, 5.0, 1000.0)
             sent += isinstance(selector.choose(builders.make_context(name), 5.1), decisions.Send)
     assert 1 <= sent <= 1.5 * cold_rate + 5
+
+
+def test_entry_that_learns_of_an_old_limit_starts_without_tokens():
+    fleet = Fleet(1, 2.0)
+    selector = make_chooser("a0", make_configuration(fleet.endpoints, fleet.members), 100.0)
+    report = fleet.choosers["a0"].limit_reports(None, 50.0)[0]
+    assert report.age_s == 50.0
+    selector.apply_limit_report(report, 100.0)
+    assert isinstance(selector.choose(builders.make_context(), 100.0), decisions.Refuse)
+
+
+def test_limit_that_is_restated_after_it_expired_starts_without_tokens():
+    limits = endpoint_limits.EndpointLimits("a0", entry_census.EntryCensus("a0", "a"))
+    limits.record("x", 2.0, 0.0, 0.0)
+    late_s = endpoint_limits.LIMIT_LIFETIME_S + 1.0
+    assert limits.record("x", 2.0, late_s, late_s)
+    assert limits.wait_s("x", "a", 0, late_s) > 0.0
+
+
+@pytest.mark.parametrize("knows", ["limit", "end"])
+def test_endpoint_that_restarts_under_its_name_has_no_limit(knows):
+    fleet = Fleet(1, 2.0)
+    selector = fleet.choosers["a0"]
+    if knows == "end":
+        selector.limits.record("x", endpoint_limits.UNLIMITED, 9.0, 9.0)
+    restarted = [builders.make_endpoint("x", "a1", 1000, started_ms=10_000)]
+    selector.configure(make_configuration(restarted, fleet.members), 10.0, 1000.0)
+    assert selector.limits.rate("x", 10.0) == endpoint_limits.UNLIMITED
+    assert selector.limit_reports(None, 10.0) == []
--- a/tests/gateway/test_limit_gossip.py
+++ b/tests/gateway/test_limit_gossip.py
@@ -28,7 +28,8 @@
         return self.chooser.limits.rate("x1", clock.monotonic_s())
 
     def state(self, rate):
-        if self.chooser.limits.record("x1", rate, clock.monotonic_s()):
+        now = clock.monotonic_s()
+        if self.chooser.limits.record("x1", rate, now, now):
             self.gossip.announce("x1")
 
 
