--- a/oriolelock/dispatch/chooser.py
+++ b/oriolelock/dispatch/chooser.py
@@ -78,14 +78,11 @@
         self.limits = endpoint_limits.EndpointLimits(name, self._census)
         self._shift_speed = shift_speed
         self._splits: dict[str, region_split.RegionSplit] = {}
-        self._entries_of_region: dict[str, tuple[str, ...]] = {}
-        self.entry_count = 1
         self._is_configured = False
 
     def configure(self, cfg: configuration.Configuration, now: float, wall_s: float) -> None:
         """Apply a configuration; ``wall_s``: Unix time, to which drains refer."""
         self._services = cfg.table.services
-        self._configure_entries(cfg)
         self._census.configure(cfg.members.values(), now)
         drained = self._find_drained(cfg, wall_s)
         for name in [name for name in self.views if name not in cfg.endpoints]:
@@ -108,14 +105,6 @@
         self._route_times = {k: v for k, v in self._route_times.items() if k in cfg.table.routes}
         self._is_configured = self._is_configured or bool(cfg.endpoints)
 
-    def _configure_entries(self, cfg):
-        by_region: dict[str, set[str]] = {self._region: {self.name}}
-        for entry in cfg.members.values():
-            if entry.role == "entry" and entry.state == "live":
-                by_region.setdefault(entry.region, set()).add(entry.name)
-        self._entries_of_region = {k: tuple(sorted(v)) for k, v in by_region.items()}
-        self.entry_count = sum(len(names) for names in by_region.values())
-
     def _find_drained(self, cfg, wall_s):
         active = [drain for drain in cfg.drains.values() if drain.start_s <= wall_s]
         return {
@@ -135,6 +124,10 @@
             view.clear_objects()
         view.endpoint = instance
 
+    def entry_count(self, now: float) -> int:
+        """Return the number of entries that may forward requests, with those that just left."""
+        return sum(len(names) for names in self._census.by_region(now).values())
+
     def service_times_of(self, route) -> service_times.ServiceTimes:
         """Return the service time estimates of a route."""
         times = self._route_times.get(route.name)
@@ -210,9 +203,7 @@
             for view in self._by_service.get(service_name, ()):
                 instance = view.endpoint
                 slots[instance.region] = slots.get(instance.region, 0.0) + instance.slots
-            entries = {
-                region: len(entry_names) for region, entry_names in self._entries_of_region.items()
-            }
+            entries = self._census.live_counts()
             shares = region_split.starting_shares(self._region, slots, entries)
             split = region_split.RegionSplit(self._region, shares, self._shift_speed)
             self._splits[service_name] = split
--- a/oriolelock/dispatch/entry_census.py
+++ b/oriolelock/dispatch/entry_census.py
@@ -5,6 +5,7 @@
     The entries among which limits of the whole fleet are divided.
 """
 
+import collections
 import collections.abc
 
 from oriolelock.model import member
@@ -42,6 +43,10 @@
                 self._lingering[name] = (region, now + LINGER_S)
         self._valid_until_s = float("-inf")
 
+    def live_counts(self) -> dict[str, int]:
+        """Return the number of live entries by region."""
+        return dict(collections.Counter(self._live.values()))
+
     def by_region(self, now: float) -> dict[str, tuple[str, ...]]:
         """Return the sorted names of live and recently live entries by region."""
         if now >= self._valid_until_s:
--- a/oriolelock/gateway/daemon.py
+++ b/oriolelock/gateway/daemon.py
@@ -173,13 +173,14 @@
         exchange.reply(messages.Response(200 if ready else 503, (), body))
 
     def _handle_metrics(self, exchange):
-        age_s = self._uplink.control_age_s(clock.monotonic_s())
+        now = clock.monotonic_s()
+        age_s = self._uplink.control_age_s(now)
         gauges = {
             "routes_revision": self.core.revision,
             "control_age_seconds": -1.0 if age_s is None else round(age_s, 3),
             "endpoints": len(self.core.chooser.views),
-            "endpoints_limited": self.core.chooser.limits.limited_count(clock.monotonic_s()),
-            "entries": self.core.chooser.entry_count,
+            "endpoints_limited": self.core.chooser.limits.limited_count(now),
+            "entries": self.core.chooser.entry_count(now),
             "connections": len(self._servers[0]),
             "endpoint_connections_opened": self.core.pool.opened,
             "gossip_sent": self.core.gossip.sent,
--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -213,7 +213,9 @@
         shared = self._core
         if self._may_have_run and not shared.may_retry(self._fingerprint):
             return False
-        allowed = shared.retry_budget_of(self._service).try_spend(shared.chooser.entry_count, now)
+        allowed = shared.retry_budget_of(self._service).try_spend(
+            shared.chooser.entry_count(now), now
+        )
         shared.metrics.count("retried" if allowed else "retry_denied")
         return allowed
 
--- a/tests/dispatch/test_endpoint_limits.py
+++ b/tests/dispatch/test_endpoint_limits.py
@@ -10,6 +10,7 @@
     decisions,
     endpoint_limits,
     entry_census,
+    retry_budget,
 )
 from oriolelock.model import configuration, member, route_table, service
 from tests.dispatch import builders
@@ -290,3 +291,19 @@
     selector.configure(make_configuration(restarted, fleet.members), 10.0, 1000.0)
     assert selector.limits.rate("x", 10.0) == endpoint_limits.UNLIMITED
     assert selector.limit_reports(None, 10.0) == []
+
+
+def test_entries_that_leave_at_once_keep_within_the_retry_budget():
+    allowance, window_s = 60.0, 10.0
+    members = make_entries(8)
+    leaving = dict.fromkeys(sorted(members)[:20], "leaving")
+    endpoints = [builders.make_endpoint("x")]
+    spent = 0
+    for name in members:
+        selector = make_chooser(name, make_configuration(endpoints, members))
+        budget = retry_budget.RetryBudget(0.2, allowance, window_s)
+        later = make_configuration(endpoints, make_entries(8, leaving))
+        selector.configure(later, 1.0, 1000.0)
+        while budget.try_spend(selector.entry_count(1.1), 1.1):
+            spent += 1
+    assert 1 <= spent <= allowance
