Hold health checks of an endpoint back that takes no more requests now

Found in reading the change again: health checks counted against the share of an announced rate but did not wait for it, so that every entry, also one without a share, probed an endpoint in trouble at its own pace. Now a check waits for a token, like a request. Test: test_health_checks_wait_for_the_announced_rate failed before (a check at once, three requests over the rate).

--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -218,14 +218,17 @@
     def _check_due_endpoints(self):
         now = clock.monotonic_s()
         for view in self.chooser.views.values():
-            is_due = (
-                view.needs_health_check
-                and not view.health_check_pending
-                and now >= view.ejected_until_s
-            )
-            if is_due and view.endpoint.state == "live":
+            if self._is_check_due(view, now):
                 self._check_health(view, lambda is_reachable: None)
 
+    def _is_check_due(self, view, now):
+        if not view.needs_health_check or view.health_check_pending or now < view.ejected_until_s:
+            return False
+        instance = view.endpoint
+        # A health check is a request like any other to an endpoint that has announced a rate.
+        limit_wait_s = self.chooser.limits.wait_s(instance.name, instance.region, 0, now)
+        return instance.state == "live" and limit_wait_s <= 0.0
+
     def _check_health(self, view, on_checked):
         """Check an endpoint's health, then call ``on_checked(is_reachable)``."""
         view.health_check_pending = True
--- a/tests/gateway/test_rate_limit.py
+++ b/tests/gateway/test_rate_limit.py
@@ -7,6 +7,7 @@
 from oriolelock import clock
 from oriolelock.dispatch import endpoint_limits
 from oriolelock.gateway import facts
+from tests import waiting
 from tests.gateway import conftest
 
 LIMIT_PER_S = 2.0
@@ -62,3 +63,23 @@
     assert set(statuses) == {(200, False), (503, True)}
     # The users' bound for any 4 seconds: one and a half times the rate, and 5 more.
     assert 2 <= len(endpoint.requests) <= 1.5 * LIMIT_PER_S * 4 + 5
+
+
+def test_health_checks_wait_for_the_announced_rate(gateway):
+    endpoint = gateway.add_endpoint("x", limiting)
+    gateway.configure()
+    assert gateway.send(b"/safe/1")[0] == 200
+    limits, view = gateway.core.chooser.limits, gateway.core.chooser.views["x"]
+
+    def eject():
+        now = clock.monotonic_s()
+        limits.record_sent("x", now, 3.0)
+        view.record_failure(now)
+        view.ejected_until_s = now
+
+    gateway.loop_thread.call(eject)
+    # Three requests over the rate of 2 a second: none may follow for 1.5 s.
+    time.sleep(1.0)
+    assert len(endpoint.requests) == 1
+    waiting.until(lambda: not view.needs_health_check, 5.0)
+    assert len(endpoint.requests) == 2
