Accept responses of up to 32 MB again, and announced lengths without a body

Two regressions of the bounds on responses without end, found in reading the change again: callers would have got 502 for a response of 16 to 32 MB, which was passed on before, and for a HEAD or 304 response that announces a length over the limit, though no body follows. Tests: test_largest_allowed_body_is_complete and both cases of test_length_of_a_body_that_does_not_follow_is_no_limit failed before.

--- a/oriolelock/http1/inbound.py
+++ b/oriolelock/http1/inbound.py
@@ -24,7 +24,6 @@
 LINGER_S = 1.0
 # A caller that has just connected sends its request within a trip between distant regions.
 FIRST_REQUEST_WAIT_S = 0.3
-BODILESS_STATUSES = (204, 304)
 REASON_PHRASES = {
     400: b"Bad Request",
     408: b"Request Timeout",
@@ -252,8 +251,8 @@
         headers = [pair for pair in response.headers if pair[0] != b"connection"]
         if closes:
             headers.append((b"connection", b"close"))
-        bodiless = self._method == b"HEAD" or response.status in BODILESS_STATUSES
-        if response.status not in BODILESS_STATUSES and not (
+        bodiless = self._method == b"HEAD" or response.status in messages.BODILESS_STATUSES
+        if response.status not in messages.BODILESS_STATUSES and not (
             self._method == b"HEAD" and _has_length(headers)
         ):
             headers = [pair for pair in headers if pair[0] != b"content-length"]
--- a/oriolelock/http1/messages.py
+++ b/oriolelock/http1/messages.py
@@ -7,7 +7,10 @@
 
 import dataclasses
 
-__all__ = ["Headers", "Request", "Response", "find"]
+__all__ = ["BODILESS_STATUSES", "Headers", "Request", "Response", "find"]
+
+# Responses with these statuses have no body, whatever length they announce.
+BODILESS_STATUSES = (204, 304)
 
 # Names in lower case, values without surrounding whitespace.
 Headers = tuple[tuple[bytes, bytes], ...]
--- a/oriolelock/http1/outbound.py
+++ b/oriolelock/http1/outbound.py
@@ -24,7 +24,7 @@
 RECV_BYTES = 64 * 1024
 # Of all heads until the final one, including informational responses.
 MAX_HEAD_BYTES = 64 * 1024
-MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_BODY_BYTES = 32 * 1024 * 1024
 MAX_HEALTH_BODY_BYTES = 64 * 1024
 # Responses to earlier requests that are skipped before the connection is closed.
 MAX_STALE_RESPONSES = 2
@@ -220,7 +220,7 @@
                 return
             if isinstance(event, h11.Response):
                 self._head = event
-                if _announced_bytes(event.headers) > self._max_body_bytes:
+                if self._announced_body_bytes() > self._max_body_bytes:
                     self._finish(transfers.Lost("response too large"))
                     return
             elif isinstance(event, h11.Data):
@@ -237,6 +237,12 @@
                 self._finish(transfers.Lost("connection closed before the response was complete"))
                 return
 
+    def _announced_body_bytes(self):
+        if self._request.method == b"HEAD" or self._head.status_code in messages.BODILESS_STATUSES:
+            return 0
+        # h11 accepts only valid lengths.
+        return int(messages.find(self._head.headers, b"content-length") or 0)
+
     def _give_up(self):
         self._finish(transfers.Lost("response buffers are full"))
 
@@ -285,11 +291,6 @@
             on_result(result)
 
 
-def _announced_bytes(headers):
-    # h11 accepts only valid lengths.
-    return int(messages.find(headers, b"content-length") or 0)
-
-
 def _keep_alive_s(headers):
     header = messages.find(headers, b"keep-alive") or b""
     for parameter in header.split(b","):
--- a/tests/http1/test_endless_responses.py
+++ b/tests/http1/test_endless_responses.py
@@ -57,6 +57,37 @@
     assert time.monotonic() - started_s < LIMIT_S
 
 
+@pytest.mark.parametrize("method", [b"HEAD", b"GET"])
+def test_length_of_a_body_that_does_not_follow_is_no_limit(running, method):
+    status = b"200 OK" if method == b"HEAD" else b"304 Not Modified"
+
+    def respond(conn, head, body):
+        conn.sendall(
+            b"HTTP/1.1 %s\r\nX-Request-Id: 1\r\nContent-Length: %d\r\n\r\n" % (status, 2**40)
+        )
+
+    endpoint = raw_endpoint.RawEndpoint(respond)
+    conn = test_outbound.connect(running, endpoint.address)
+    req = test_outbound.messages.Request(method, b"/x", ((b"host", b"h"), (b"x-request-id", b"1")))
+    fut = concurrent.futures.Future()
+    running.call(lambda: conn.send(req, 1.0, fut.set_result))
+    assert isinstance(fut.result(10), transfers.Answered)
+
+
+def test_largest_allowed_body_is_complete(running):
+    # The size that was allowed before all responses together were bounded.
+    size = 32 * 2**20
+
+    def respond(conn, head, body):
+        conn.sendall(HEAD + b"Content-Length: %d\r\n\r\n" % size)
+        conn.sendall(b"y" * size)
+
+    endpoint = raw_endpoint.RawEndpoint(respond)
+    result = test_outbound.send(running, test_outbound.connect(running, endpoint.address))
+    assert isinstance(result, transfers.Answered)
+    assert len(result.response.body) == size
+
+
 def test_body_that_is_announced_as_too_large_is_not_read(running):
     def respond(conn, head, body):
         conn.sendall(HEAD + b"Content-Length: %d\r\n\r\n" % 2**40)
