Answer the calls in progress when a control replica stops

Change: it waits up to 0.8 s for them, with the loop that entries had for this, now in http1/shutdown.py.

--- a/oriolelock/control/hosted.py
+++ b/oriolelock/control/hosted.py
@@ -8,10 +8,10 @@
 import collections.abc
 import threading
 
-from oriolelock import events, metrics
+from oriolelock import clock, events, metrics
 from oriolelock.control import components, replica, route_operations
 from oriolelock.http1 import loop as loops
-from oriolelock.http1 import messages, server, server_rules
+from oriolelock.http1 import messages, server, server_rules, shutdown
 from oriolelock.model import request_limits
 from oriolelock.settings import control as settings
 from oriolelock.storage import store
@@ -22,6 +22,8 @@
     head_bytes=32 * 1024, body_bytes=32 * 1024 * 1024, head_ms=5000.0, idle_ms=30_000.0
 )
 STOP_TIMEOUT_S = 1.0
+# Leaves the loop time to end within STOP_TIMEOUT_S.
+ANSWER_TIMEOUT_S = 0.8
 
 log = events.Events("control")
 
@@ -83,7 +85,12 @@
     def _stop_serving(self):
         for http_server in self._servers:
             http_server.stop_listening()
-        self.loop.stop()
+            http_server.close_idle()
+        deadline_s = clock.monotonic_s() + ANSWER_TIMEOUT_S
+        shutdown.stop_when_idle(self.loop, self._is_idle, deadline_s)
+
+    def _is_idle(self):
+        return not any(http_server.busy for http_server in self._servers)
 
     def use_seeds(self, seeds: tuple[tuple[str, int], ...]) -> None:
         """Replace the addresses of the replicas that are asked for admission."""
--- a/oriolelock/gateway/daemon.py
+++ b/oriolelock/gateway/daemon.py
@@ -16,7 +16,7 @@
 from oriolelock.gateway import core, flow
 from oriolelock.gateway import dialect as dialects
 from oriolelock.http1 import loop as loops
-from oriolelock.http1 import messages, server, server_rules
+from oriolelock.http1 import messages, server, server_rules, shutdown
 from oriolelock.lookup import entry_choice
 from oriolelock.model import changes, member, request_limits
 from oriolelock.settings import gateway as settings
@@ -31,7 +31,6 @@
 # while callers refresh their lists of entries; until the second, requests in flight are finished.
 ACCEPT_RATIO = 0.25
 STOP_RATIO = 0.88
-STOP_POLL_INTERVAL_S = 0.05
 
 log = events.Events("gateway")
 
@@ -221,11 +220,7 @@
         self._refuses_requests = True
         self._servers[0].stop_listening()
         self._servers[0].close_idle()
-        self._stop_when_idle()
+        shutdown.stop_when_idle(self.loop, self._is_idle, self._stop_deadline_s)
 
-    def _stop_when_idle(self):
-        is_idle = not self.core.metrics.in_flight and not self._servers[0].busy
-        if is_idle or clock.monotonic_s() >= self._stop_deadline_s:
-            self.loop.call_later(STOP_POLL_INTERVAL_S, self.loop.stop)
-        else:
-            self.loop.call_later(STOP_POLL_INTERVAL_S, self._stop_when_idle)
+    def _is_idle(self):
+        return not self.core.metrics.in_flight and not self._servers[0].busy
--- a/tests/http1/test_planned_stop.py
+++ b/tests/http1/test_planned_stop.py
@@ -87,22 +87,24 @@
     assert read_all(sock) == b""
 
 
-def test_connection_that_was_just_accepted_may_send_its_first_request(running):
+def stop_after_a_connection(running):
+    """Return a server that stops, its requests, and a connection that was just accepted."""
     http_server, handled = make_server(running)
     sock = socket.create_connection(http_server._sock.getsockname(), 5)
     sock.settimeout(5)
     waiting.until(lambda: running.call(lambda: len(http_server)) == 1)
     running.call(lambda: stop(http_server))
+    return http_server, handled, sock
+
+
+def test_connection_that_was_just_accepted_may_send_its_first_request(running):
+    http_server, handled, sock = stop_after_a_connection(running)
     assert running.call(lambda: http_server.busy) == 1
     sock.sendall(REQUEST)
     assert read_all(sock).startswith(b"HTTP/1.1 200")
 
 
 def test_connection_that_never_sends_a_request_is_closed_soon(running):
-    http_server, _ = make_server(running)
-    sock = socket.create_connection(http_server._sock.getsockname(), 5)
-    sock.settimeout(5)
-    waiting.until(lambda: running.call(lambda: len(http_server)) == 1)
-    running.call(lambda: stop(http_server))
+    http_server, _, sock = stop_after_a_connection(running)
     assert read_all(sock) == b""
     assert running.call(lambda: http_server.busy) == 0
