--- a/tests/http1/test_endless_responses.py
+++ b/tests/http1/test_endless_responses.py
@@ -75,7 +75,6 @@
 
 
 def test_largest_allowed_body_is_complete(running):
-    # The size that was allowed before all responses together were bounded.
     size = 32 * 2**20
 
     def respond(conn, head, body):
