Log when an entry believes to be cut off from all endpoints

Logs could not tell an entry that learns too slowly from one that has no other way to an endpoint. Failures to connect since the last success are recorded by service; the belief is logged and not used.

--- a/oriolelock/dispatch/chooser.py
+++ b/oriolelock/dispatch/chooser.py
@@ -128,6 +128,10 @@
         """Return the number of entries that may forward requests, with those that just left."""
         return sum(len(names) for names in self._census.by_region(now).values())
 
+    def ejected_count(self) -> int:
+        """Return the number of endpoints that are not used until a health check passes."""
+        return sum(view.needs_health_check for view in self.views.values())
+
     def service_times_of(self, route) -> service_times.ServiceTimes:
         """Return the service time estimates of a route."""
         times = self._route_times.get(route.name)
--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -15,6 +15,7 @@
     endpoint_limits,
     endpoint_view,
     observation,
+    reachability,
     retry_budget,
     route_index,
     splitter,
@@ -65,6 +66,7 @@
             loop, cfg.link_listen, cfg.cluster_token, self._apply_report, rng
         )
         self._limit_gossip = limit_gossip.LimitGossip(loop, self.gossip, self.chooser, rng)
+        self.reachability = reachability.Reachability()
         self._quarantine = quarantine.Quarantine()
         self._splitters: dict[str, splitter.Splitter] = {}
         self._retries: dict[str, retry_budget.RetryBudget] = {}
@@ -110,6 +112,7 @@
         self._limit_gossip.use_peers(self._peers(cfg, None))
         self._quarantine.configure(cfg.crashes)
         self.chooser.configure(cfg, now, clock.wall_s())
+        self.reachability.retain(self.chooser.views)
 
     def _peers(self, cfg, regions):
         """Yield the addresses of the other live entries in ``regions``; None for all regions."""
@@ -130,6 +133,10 @@
                 if endpoint:
                     self._log_limit(endpoint, report.rate, report.age_s, "gossip")
 
+    def cut_off_count(self) -> int:
+        """Return the number of services whose endpoints seem unreachable from here only."""
+        return sum(self.reachability.is_cut_off(name) for name in self._cfg.table.services)
+
     def splitter_of(self, route) -> splitter.Splitter:
         """Return the splitter of a route's requests among its services."""
         route_splitter = self._splitters.get(route.name)
@@ -183,14 +190,39 @@
         """Record that a request completed without an error."""
         self._quarantine.record_completion(fingerprint, now)
 
-    def record_unreachable(self, view: endpoint_view.EndpointView, reason: str, now: float) -> None:
+    def record_connected(self, view: endpoint_view.EndpointView) -> None:
+        """Record that a new connection to an endpoint was established."""
+        name = view.endpoint.service
+        was_cut_off = self.reachability.is_cut_off(name)
+        self.reachability.record_success(name)
+        if was_cut_off:
+            log.notable("endpoints-reachable", service=name, endpoint=view.endpoint.name)
+
+    def record_unreachable(
+        self, view: endpoint_view.EndpointView, result: transfers.NotSent, now: float
+    ) -> None:
         """Eject an endpoint to which no connection could be opened."""
+        self._record_connect_failure(view, result.refused, now)
         if not view.needs_health_check:
-            log.notable("endpoint-out", endpoint=view.endpoint.name, reason=reason)
+            log.notable("endpoint-out", endpoint=view.endpoint.name, reason=result.reason)
             view.record_failure(now)
             view.clear_objects()
             self.pool.close_idle(view.endpoint.name)
 
+    def _record_connect_failure(self, view, refused, now):
+        name = view.endpoint.service
+        was_cut_off = self.reachability.is_cut_off(name)
+        self.reachability.record_failure(name, view.endpoint.name, refused, now)
+        if self.reachability.is_cut_off(name) and not was_cut_off:
+            failures = self.reachability.failures(name)
+            log.notable(
+                "endpoints-cut-off",
+                service=name,
+                failed=sorted(failures),
+                refused=not self.reachability.are_connections_lost(name),
+                first_age_s=now - min(failure.at_s for failure in failures.values()),
+            )
+
     def record_misdirected(self, view: endpoint_view.EndpointView, now: float) -> None:
         """Eject an endpoint at whose address another one answers."""
         log.notable("endpoint-replaced", endpoint=view.endpoint.name)
@@ -243,6 +275,7 @@
         conn = outbound.Outbound(
             self.loop, view.address, self.words.request_id, lambda c: None, self.pool.budget
         )
+        conn.on_connected = lambda: self.record_connected(view)
         timer = self.loop.call_later(HEALTH_CHECK_TIMEOUT_S, lambda: expired())
 
         def finished(result):
@@ -251,6 +284,8 @@
             health = None
             if isinstance(result, transfers.Answered):
                 health = facts.health(result.response, self.words)
+            elif isinstance(result, transfers.NotSent) and result.reason != "check-timeout":
+                self._record_connect_failure(view, result.refused, now)
             was_ejected = view.needs_health_check
             view.record_health_check(health, self.chooser.cold_period_s(view), now)
             if was_ejected and not view.needs_health_check:
--- a/oriolelock/gateway/daemon.py
+++ b/oriolelock/gateway/daemon.py
@@ -178,6 +178,8 @@
             "routes_revision": self.core.revision,
             "control_age_seconds": -1.0 if age_s is None else round(age_s, 3),
             "endpoints": len(self.core.chooser.views),
+            "endpoints_ejected": self.core.chooser.ejected_count(),
+            "services_cut_off": self.core.cut_off_count(),
             "endpoints_limited": self.core.chooser.limits.limited_count(now),
             "entries": self.core.chooser.entry_count(now),
             "connections": len(self._servers[0]),
--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -117,6 +117,7 @@
         if shared.chooser.limits.rate(instance.name, now) != endpoint_limits.UNLIMITED:
             shared.metrics.count("sent_to_limited_endpoints")
         self._conn = shared.pool.acquire(instance.name, view.address, self._route.idempotent, now)
+        self._conn.on_connected = lambda: shared.record_connected(view)
         req = forwarded.to_endpoint(
             self._req, shared.words, instance.name, self._deadline_at_s - now
         )
@@ -140,7 +141,7 @@
         self._core.chooser.not_sent(self._decision, now)
         self._unsent_attempts += 1
         if result.reason != "connection-ended":
-            self._core.record_unreachable(view, result.reason, now)
+            self._core.record_unreachable(view, result, now)
         if self._unsent_attempts < MAX_UNSENT_ATTEMPTS:
             self._attempt()
         else:
--- a/oriolelock/http1/outbound.py
+++ b/oriolelock/http1/outbound.py
@@ -56,6 +56,8 @@
         self.usable_until_s = 0.0
         self.idle_since_s = 0.0
         self.is_open = True
+        # Called once a new connection is established.
+        self.on_connected: collections.abc.Callable[[], None] = lambda: None
         self._connected = False
         self._send_buffer = bytearray()
         self._has_sent_bytes = False
@@ -142,6 +144,7 @@
         self._connected = True
         if self._timer:
             self._timer.cancel()
+        self.on_connected()
         self._flush()
 
     def _flush(self):
