Failing test: callers of an entry that has lost all endpoints get nothing

Fails on this commit for silent, reset and refused connections: 503 for each request, although another entry reaches the same endpoints.

--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -8,8 +8,9 @@
 
 from oriolelock.gateway import core, dialect, flow
 from oriolelock.http1 import server, server_rules
-from oriolelock.model import configuration, endpoint, route, route_table, service
+from oriolelock.model import configuration, endpoint, member, route, route_table, service
 from oriolelock.settings import gateway as settings
+from tests.gateway import cuttable_link
 from tests.http1 import loop_thread, raw_endpoint
 
 DIALECT = dataclasses.replace(dialect.OWN, stamp=b"x-stamp")
@@ -23,17 +24,21 @@
 
 
 class GatewayFixture:
-    """``endpoints``: ``RawEndpoint`` by name; ``crashes``: names of endpoints reported as dead."""
+    """``endpoints``: ``RawEndpoint`` by name; ``crashes``: names of endpoints reported as dead;
+    ``links``: ``CuttableLink`` by endpoint, through which this entry reaches it."""
 
-    def __init__(self):
+    def __init__(self, name="e1", region="a"):
         self.loop_thread = loop_thread.LoopThread()
         self.endpoints = {}
+        self.links = {}
         self.crashes = []
+        self.members = {}
+        self.name, self.region = name, region
         cfg = settings.GatewaySettings(
-            "e1",
+            name,
             "c",
-            "a",
-            "a1",
+            region,
+            f"{region}1",
             ("127.0.0.1", 0),
             ("127.0.0.1", 0),
             None,
@@ -87,18 +92,28 @@
             for name in ("safe", "once")
         }
         endpoints = {
-            name: endpoint.Endpoint(name, "s", ":".join(map(str, raw.address)), "a", "a1", 4, 0)
-            for name, raw in self.endpoints.items()
+            name: endpoint.Endpoint(name, "s", _text(self._address(name)), "a", "a1", 4, 0)
+            for name in self.endpoints
         }
         cfg = configuration.Configuration(
             index=1,
             endpoints=endpoints,
+            members=self.members,
             table=route_table.RouteTable(
                 1, routes, {"s": service.Service("s", "/health", 10, 1000.0, 4.0)}
             ),
         )
         self.loop_thread.call(lambda: self.core.configure(cfg))
 
+    def _address(self, endpoint_name):
+        return (self.links.get(endpoint_name) or self.endpoints[endpoint_name]).address
+
+    def member(self):
+        """Return the entry's record, by which others know it."""
+        return member.Member(
+            self.name, "entry", _text(self.address), "", self.region, f"{self.region}1"
+        )
+
     def connect(self):
         sock = socket.create_connection(self.address, 5)
         sock.settimeout(5)
@@ -124,8 +139,12 @@
 
     def stop(self):
         self.loop_thread.stop()
-        for raw in self.endpoints.values():
-            raw.close()
+        for opened in (*self.endpoints.values(), *self.links.values()):
+            opened.close()
+
+
+def _text(address):
+    return ":".join(map(str, address))
 
 
 def make_request(path, deadline_ms=3000, body=b"", request_id=b"id1", host=b"h"):
@@ -142,3 +161,31 @@
     fixture = GatewayFixture()
     yield fixture
     fixture.stop()
+
+
+@pytest.fixture
+def make_fleet():
+    """Return a function that starts entries with the same endpoints.
+
+    ``cut_off``: number of entries that reach the endpoints through links, which can be cut.
+    """
+    fleet = []
+
+    def make(respond, entries=2, cut_off=1, endpoints=4, regions="aaaaaaaa", **overrides):
+        fleet.extend(GatewayFixture(f"e{n + 1}", regions[n]) for n in range(entries))
+        for n in range(endpoints):
+            fleet[0].add_endpoint(f"x{n}", respond)
+        for number, item in enumerate(fleet):
+            item.endpoints = fleet[0].endpoints
+            item.members = {other.name: other.member() for other in fleet}
+            if number < cut_off:
+                item.links = {
+                    name: cuttable_link.CuttableLink(raw.address)
+                    for name, raw in item.endpoints.items()
+                }
+            item.configure(**overrides)
+        return fleet
+
+    yield make
+    for item in fleet:
+        item.stop()
