Let other entries serve the callers of an entry that is cut off from the endpoints

What callers saw: 503 for every request at an entry that had lost all endpoints, until the cut ended (12 s), although other entries reached the endpoints. Cause: an entry's only way to an endpoint was a connection of its own. Class of fault: a failure of this process's own links is taken for a failure of what lies behind them. Ruled out: slow learning alone (entries knew within 1.8 s and refused for 12 s). Change: failures to connect to three endpoints without a success between mean that the entry is cut off. It then delegates requests to another entry over HTTP on a port of its own, with route, service, deadline and tried endpoints; that entry chooses the endpoint, so that whoever sends to an endpoint counts it. A request that left for an entry and was lost is not sent again. Endpoints are no longer ejected for a fault of the entry; one health check a service each 0.25 s finds the end of the cut.

--- a/oriolelock/dispatch/chooser.py
+++ b/oriolelock/dispatch/chooser.py
@@ -164,7 +164,9 @@
             wait_s = min(RETRY_AFTER_MAX_S, *limit_waits_s)
             return decisions.Refuse("endpoint-limit", self._jittered(wait_s), wait_s)
         if not by_region:
-            return decisions.Refuse("no-endpoint", self._jittered(0.4))
+            return decisions.Refuse(
+                "no-endpoint", self._jittered(0.4), unreachable=self._count_unreachable(context)
+            )
         candidates = {
             name: self._best_candidate(views, context, times, now)
             for name, views in by_region.items()
@@ -218,17 +220,23 @@
         return bounded_s * self._rng.uniform(0.8, 1.2)
 
     def _is_eligible(self, view, context, now):
-        instance = view.endpoint
-        if (
-            instance.name in context.tried
-            or instance.name in self._drained
-            or not view.is_usable(now)
-        ):
-            return False
-        if context.route.regions and instance.region not in context.route.regions:
+        if not self._is_allowed(view.endpoint, context) or not view.is_usable(now):
             return False
         return not view.is_cold(now) or self._may_send_cold(view, now)
 
+    def _is_allowed(self, instance, context):
+        if instance.name in context.tried or instance.name in self._drained:
+            return False
+        return not context.route.regions or instance.region in context.route.regions
+
+    def _count_unreachable(self, context):
+        return sum(
+            view.needs_health_check
+            and view.endpoint.state == "live"
+            and self._is_allowed(view.endpoint, context)
+            for view in self._by_service.get(context.service, ())
+        )
+
     def _limit_wait_s(self, view, context, now):
         instance = view.endpoint
         return self.limits.wait_s(instance.name, instance.region, context.route.priority, now)
--- a/oriolelock/dispatch/decisions.py
+++ b/oriolelock/dispatch/decisions.py
@@ -56,8 +56,10 @@
 @dataclasses.dataclass(frozen=True)
 class Refuse:
     """A refusal; ``retry_after_s``: suggested delay before a retry; ``wait_s``: the shortest
-    expected queueing delay."""
+    expected queueing delay; ``unreachable``: number of ejected endpoints that other entries may
+    reach."""
 
     reason: str
     retry_after_s: float
     wait_s: float = 0.0
+    unreachable: int = 0
--- a/oriolelock/dispatch/endpoint_view.py
+++ b/oriolelock/dispatch/endpoint_view.py
@@ -83,6 +83,8 @@
         # Unreachable, unresponsive or replaced: not used until a health check passes.
         self.needs_health_check = False
         self.health_check_pending = False
+        # Ejected because no connection could be opened, and not checked since.
+        self._is_unreachable = False
         self._cache_size = MAX_CACHED_OBJECTS
         self._cached_objects: collections.OrderedDict[int, float] = collections.OrderedDict()
 
@@ -187,6 +189,23 @@
         self.ejected_until_s = now + backoff_s
         self.needs_health_check = True
 
+    def record_unreachable(self, now: float) -> None:
+        """Eject the endpoint, to which no connection could be opened."""
+        self.record_failure(now)
+        self._is_unreachable = True
+
+    def withdraw_unreachable(self) -> None:
+        """Undo ``record_unreachable``: the entry is cut off, and the endpoint not to blame."""
+        if self._is_unreachable:
+            self._is_unreachable = self.needs_health_check = False
+            self.failures -= 1
+            self.ejected_until_s = 0.0
+
+    def postpone_health_check(self, now: float) -> None:
+        """Record that a health check did not reach the endpoint for a fault of this entry."""
+        self.health_check_pending = False
+        self.ejected_until_s = now + BACKOFF_MIN_S if self.needs_health_check else 0.0
+
     def record_replacement(self, now: float) -> None:
         """Eject the endpoint with the longest backoff: another one answers at its address."""
         self.failures = max(self.failures, REPLACED_FAILURES)
@@ -202,7 +221,7 @@
 
         ``cold_s``: the service's cold period after a start, the upper bound of ``cold_ms``.
         """
-        self.health_check_pending = False
+        self.health_check_pending = self._is_unreachable = False
         if health is None or not health.is_healthy:
             self.record_failure(now)
             return
--- a/oriolelock/dispatch/retry_budget.py
+++ b/oriolelock/dispatch/retry_budget.py
@@ -41,6 +41,11 @@
         if len(self._requests) > 64 and now - self._requests[0] > self._window_s:
             self._trim(now)
 
+    def withdraw_request(self) -> None:
+        """Uncount the latest request: another entry sends it and counts it there."""
+        if self._requests:
+            self._requests.pop()
+
     def remaining(self, entries: int, now: float) -> float:
         """Return how many more retries are allowed now; ``entries``: number of entries."""
         self._trim(now)
--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -12,19 +12,21 @@
 from oriolelock.admission import quarantine
 from oriolelock.dispatch import (
     chooser,
+    decisions,
     endpoint_limits,
     endpoint_view,
     observation,
+    peer_selection,
     reachability,
     retry_budget,
     route_index,
     splitter,
 )
 from oriolelock.gateway import dialect as dialects
-from oriolelock.gateway import facts, gossip, limit_gossip, pool, request_metrics
+from oriolelock.gateway import facts, gossip, limit_gossip, peer_request, pool, request_metrics
+from oriolelock.http1 import buffer_budget, messages, outbound, transfers
 from oriolelock.http1 import loop as loops
-from oriolelock.http1 import messages, outbound, transfers
-from oriolelock.model import configuration
+from oriolelock.model import configuration, route
 from oriolelock.settings import gateway as settings
 
 __all__ = ["Core"]
@@ -32,6 +34,8 @@
 HEALTH_CHECK_TIMEOUT_S = 1.0
 HEALTH_CHECK_CONNECT_TIMEOUT_S = 0.35
 HEALTH_CHECK_INTERVAL_S = 0.1
+# Between health checks of a service whose endpoints are not reached.
+PROBE_INTERVAL_S = 0.25
 POOL_SWEEP_INTERVAL_S = 1.0
 
 log = events.Events("gateway")
@@ -58,7 +62,10 @@
         self.loop = loop
         self.words = words
         self.metrics = request_metrics.RequestMetrics()
-        self.pool = pool.Pool(loop, words.request_id)
+        budget = buffer_budget.BufferBudget()
+        self.pool = pool.Pool(loop, words.request_id, budget)
+        self._peer_pool = pool.Pool(loop, words.request_id, budget)
+        self._peers = peer_selection.PeerSelection(cfg.name, cfg.region, cfg.failure_domain, rng)
         self.chooser = chooser.Chooser(
             cfg.name, cfg.region, cfg.failure_domain, cfg.shift_speed, rng
         )
@@ -74,6 +81,7 @@
         self.index = route_index.RouteIndex(self._cfg.table)
         self.is_confirmed = False
         loop.call_each(HEALTH_CHECK_INTERVAL_S, self._check_due_endpoints)
+        loop.call_each(PROBE_INTERVAL_S, self._probe_cut_off_services)
         loop.call_each(POOL_SWEEP_INTERVAL_S, self._close_stale_connections)
 
     @property
@@ -81,11 +89,20 @@
         """True once a configuration with routes is in force."""
         return self.is_confirmed and self.revision > 0
 
+    @property
+    def cluster_token(self) -> str:
+        """The token that the system's processes share."""
+        return self._settings.cluster_token
+
     @property
     def revision(self) -> int:
         """The revision of the routes in force."""
         return self._cfg.table.revision
 
+    def route_named(self, name: str) -> route.Route | None:
+        """Return the route in force with this name."""
+        return self._cfg.table.routes.get(name)
+
     @property
     def limits(self):
         """Limits on callers' requests."""
@@ -108,13 +125,14 @@
             )
         if cfg.drains != previous.drains:
             log.notable("drains", targets=sorted(d.target for d in cfg.drains.values()))
-        self.gossip.use_peers(self._peers(cfg, (self._settings.region,)))
-        self._limit_gossip.use_peers(self._peers(cfg, None))
+        self.gossip.use_peers(self._gossip_peers(cfg, (self._settings.region,)))
+        self._limit_gossip.use_peers(self._gossip_peers(cfg, None))
         self._quarantine.configure(cfg.crashes)
         self.chooser.configure(cfg, now, clock.wall_s())
         self.reachability.retain(self.chooser.views)
+        self._peers.configure(cfg.members.values())
 
-    def _peers(self, cfg, regions):
+    def _gossip_peers(self, cfg, regions):
         """Yield the addresses of the other live entries in ``regions``; None for all regions."""
         for entry in cfg.members.values():
             if entry.role == "entry" and entry.state == "live":
@@ -190,6 +208,43 @@
         """Record that a request completed without an error."""
         self._quarantine.record_completion(fingerprint, now)
 
+    def needs_peer(
+        self,
+        decision: decisions.Send | decisions.Refuse,
+        request_route: route.Route,
+        service: str,
+        now: float,
+    ) -> bool:
+        """Return whether a request must be delegated, as no endpoint is reached from here."""
+        if not self.reachability.is_cut_off(service):
+            return isinstance(decision, decisions.Refuse) and decision.unreachable > 0
+        if isinstance(decision, decisions.Refuse) or self.reachability.are_connections_lost(
+            service
+        ):
+            return True
+        view = decision.view
+        return not self.pool.has_usable(
+            view.endpoint.name, view.address, request_route.idempotent, now
+        )
+
+    def make_peer_request(
+        self,
+        req: messages.Request,
+        request_route: route.Route,
+        fallback: peer_request.Refused,
+        on_end: collections.abc.Callable[[peer_request.Result], None],
+    ) -> peer_request.PeerRequest:
+        """Return a request to other entries, not started yet."""
+        return peer_request.PeerRequest(
+            self._peers,
+            self._peer_pool,
+            self.cluster_token,
+            req,
+            request_route,
+            fallback,
+            on_end,
+        )
+
     def record_connected(self, view: endpoint_view.EndpointView) -> None:
         """Record that a new connection to an endpoint was established."""
         name = view.endpoint.service
@@ -201,11 +256,12 @@
     def record_unreachable(
         self, view: endpoint_view.EndpointView, result: transfers.NotSent, now: float
     ) -> None:
-        """Eject an endpoint to which no connection could be opened."""
+        """Eject an endpoint to which no connection could be opened, unless the entry is cut off."""
         self._record_connect_failure(view, result.refused, now)
-        if not view.needs_health_check:
+        is_cut_off = self.reachability.is_cut_off(view.endpoint.service)
+        if not is_cut_off and not view.needs_health_check:
             log.notable("endpoint-out", endpoint=view.endpoint.name, reason=result.reason)
-            view.record_failure(now)
+            view.record_unreachable(now)
             view.clear_objects()
             self.pool.close_idle(view.endpoint.name)
 
@@ -215,6 +271,8 @@
         self.reachability.record_failure(name, view.endpoint.name, refused, now)
         if self.reachability.is_cut_off(name) and not was_cut_off:
             failures = self.reachability.failures(name)
+            for endpoint_name in failures:
+                self.chooser.views[endpoint_name].withdraw_unreachable()
             log.notable(
                 "endpoints-cut-off",
                 service=name,
@@ -253,13 +311,31 @@
             if self._is_check_due(view, now):
                 self._check_health(view, lambda is_reachable: None)
 
+    def _probe_cut_off_services(self):
+        """Check one endpoint of each service that is cut off, to learn when the cut has ended."""
+        now = clock.monotonic_s()
+        for name in self._cfg.table.services:
+            if self.reachability.is_cut_off(name):
+                views = [
+                    view
+                    for view in self.chooser.views.values()
+                    if view.endpoint.service == name
+                    and view.is_usable(now)
+                    and not view.health_check_pending
+                    and self._limit_wait_s(view, now) <= 0.0
+                ]
+                if views:
+                    self._check_health(self._rng.choice(views), lambda is_reachable: None)
+
+    def _limit_wait_s(self, view, now):
+        # A health check is a request like any other to an endpoint that has announced a rate.
+        instance = view.endpoint
+        return self.chooser.limits.wait_s(instance.name, instance.region, 0, now)
+
     def _is_check_due(self, view, now):
         if not view.needs_health_check or view.health_check_pending or now < view.ejected_until_s:
             return False
-        instance = view.endpoint
-        # A health check is a request like any other to an endpoint that has announced a rate.
-        limit_wait_s = self.chooser.limits.wait_s(instance.name, instance.region, 0, now)
-        return instance.state == "live" and limit_wait_s <= 0.0
+        return view.endpoint.state == "live" and self._limit_wait_s(view, now) <= 0.0
 
     def _check_health(self, view, on_checked):
         """Check an endpoint's health, then call ``on_checked(is_reachable)``."""
@@ -287,6 +363,9 @@
             elif isinstance(result, transfers.NotSent) and result.reason != "check-timeout":
                 self._record_connect_failure(view, result.refused, now)
             was_ejected = view.needs_health_check
+            if health is None and self.reachability.is_cut_off(view.endpoint.service):
+                view.postpone_health_check(now)
+                return
             view.record_health_check(health, self.chooser.cold_period_s(view), now)
             if was_ejected and not view.needs_health_check:
                 log.notable("endpoint-back", endpoint=view.endpoint.name, cold_ms=health.cold_ms)
@@ -301,4 +380,6 @@
         conn.send(req, HEALTH_CHECK_CONNECT_TIMEOUT_S, finished, outbound.MAX_HEALTH_BODY_BYTES)
 
     def _close_stale_connections(self):
-        self.pool.close_expired(self.chooser.views, clock.monotonic_s())
+        now = clock.monotonic_s()
+        self.pool.close_expired(self.chooser.views, now)
+        self._peer_pool.close_expired(self._peers, now)
--- a/oriolelock/gateway/daemon.py
+++ b/oriolelock/gateway/daemon.py
@@ -6,6 +6,7 @@
 """
 
 import concurrent.futures
+import dataclasses
 import random
 import types
 import uuid
@@ -13,7 +14,7 @@
 from oriolelock import clock, events
 from oriolelock.distribution import errors, relay, tree, uplink
 from oriolelock.distribution import messages as distribution
-from oriolelock.gateway import core, flow
+from oriolelock.gateway import core, delegated_flow, delegation, flow
 from oriolelock.gateway import dialect as dialects
 from oriolelock.http1 import loop as loops
 from oriolelock.http1 import messages, server, server_rules, shutdown
@@ -71,7 +72,10 @@
             descendant_reports=lambda: self._relay.take_new_reports(),
         )
         self._relay = relay.Relay(cfg.name, cfg.cluster, cfg.cluster_token, self._uplink)
-        self._servers = [self._serve(cfg.listen, self._handle_request, lambda: self.core.limits)]
+        self._servers = [
+            self._serve(cfg.listen, self._handle_request, lambda: self.core.limits),
+            self._serve(cfg.peer_listen, self._handle_delegated, self._peer_limits),
+        ]
         fixed = request_limits.RequestLimits()
         self._lookups = lookups
         self._serve(cfg.ready_listen, self._handle_ready, lambda: fixed)
@@ -90,7 +94,14 @@
         host, port = cfg.listen
         link = f"{cfg.link_listen[0]}:{cfg.link_listen[1]}"
         return member.Member(
-            cfg.name, "entry", f"{host}:{port}", link, cfg.region, cfg.failure_domain, state
+            cfg.name,
+            "entry",
+            f"{host}:{port}",
+            link,
+            cfg.region,
+            cfg.failure_domain,
+            state,
+            f"{cfg.peer_listen[0]}:{cfg.peer_listen[1]}",
         )
 
     def _parents(self, cfg):
@@ -154,6 +165,15 @@
         else:
             flow.Flow(self.core, exchange).start()
 
+    def _handle_delegated(self, exchange):
+        delegated_flow.handle(self.core, exchange, self._is_leaving)
+
+    def _peer_limits(self):
+        limits = self.core.limits
+        return dataclasses.replace(
+            limits, head_bytes=limits.head_bytes + delegation.MAX_ORDER_BYTES
+        )
+
     def _handle_lookup(self, exchange):
         query = self._lookups.question(exchange.request)
         if query is None:
@@ -220,9 +240,11 @@
 
     def _stop_accepting(self):
         self._refuses_requests = True
-        self._servers[0].stop_listening()
-        self._servers[0].close_idle()
+        for http_server in self._servers:
+            http_server.stop_listening()
+            http_server.close_idle()
         shutdown.stop_when_idle(self.loop, self._is_idle, self._stop_deadline_s)
 
     def _is_idle(self):
-        return not self.core.metrics.in_flight and not self._servers[0].busy
+        is_busy = any(http_server.busy for http_server in self._servers)
+        return not self.core.metrics.in_flight and not is_busy
--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -9,7 +9,7 @@
 
 from oriolelock import clock, events
 from oriolelock.dispatch import decisions, endpoint_limits
-from oriolelock.gateway import core, facts, forwarded
+from oriolelock.gateway import core, facts, forwarded, peer_request
 from oriolelock.http1 import inbound, messages, outbound, transfers
 
 __all__ = ["Flow"]
@@ -18,6 +18,8 @@
 CONNECT_TIMEOUT_S = 0.35
 # Attempts in which no byte was sent; each takes at most CONNECT_TIMEOUT_S.
 MAX_UNSENT_ATTEMPTS = 3
+# Suggested delay before a retry if no entry reaches an endpoint.
+PEER_RETRY_AFTER_S = 0.3
 # For requests without a deadline.
 DEFAULT_DEADLINE_S = 30.0
 # Round trip between caller and entry, which the caller's deadline includes.
@@ -49,6 +51,7 @@
         self._decision: decisions.Send | None = None
         self._context: decisions.RequestContext | None = None
         self._conn: outbound.Outbound | None = None
+        self._peer_request: peer_request.PeerRequest | None = None
         self._sent_s = 0.0
         self._timer = None
         self._may_have_run = False
@@ -71,10 +74,18 @@
             self._refuse(400, "bad-deadline")
             return
         now = req.received_s
-        self._objective_s = now + self._route.objective_ms / 1000.0 - CALLER_ROUND_TRIP_S
         timeout_s = self._route.timeout_ms / 1000.0 + TIMEOUT_SLACK_S
-        self._deadline_at_s = now + min(deadline_s - CALLER_ROUND_TRIP_S, timeout_s)
-        self._service = shared.splitter_of(self._route).next_service()
+        self._begin(
+            shared.splitter_of(self._route).next_service(),
+            now + min(deadline_s - CALLER_ROUND_TRIP_S, timeout_s),
+            now + self._route.objective_ms / 1000.0 - CALLER_ROUND_TRIP_S,
+        )
+
+    def _begin(self, service, deadline_at_s, objective_at_s):
+        """Forward a request whose route is known."""
+        shared, req = self._core, self._req
+        self._service = service
+        self._deadline_at_s, self._objective_s = deadline_at_s, objective_at_s
         key = req.header(shared.words.object_key)
         # Affinity keys are scoped to their route.
         self._key = f"{self._route.prefix}{key.decode('latin-1')}" if key else ""
@@ -84,7 +95,8 @@
             return
         self._timer = shared.loop.call_at(self._deadline_at_s, self._on_deadline)
         self._exchange.on_gone = self._on_caller_gone
-        shared.retry_budget_of(self._service).record_request(now)
+        if not self._tried:
+            shared.retry_budget_of(self._service).record_request(req.received_s)
         shared.metrics.in_flight += 1
         self._attempt()
 
@@ -104,10 +116,36 @@
             self._route, self._service, self._key, left_s, self._objective_s - now, self._tried
         )
         decision = self._core.chooser.choose(self._context, now)
-        if isinstance(decision, decisions.Refuse):
+        if self._core.needs_peer(decision, self._route, self._service, now):
+            self._delegate("cut-off", PEER_RETRY_AFTER_S)
+        elif isinstance(decision, decisions.Refuse):
             self._give_up(decision.reason, decision.retry_after_s, decision.wait_s)
-            return
-        self._send(decision, now)
+        else:
+            self._send(decision, now)
+
+    def _delegate(self, reason, retry_after_s):
+        """Let another entry forward the request; ``reason``: why this one can't."""
+        shared = self._core
+        if not self._tried:
+            shared.retry_budget_of(self._service).withdraw_request()
+        shared.metrics.count("delegated")
+        self._peer_request = shared.make_peer_request(
+            self._req,
+            self._route,
+            peer_request.Refused(reason, retry_after_s),
+            self._on_peer_request_end,
+        )
+        self._peer_request.start(self._service, self._deadline_at_s, self._objective_s, self._tried)
+
+    def _on_peer_request_end(self, result):
+        match result:
+            case peer_request.Completed(response):
+                self._reply(response, "complete")
+            case peer_request.Refused(reason, retry_after_s):
+                self._core.metrics.count("delegations_refused")
+                self._give_up(reason, retry_after_s)
+            case peer_request.Failed(status, reason):
+                self._fail(status, reason)
 
     def _send(self, decision, now):
         shared, view = self._core, decision.view
@@ -145,7 +183,7 @@
         if self._unsent_attempts < MAX_UNSENT_ATTEMPTS:
             self._attempt()
         else:
-            self._give_up("endpoint-unreachable", 0.3)
+            self._delegate("endpoint-unreachable", PEER_RETRY_AFTER_S)
 
     def _handle_lost(self, result, now):
         view = self._decision.view
@@ -231,12 +269,13 @@
 
     def _on_deadline(self):
         now = clock.monotonic_s()
-        if self._conn is None:
+        is_at_endpoint = self._conn is not None
+        if not is_at_endpoint and self._peer_request is None:
             self._give_up("deadline-passed")
             return
-        view = self._decision.view
         self._abort(now)
-        view.answered(2.0, False, now)
+        if is_at_endpoint:
+            self._decision.view.answered(2.0, False, now)
         self._fail(504, "timeout")
 
     def _on_caller_gone(self):
@@ -251,6 +290,8 @@
             self._conn.abort()
             self._decision.view.ended(self._number)
             self._conn = None
+        if self._peer_request is not None:
+            self._peer_request.abort()
 
     def _refuse(self, status, reason, retry_after_s=None, wait_s=0.0):
         headers = [(b"content-type", b"text/plain")]
@@ -309,4 +350,6 @@
                 warm=decision.warm,
                 away=decision.cross_region,
             )
+        if self._peer_request is not None:
+            fields["entries"] = self._peer_request.asked
         log_event(event, **fields, **extra_fields)
--- a/oriolelock/gateway/forwarded.py
+++ b/oriolelock/gateway/forwarded.py
@@ -5,10 +5,12 @@
     Headers of forwarded requests and responses.
 """
 
+import collections.abc
+
 from oriolelock.gateway import dialect as dialects
 from oriolelock.http1 import messages
 
-__all__ = ["to_caller", "to_endpoint"]
+__all__ = ["to_caller", "to_endpoint", "with_headers"]
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1) and framing headers, which are regenerated.
 HOP_BY_HOP = frozenset(
@@ -41,9 +43,18 @@
 ) -> messages.Request:
     """Return the request to forward; ``left_s``: seconds until the response is useless."""
     replaced = (dialect.deadline_ms, dialect.expected_endpoint)
-    headers = _end_to_end(req.headers, replaced)
-    headers.append((dialect.deadline_ms, str(max(1, int(left_s * 1000))).encode()))
-    headers.append((dialect.expected_endpoint, endpoint.encode()))
+    added = (
+        (dialect.deadline_ms, str(max(1, int(left_s * 1000))).encode()),
+        (dialect.expected_endpoint, endpoint.encode()),
+    )
+    return with_headers(req, replaced, added)
+
+
+def with_headers(
+    req: messages.Request, dropped: collections.abc.Container[bytes], added: messages.Headers
+) -> messages.Request:
+    """Return the request with its end-to-end headers, without ``dropped`` and with ``added``."""
+    headers = [*_end_to_end(req.headers, dropped), *added]
     had_body = req.header(b"content-length") or req.header(b"transfer-encoding")
     if req.body or had_body:
         headers.append((b"content-length", str(len(req.body)).encode()))
--- a/oriolelock/gateway/gossip.py
+++ b/oriolelock/gateway/gossip.py
@@ -9,7 +9,6 @@
 """
 
 import collections.abc
-import hashlib
 import random
 import selectors
 import socket
@@ -18,6 +17,7 @@
 
 from oriolelock import clock, events
 from oriolelock.dispatch import endpoint_limits, endpoint_view, observation
+from oriolelock.gateway import signing
 from oriolelock.http1 import loop as loops
 
 __all__ = ["Gossip", "Report", "Unreadable", "decode", "encode", "encode_limits"]
@@ -33,7 +33,6 @@
 MAX_DATAGRAM_BYTES = 1400
 # Datagrams read per event, so that gossip does not delay requests.
 MAX_READS_PER_EVENT = 32
-TAG_BYTES = 8
 MAX_LIMITS_PER_DATAGRAM = 50
 # Datagrams of observations and of limits.
 FORMAT_VERSION = 1
@@ -48,10 +47,6 @@
     """A datagram that is corrupt, of another format version, or not from this cluster."""
 
 
-def _authentication_tag(payload, token):
-    return hashlib.blake2b(payload, digest_size=TAG_BYTES, key=token.encode()[:64]).digest()
-
-
 def encode(observations: collections.abc.Iterable[observation.Observation], token: str) -> bytes:
     """Encode a datagram, authenticated with the cluster's token."""
     rows = []
@@ -77,14 +72,13 @@
 
 
 def _authenticated(content, token):
-    payload = cbor2.dumps(content)
-    return _authentication_tag(payload, token) + payload
+    return signing.sign(cbor2.dumps(content), token)
 
 
 def decode(data: bytes, token: str) -> list[Report]:
     """Return the observations or limit reports in a datagram; raises Unreadable."""
-    payload = data[TAG_BYTES:]
-    if data[:TAG_BYTES] != _authentication_tag(payload, token):
+    payload = signing.verify(data, token)
+    if payload is None:
         raise Unreadable("wrong authentication tag")
     try:
         version, rows = cbor2.loads(payload)
--- a/oriolelock/gateway/pool.py
+++ b/oriolelock/gateway/pool.py
@@ -2,7 +2,7 @@
 oriolelock.gateway.pool
 ~~~~~~~~~~~~~~~~~~~~~~~
 
-    Connection pool: idle connections to endpoints.
+    Connection pool: idle connections to endpoints or to other entries.
 """
 
 from oriolelock.http1 import buffer_budget, outbound
@@ -16,13 +16,16 @@
 
 
 class Pool:
-    """Idle connections by endpoint name, most recently used first."""
+    """Idle connections by name of the endpoint or entry, most recently used first.
 
-    def __init__(self, loop: loops.Loop, id_header: bytes):
+    ``budget``: of the bytes of all responses that are being received.
+    """
+
+    def __init__(self, loop: loops.Loop, id_header: bytes, budget: buffer_budget.BufferBudget):
         self._loop = loop
         self._id_header = id_header
         self._idle: dict[str, list[outbound.Outbound]] = {}
-        self.budget = buffer_budget.BufferBudget()
+        self.budget = budget
         self.opened = 0
 
     def acquire(
@@ -32,8 +35,7 @@
         idle = self._idle.get(name, [])
         while idle:
             conn = idle.pop()
-            is_fresh = is_idempotent or now - conn.idle_since_s <= MAX_NON_IDEMPOTENT_IDLE_S
-            if conn.is_open and conn.address == address and now < conn.usable_until_s and is_fresh:
+            if _is_usable(conn, address, is_idempotent, now):
                 return conn
             conn.close()
         self.opened += 1
@@ -45,6 +47,14 @@
             self.budget,
         )
 
+    def has_usable(
+        self, name: str, address: tuple[str, int], is_idempotent: bool, now: float
+    ) -> bool:
+        """Return whether ``acquire`` would return an idle connection."""
+        return any(
+            _is_usable(conn, address, is_idempotent, now) for conn in self._idle.get(name, ())
+        )
+
     def release(self, name: str, conn: outbound.Outbound) -> None:
         """Return a connection to the pool after its request, if it is still open."""
         if conn.is_open:
@@ -73,3 +83,8 @@
                 else:
                     conn.close()
             self._idle[name] = kept
+
+
+def _is_usable(conn, address, is_idempotent, now):
+    is_fresh = is_idempotent or now - conn.idle_since_s <= MAX_NON_IDEMPOTENT_IDLE_S
+    return conn.is_open and conn.address == address and now < conn.usable_until_s and is_fresh
--- a/oriolelock/model/member.py
+++ b/oriolelock/model/member.py
@@ -17,7 +17,10 @@
 @codec.register("member")
 @dataclasses.dataclass(frozen=True)
 class Member:
-    """``role``: entry or control. ``address`` serves HTTP, ``link_address`` websockets."""
+    """``role``: entry or control. ``address`` serves HTTP, ``link_address`` websockets.
+
+    ``peer_address`` serves requests that other entries delegate, empty for none.
+    """
 
     name: str
     role: str
@@ -26,3 +29,4 @@
     region: str
     failure_domain: str
     state: str = "live"
+    peer_address: str = ""
--- a/oriolelock/platform/fields.py
+++ b/oriolelock/platform/fields.py
@@ -89,7 +89,8 @@
         return {k[len(start) :]: v for k, v in self._values.items() if k.startswith(start)}
 
     def inner_port(self) -> int:
-        """Return the port for links between the system's processes."""
+        """Return the port for links between the system's processes; the next one is for requests
+        that entries delegate."""
         text = self.text("internalPortRange").partition(",")[0]
         if not text.isdigit():
             raise self._node.fail("internalPortRange", text, "a port")
@@ -113,6 +114,7 @@
             ready_listen=self.address("listen.ready"),
             lookup_listen=self.address("listen.directory"),
             link_listen=self._link(),
+            peer_listen=(self.text("ip"), self.inner_port() + 1),
             metrics_listen=(self.text("ip"), METRICS_PORT),
             control=self.seeds(),
             cluster_token=CLUSTER_TOKEN,
--- a/oriolelock/settings/gateway.py
+++ b/oriolelock/settings/gateway.py
@@ -16,6 +16,7 @@
 @dataclasses.dataclass(frozen=True)
 class GatewaySettings:
     """Durations in seconds. ``control``: link addresses of control replicas to start from.
+    ``peer_listen``: for requests that other entries delegate.
 
     ``retry_ratio``, ``retry_allowance``, ``retry_window_s``: the fleet's budget for sending
     requests once more, per service. ``shift_speed``: how fast the part of requests that run
@@ -31,6 +32,7 @@
     ready_listen: Address
     lookup_listen: Address | None
     link_listen: Address
+    peer_listen: Address
     metrics_listen: Address | None
     control: tuple[Address, ...]
     cluster_token: str = dataclasses.field(repr=False)
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from oriolelock.gateway import core, dialect, flow
+from oriolelock.gateway import core, delegated_flow, dialect, flow
 from oriolelock.http1 import server, server_rules
 from oriolelock.model import configuration, endpoint, member, route, route_table, service
 from oriolelock.settings import gateway as settings
@@ -43,6 +43,7 @@
             ("127.0.0.1", 0),
             None,
             ("127.0.0.1", 0),
+            ("127.0.0.1", 0),
             None,
             (),
             "token",
@@ -69,6 +70,15 @@
             lambda: server.Server(self.loop_thread.loop, ("127.0.0.1", 0), rules)
         )
         self.address = http_server._sock.getsockname()
+        self.is_leaving = False
+        peer_rules = server_rules.ServerRules(
+            lambda exchange: delegated_flow.handle(self.core, exchange, lambda: self.is_leaving),
+            lambda: self.core.limits,
+        )
+        peer_server = self.loop_thread.call(
+            lambda: server.Server(self.loop_thread.loop, ("127.0.0.1", 0), peer_rules)
+        )
+        self.peer_address = peer_server._sock.getsockname()
 
     def add_endpoint(self, name, respond):
         """Add an endpoint of the service."""
@@ -111,7 +121,14 @@
     def member(self):
         """Return the entry's record, by which others know it."""
         return member.Member(
-            self.name, "entry", _text(self.address), "", self.region, f"{self.region}1"
+            self.name,
+            "entry",
+            _text(self.address),
+            "",
+            self.region,
+            f"{self.region}1",
+            "live",
+            _text(self.peer_address),
         )
 
     def connect(self):
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -7,7 +7,7 @@
 import pytest
 
 from oriolelock.dispatch import endpoint_limits, endpoint_view, observation
-from oriolelock.gateway import gossip
+from oriolelock.gateway import gossip, signing
 
 OBSERVATIONS = [
     observation.Observation(7, 0, endpoint_view.Load(1, 2, 3)),
@@ -42,7 +42,7 @@
 def test_malformed_limits_are_rejected(row):
     payload = gossip.cbor2.dumps((gossip.LIMITS_FORMAT_VERSION, [row]))
     with pytest.raises(gossip.Unreadable):
-        gossip.decode(gossip._authentication_tag(payload, "token") + payload, "token")
+        gossip.decode(signing.sign(payload, "token"), "token")
 
 
 def test_largest_datagram_fits_the_size_limit():
@@ -70,7 +70,7 @@
 def test_authenticated_datagrams_with_malformed_rows_are_rejected(monkeypatch, row):
     payload = gossip.cbor2.dumps((gossip.FORMAT_VERSION, [row]))
     with pytest.raises(gossip.Unreadable):
-        gossip.decode(gossip._authentication_tag(payload, "token") + payload, "token")
+        gossip.decode(signing.sign(payload, "token"), "token")
 
 
 def make_pair(running):
