--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -75,10 +75,10 @@
             lambda exchange: delegated_flow.handle(self.core, exchange, lambda: self.is_leaving),
             lambda: self.core.limits,
         )
-        peer_server = self.loop_thread.call(
+        self._peer_server = self.loop_thread.call(
             lambda: server.Server(self.loop_thread.loop, ("127.0.0.1", 0), peer_rules)
         )
-        self.peer_address = peer_server._sock.getsockname()
+        self.peer_address = self._peer_server._sock.getsockname()
 
     def add_endpoint(self, name, respond):
         """Add an endpoint of the service."""
@@ -118,6 +118,11 @@
     def _address(self, endpoint_name):
         return (self.links.get(endpoint_name) or self.endpoints[endpoint_name]).address
 
+    def close_peer_connections(self):
+        """Close the connections of other entries, as if this one had died."""
+        for conn in list(self._peer_server._connections):
+            conn.close()
+
     def member(self):
         """Return the entry's record, by which others know it."""
         return member.Member(
@@ -188,7 +193,15 @@
     """
     fleet = []
 
-    def make(respond, entries=2, cut_off=1, endpoints=4, regions="aaaaaaaa", **overrides):
+    def make(
+        respond,
+        entries=2,
+        cut_off=1,
+        endpoints=4,
+        regions="aaaaaaaa",
+        route_regions=(),
+        **overrides,
+    ):
         fleet.extend(GatewayFixture(f"e{n + 1}", regions[n]) for n in range(entries))
         for n in range(endpoints):
             fleet[0].add_endpoint(f"x{n}", respond)
@@ -200,7 +213,7 @@
                     name: cuttable_link.CuttableLink(raw.address)
                     for name, raw in item.endpoints.items()
                 }
-            item.configure(**overrides)
+            item.configure(regions=route_regions, **overrides)
         return fleet
 
     yield make
