Leave entries that are cut off out of lookups, and don't ask them for help

Callers of a cut-off entry stayed with it (75 requests a second at two entries of bula until the cut ended), so that each response passed two entries. An entry that has reached no endpoint of any service for 1 s tells entries of its region by datagrams; lookups name others, unless few are left.

--- a/oriolelock/dispatch/observation.py
+++ b/oriolelock/dispatch/observation.py
@@ -9,7 +9,7 @@
 
 from oriolelock.dispatch import endpoint_view
 
-__all__ = ["LimitReport", "Observation"]
+__all__ = ["CutOffReport", "LimitReport", "Observation"]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -31,3 +31,10 @@
     endpoint_digest: int
     rate: float
     age_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class CutOffReport:
+    """An entry reaches no endpoint; ``entry_digest``: of its name."""
+
+    entry_digest: int
--- a/oriolelock/dispatch/peer_selection.py
+++ b/oriolelock/dispatch/peer_selection.py
@@ -9,12 +9,15 @@
 import collections.abc
 import random
 
+from oriolelock.dispatch import observation, ranking
 from oriolelock.model import member
 
 __all__ = ["PeerSelection"]
 
 # An entry that found no endpoint is not asked for the same service for this long.
 UNABLE_HOLD_S = 1.5
+# Three times the interval of reports.
+CUT_OFF_HOLD_S = 1.5
 
 
 class PeerSelection:
@@ -30,6 +33,9 @@
         self._outstanding: collections.Counter[str] = collections.Counter()
         # By name and service: until when a peer is not asked.
         self._unable_until_s: dict[tuple[str, str], float] = {}
+        # Entries that report to be cut off from all endpoints.
+        self._cut_off_until_s: dict[str, float] = {}
+        self._names_by_digest: dict[int, str] = {}
 
     def configure(self, members: collections.abc.Iterable[member.Member]) -> None:
         """Replace the members of the fleet."""
@@ -38,6 +44,10 @@
             for m in members
             if m.role == "entry" and m.state == "live" and m.peer_address and m.name != self._name
         }
+        self._names_by_digest = {ranking.digest(name): name for name in self._peers}
+        self._cut_off_until_s = {
+            name: until_s for name, until_s in self._cut_off_until_s.items() if name in self._peers
+        }
 
     def __contains__(self, name: str) -> bool:
         return name in self._peers
@@ -56,9 +66,11 @@
         ones in the region come first. The less busy of two entries drawn by lot is taken.
         """
         tiers: dict[int, list[member.Member]] = {}
+        cut_off = self.cut_off(now)
         for peer in self._peers.values():
             is_able = now >= self._unable_until_s.get((peer.name, service), now)
-            if is_able and peer.name not in asked and (not regions or peer.region in regions):
+            is_asked = peer.name in asked or peer.name in cut_off
+            if is_able and not is_asked and (not regions or peer.region in regions):
                 tiers.setdefault(self._distance(peer), []).append(peer)
         if not tiers:
             return None
@@ -71,6 +83,19 @@
             return 2
         return 1 if peer.failure_domain == self._domain else 0
 
+    def cut_off(self, now: float) -> set[str]:
+        """Return the names of the entries that recently reported to be cut off."""
+        return {name for name, until_s in self._cut_off_until_s.items() if now < until_s}
+
+    def apply_cut_off_report(self, report: observation.CutOffReport, now: float) -> str:
+        """Apply a report of another entry; returns its name if this is news."""
+        name = self._names_by_digest.get(report.entry_digest, "")
+        if not name:
+            return ""
+        is_new = now >= self._cut_off_until_s.get(name, now)
+        self._cut_off_until_s[name] = now + CUT_OFF_HOLD_S
+        return name if is_new else ""
+
     def record_sent(self, name: str) -> None:
         """Record a request that is sent to a peer."""
         self._outstanding[name] += 1
--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -17,6 +17,7 @@
     endpoint_view,
     observation,
     peer_selection,
+    ranking,
     reachability,
     retry_budget,
     route_index,
@@ -36,6 +37,9 @@
 HEALTH_CHECK_INTERVAL_S = 0.1
 # Between health checks of a service whose endpoints are not reached.
 PROBE_INTERVAL_S = 0.25
+CUT_OFF_REPORT_INTERVAL_S = 0.5
+# Callers are not sent to other entries for a short fault: they stay away for the TTL of a lookup.
+CUT_OFF_REPORT_DELAY_S = 1.0
 POOL_SWEEP_INTERVAL_S = 1.0
 
 log = events.Events("gateway")
@@ -65,6 +69,8 @@
         budget = buffer_budget.BufferBudget()
         self.pool = pool.Pool(loop, words.request_id, budget)
         self._peer_pool = pool.Pool(loop, words.request_id, budget)
+        # Since when no endpoint of any service is reached.
+        self._cut_off_since_s: float | None = None
         self._peers = peer_selection.PeerSelection(cfg.name, cfg.region, cfg.failure_domain, rng)
         self.chooser = chooser.Chooser(
             cfg.name, cfg.region, cfg.failure_domain, cfg.shift_speed, rng
@@ -82,6 +88,7 @@
         self.is_confirmed = False
         loop.call_each(HEALTH_CHECK_INTERVAL_S, self._check_due_endpoints)
         loop.call_each(PROBE_INTERVAL_S, self._probe_cut_off_services)
+        loop.call_each(CUT_OFF_REPORT_INTERVAL_S, self._report_cut_off)
         loop.call_each(POOL_SWEEP_INTERVAL_S, self._close_stale_connections)
 
     @property
@@ -146,6 +153,10 @@
         match report:
             case observation.Observation():
                 self.chooser.observed(report, now)
+            case observation.CutOffReport():
+                name = self._peers.apply_cut_off_report(report, now)
+                if name:
+                    log.notable("entry-cut-off", entry=name)
             case observation.LimitReport():
                 endpoint = self._limit_gossip.apply(report, now)
                 if endpoint:
@@ -311,9 +322,31 @@
             if self._is_check_due(view, now):
                 self._check_health(view, lambda is_reachable: None)
 
+    def _update_cut_off(self, now):
+        services = self._cfg.table.services
+        if not services or self.cut_off_count() < len(services):
+            self._cut_off_since_s = None
+        elif self._cut_off_since_s is None:
+            self._cut_off_since_s = now
+
+    def _is_long_cut_off(self, now):
+        since_s = self._cut_off_since_s
+        return since_s is not None and now - since_s >= CUT_OFF_REPORT_DELAY_S
+
+    def cut_off_entries(self, now: float) -> set[str]:
+        """Return the names of the entries that reach no endpoint, perhaps this one included."""
+        own = {self._settings.name} if self._is_long_cut_off(now) else set()
+        return own | self._peers.cut_off(now)
+
+    def _report_cut_off(self):
+        if self._is_long_cut_off(clock.monotonic_s()):
+            name = self._settings.name
+            self.gossip.send_cut_off(observation.CutOffReport(ranking.digest(name)))
+
     def _probe_cut_off_services(self):
         """Check one endpoint of each service that is cut off, to learn when the cut has ended."""
         now = clock.monotonic_s()
+        self._update_cut_off(now)
         for name in self._cfg.table.services:
             if self.reachability.is_cut_off(name):
                 views = [
--- a/oriolelock/gateway/daemon.py
+++ b/oriolelock/gateway/daemon.py
@@ -183,7 +183,8 @@
         leaving = frozenset((self._settings.name,)) if self._is_leaving() else frozenset()
         entries = []
         if self.core.is_confirmed:
-            entries = entry_choice.choose(self._uplink.configuration, *query, leaving)
+            cut_off = self.core.cut_off_entries(clock.monotonic_s())
+            entries = entry_choice.choose(self._uplink.configuration, *query, leaving, cut_off)
         exchange.reply(self._lookups.answer(entries))
 
     def _handle_ready(self, exchange):
@@ -201,6 +202,7 @@
             "endpoints_ejected": self.core.chooser.ejected_count(),
             "services_cut_off": self.core.cut_off_count(),
             "endpoints_limited": self.core.chooser.limits.limited_count(now),
+            "entries_cut_off": len(self.core.cut_off_entries(now)),
             "entries": self.core.chooser.entry_count(now),
             "connections": len(self._servers[0]),
             "endpoint_connections_opened": self.core.pool.opened,
--- a/oriolelock/gateway/gossip.py
+++ b/oriolelock/gateway/gossip.py
@@ -20,7 +20,7 @@
 from oriolelock.gateway import signing
 from oriolelock.http1 import loop as loops
 
-__all__ = ["Gossip", "Report", "Unreadable", "decode", "encode", "encode_limits"]
+__all__ = ["Gossip", "Report", "Unreadable", "decode", "encode", "encode_cut_off", "encode_limits"]
 
 INTERVAL_S = 0.2
 # Recipients of each round.
@@ -34,12 +34,15 @@
 # Datagrams read per event, so that gossip does not delay requests.
 MAX_READS_PER_EVENT = 32
 MAX_LIMITS_PER_DATAGRAM = 50
-# Datagrams of observations and of limits.
+# Datagrams of observations, of limits, and of entries that are cut off.
 FORMAT_VERSION = 1
 LIMITS_FORMAT_VERSION = 2
+CUT_OFF_FORMAT_VERSION = 3
+# Recipients of a report that this entry is cut off.
+CUT_OFF_FAN_OUT = 32
 
 Address = tuple[str, int]
-Report = observation.Observation | observation.LimitReport
+Report = observation.Observation | observation.LimitReport | observation.CutOffReport
 log = events.Events("gossip")
 
 
@@ -71,12 +74,17 @@
     return _authenticated((LIMITS_FORMAT_VERSION, rows), token)
 
 
+def encode_cut_off(report: observation.CutOffReport, token: str) -> bytes:
+    """Encode a datagram that names an entry that is cut off, authenticated as the others."""
+    return _authenticated((CUT_OFF_FORMAT_VERSION, [(report.entry_digest,)]), token)
+
+
 def _authenticated(content, token):
     return signing.sign(cbor2.dumps(content), token)
 
 
 def decode(data: bytes, token: str) -> list[Report]:
-    """Return the observations or limit reports in a datagram; raises Unreadable."""
+    """Return the reports in a datagram; raises Unreadable."""
     payload = signing.verify(data, token)
     if payload is None:
         raise Unreadable("wrong authentication tag")
@@ -110,13 +118,23 @@
     return observation.LimitReport(endpoint, float(rate), age_ms / 1000.0)
 
 
-PARSERS = {FORMAT_VERSION: _parse_observation, LIMITS_FORMAT_VERSION: _parse_limit}
+def _parse_cut_off(entry):
+    if type(entry) is not int or entry < 0:
+        raise ValueError("field is not a non-negative integer")
+    return observation.CutOffReport(entry)
+
+
+PARSERS = {
+    FORMAT_VERSION: _parse_observation,
+    LIMITS_FORMAT_VERSION: _parse_limit,
+    CUT_OFF_FORMAT_VERSION: _parse_cut_off,
+}
 
 
 class Gossip:
     """Not thread-safe: used in the loop's thread.
 
-    ``on_report(report)`` is called for each received observation or limit report.
+    ``on_report(report)`` is called for each received report.
     """
 
     def __init__(
@@ -159,6 +177,12 @@
             for peer in peers:
                 self._send(data, peer)
 
+    def send_cut_off(self, report: observation.CutOffReport) -> None:
+        """Tell entries of the region that this entry reaches no endpoint."""
+        data = encode_cut_off(report, self._token)
+        for peer in self._rng.sample(self._peers, min(CUT_OFF_FAN_OUT, len(self._peers))):
+            self._send(data, peer)
+
     def _send_round(self):
         now = clock.monotonic_s()
         fresh = [pending for recorded_s, pending in self._pending if now - recorded_s <= MAX_AGE_S]
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -129,7 +129,7 @@
             self.name,
             "entry",
             _text(self.address),
-            "",
+            _text(self.core.gossip._sock.getsockname()),
             self.region,
             f"{self.region}1",
             "live",
--- a/tests/gateway/test_cut_off_entry.py
+++ b/tests/gateway/test_cut_off_entry.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from oriolelock import clock
+from tests import waiting
 from tests.gateway import conftest
 
 CUTS = ("hang", "reset", "refuse")
@@ -79,6 +81,32 @@
             assert sock.recv(65536).startswith(b"HTTP/1.1 200")
 
 
+def test_other_entries_know_of_the_cut_until_it_ends(make_fleet):
+    entry, other = make_fleet(succeeding)
+    cut(entry, "reset")
+    send_during(entry, 0.5)
+    for item in (entry, other):
+        waiting.until(lambda item=item: cut_off_entries(item) == {"e1"}, CONTACT_WINDOW_S)
+    restore(entry)
+    for item in (entry, other):
+        waiting.until(lambda item=item: not cut_off_entries(item), CONTACT_WINDOW_S)
+
+
+def test_a_short_cut_is_not_reported(make_fleet):
+    entry, other = make_fleet(succeeding)
+    cut(entry, "reset")
+    send_during(entry, 0.3)
+    restore(entry)
+    end_s = time.monotonic() + 2.0
+    while time.monotonic() < end_s:
+        assert not cut_off_entries(entry) | cut_off_entries(other)
+        time.sleep(0.05)
+
+
+def cut_off_entries(entry):
+    return entry.core.cut_off_entries(clock.monotonic_s())
+
+
 def test_requests_that_come_together_are_served_during_the_cut(make_fleet):
     entry, _ = make_fleet(succeeding)
     cut(entry, "hang")
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -110,3 +110,15 @@
         sock.sendto(gossip.encode(OBSERVATIONS, "token"), address)
     wait_until(lambda: received["b"] == OBSERVATIONS)
     assert peers["b"].unreadable == 1
+
+
+def test_report_of_an_entry_that_is_cut_off_is_read_back():
+    report = observation.CutOffReport(7)
+    assert gossip.decode(gossip.encode_cut_off(report, "token"), "token") == [report]
+
+
+@pytest.mark.parametrize("row", [(), (-1,), ("x",), (True,), (1, 2)])
+def test_malformed_reports_of_cut_off_entries_are_rejected(row):
+    payload = gossip.cbor2.dumps((gossip.CUT_OFF_FORMAT_VERSION, [row]))
+    with pytest.raises(gossip.Unreadable):
+        gossip.decode(signing.sign(payload, "token"), "token")
