Name entries that are cut off in lookups again

Change: lookups name entries as before. Entries of a region still tell each other of the cut, so that nothing is delegated to an entry that could not help.

--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -38,8 +38,8 @@
 # Between health checks of a service whose endpoints are not reached.
 PROBE_INTERVAL_S = 0.25
 CUT_OFF_REPORT_INTERVAL_S = 0.5
-# Callers are not sent to other entries for a short fault: they stay away for the TTL of a lookup.
-CUT_OFF_REPORT_DELAY_S = 1.0
+# A shorter fault is over before others could act on it.
+CUT_OFF_REPORT_DELAY_S = 0.5
 POOL_SWEEP_INTERVAL_S = 1.0
 
 log = events.Events("gateway")
@@ -334,9 +334,8 @@
         return since_s is not None and now - since_s >= CUT_OFF_REPORT_DELAY_S
 
     def cut_off_entries(self, now: float) -> set[str]:
-        """Return the names of the entries that reach no endpoint, perhaps this one included."""
-        own = {self._settings.name} if self._is_long_cut_off(now) else set()
-        return own | self._peers.cut_off(now)
+        """Return the names of the other entries that reach no endpoint."""
+        return self._peers.cut_off(now)
 
     def _report_cut_off(self):
         if self._is_long_cut_off(clock.monotonic_s()):
--- a/oriolelock/gateway/daemon.py
+++ b/oriolelock/gateway/daemon.py
@@ -183,8 +183,7 @@
         leaving = frozenset((self._settings.name,)) if self._is_leaving() else frozenset()
         entries = []
         if self.core.is_confirmed:
-            cut_off = self.core.cut_off_entries(clock.monotonic_s())
-            entries = entry_choice.choose(self._uplink.configuration, *query, leaving, cut_off)
+            entries = entry_choice.choose(self._uplink.configuration, *query, leaving)
         exchange.reply(self._lookups.answer(entries))
 
     def _handle_ready(self, exchange):
--- a/oriolelock/lookup/entry_choice.py
+++ b/oriolelock/lookup/entry_choice.py
@@ -33,20 +33,19 @@
     region: str,
     failure_domain: str,
     leaving: collections.abc.Set[str] = frozenset(),
-    cut_off: collections.abc.Set[str] = frozenset(),
 ) -> list[member.Member]:
     """Return entries for a caller of ``host``, from the narrowest sufficient scope.
 
     The scopes are the failure domain of the caller, its region, its region plus those allowed
     for ``host``, and all regions. ``leaving``: names of entries known to be leaving before the
-    configuration shows it; ``cut_off``: of entries that reach no endpoint, which are named only if
-    there are no others.
+    configuration shows it.
     """
     live = [
         entry
         for entry in cfg.members.values()
         if entry.role == "entry" and entry.state == "live" and entry.name not in leaving
     ]
+    candidates: list[member.Member] = []
     allowed_regions = _allowed_regions(cfg, host)
     scopes = (
         lambda entry: entry.failure_domain == failure_domain,
@@ -56,12 +55,8 @@
         or entry.region == region,
         lambda entry: True,
     )
-    candidates: list[member.Member] = []
     for in_scope in scopes:
-        in_reach = [entry for entry in live if in_scope(entry)]
-        candidates = [entry for entry in in_reach if entry.name not in cut_off]
-        # The few that are left of a failure domain could not serve all its callers.
-        is_overrun = in_scope is scopes[0] and 2 * len(candidates) < len(in_reach)
-        if len(candidates) >= MIN_ENTRIES and not is_overrun:
+        candidates = [entry for entry in live if in_scope(entry)]
+        if len(candidates) >= MIN_ENTRIES:
             break
-    return sorted(candidates or live, key=lambda entry: entry.name)[:MAX_ENTRIES]
+    return sorted(candidates, key=lambda entry: entry.name)[:MAX_ENTRIES]
