Don't take connection timeouts under load for a cut

What callers saw: requests of entries that were not cut off took the way over another entry, late. Cause: three endpoints whose backlog is full let connections time out, without one that succeeds in between; that looked like a cut, though responses came over open connections all the while. Ruled out for refusals: new connections may be refused while open ones go on, so refusals stay. Change: a response over any connection withdraws timeouts. test_timeouts_beside_responses_are_due_to_load failed before (there was no such record).

--- a/oriolelock/dispatch/reachability.py
+++ b/oriolelock/dispatch/reachability.py
@@ -44,6 +44,17 @@
         self._by_service.pop(service, None)
         self._all.clear()
 
+    def record_response(self, service: str) -> None:
+        """Record a response of an endpoint of a service, over any connection.
+
+        Timeouts of new connections are then due to load, as packets pass. Refusals remain: new
+        connections may be refused while open ones go on.
+        """
+        own = self._by_service.get(service, {})
+        for failed in (own, self._all):
+            for name in [name for name, failure in failed.items() if not failure.refused]:
+                del failed[name]
+
     def failures(self, service: str) -> collections.abc.Mapping[str, ConnectFailure]:
         """Return the failures, by endpoint, that show whether the service can be reached."""
         own = self._by_service.get(service, {})
--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -258,10 +258,17 @@
 
     def record_connected(self, view: endpoint_view.EndpointView) -> None:
         """Record that a new connection to an endpoint was established."""
+        self._record_contact(view, self.reachability.record_success)
+
+    def record_response(self, view: endpoint_view.EndpointView) -> None:
+        """Record that an endpoint responded, over any connection."""
+        self._record_contact(view, self.reachability.record_response)
+
+    def _record_contact(self, view, record):
         name = view.endpoint.service
         was_cut_off = self.reachability.is_cut_off(name)
-        self.reachability.record_success(name)
-        if was_cut_off:
+        record(name)
+        if was_cut_off and not self.reachability.is_cut_off(name):
             log.notable("endpoints-reachable", service=name, endpoint=view.endpoint.name)
 
     def record_unreachable(
--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -168,6 +168,7 @@
         conn, self._conn = self._conn, None
         if isinstance(result, transfers.Answered):
             self._core.pool.release(view.endpoint.name, conn)
+            self._core.record_response(view)
             self._handle_response(result.response, now)
         elif isinstance(result, transfers.NotSent):
             self._handle_not_sent(result, now)
--- a/tests/dispatch/test_reachability.py
+++ b/tests/dispatch/test_reachability.py
@@ -51,3 +51,16 @@
     reach = failing("x", "y", "z")
     reach.retain({"x", "y"})
     assert not reach.is_cut_off("s")
+
+
+def test_timeouts_beside_responses_are_due_to_load():
+    reach = failing("x", "y", "z")
+    reach.record_response("s")
+    assert not reach.is_cut_off("s")
+    assert not reach.is_cut_off("other")
+
+
+def test_refusals_beside_responses_are_a_cut_of_new_connections():
+    reach = failing("x", "y", "z", refused=True)
+    reach.record_response("s")
+    assert reach.is_cut_off("s")
