Don't take a repeated refusal for the response to a request with the same id

Operators' report: an endpoint writes an earlier refusal once more on a kept connection, and callers are told "not run" for a request that runs. Possible here: a copy that names another id, or none, was already skipped or ended the connection; but a copy can't be told from the response if a caller sends a request again under the same id and the same connection is used. Change: a connection isn't used for a request whose id it has carried (the latest 64 ids). test_a_refusal_that_is_written_once_more_does_not_refuse_the_next_request[id1-True] failed before (503 for a request that ran); the other cases passed.

--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -222,20 +222,19 @@
     def needs_peer(
         self,
         decision: decisions.Send | decisions.Refuse,
-        request_route: route.Route,
-        service: str,
+        req: messages.Request,
+        context: decisions.RequestContext,
         now: float,
     ) -> bool:
         """Return whether a request must be delegated, as no endpoint is reached from here."""
-        if not self.reachability.is_cut_off(service):
-            return isinstance(decision, decisions.Refuse) and decision.unreachable > 0
-        if isinstance(decision, decisions.Refuse) or self.reachability.are_connections_lost(
-            service
-        ):
+        reach, is_refused = self.reachability, isinstance(decision, decisions.Refuse)
+        if not reach.is_cut_off(context.service):
+            return is_refused and decision.unreachable > 0
+        if is_refused or reach.are_connections_lost(context.service):
             return True
-        view = decision.view
+        view, request_id = decision.view, req.header(self.words.request_id) or b""
         return not self.pool.has_usable(
-            view.endpoint.name, view.address, request_route.idempotent, now
+            view.endpoint.name, view.address, context.route.idempotent, request_id, now
         )
 
     def make_peer_request(
--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -42,7 +42,8 @@
         self._exchange = exchange
         self._req = exchange.request
         self._number = next(numbers)
-        self._id = (self._req.header(shared.words.request_id) or b"").decode("latin-1")
+        self._id_bytes = self._req.header(shared.words.request_id) or b""
+        self._id = self._id_bytes.decode("latin-1")
         self._route = None
         self._service = ""
         self._key = ""
@@ -116,7 +117,7 @@
             self._route, self._service, self._key, left_s, self._objective_s - now, self._tried
         )
         decision = self._core.chooser.choose(self._context, now)
-        if self._core.needs_peer(decision, self._route, self._service, now):
+        if self._core.needs_peer(decision, self._req, self._context, now):
             self._delegate("cut-off", PEER_RETRY_AFTER_S)
         elif isinstance(decision, decisions.Refuse):
             self._give_up(decision.reason, decision.retry_after_s, decision.wait_s)
@@ -154,7 +155,9 @@
         shared.chooser.started(decision, self._number, now)
         if shared.chooser.limits.rate(instance.name, now) != endpoint_limits.UNLIMITED:
             shared.metrics.count("sent_to_limited_endpoints")
-        self._conn = shared.pool.acquire(instance.name, view.address, self._route.idempotent, now)
+        self._conn = shared.pool.acquire(
+            instance.name, view.address, self._route.idempotent, self._id_bytes, now
+        )
         self._conn.on_connected = lambda: shared.record_connected(view)
         req = forwarded.to_endpoint(
             self._req, shared.words, instance.name, self._deadline_at_s - now
--- a/oriolelock/gateway/peer_request.py
+++ b/oriolelock/gateway/peer_request.py
@@ -112,7 +112,7 @@
         )
         host, _, port = peer.peer_address.partition(":")
         self._conn = self._connections.acquire(
-            peer.name, (host, int(port)), self._route.idempotent, now
+            peer.name, (host, int(port)), self._route.idempotent, b"", now
         )
         self.asked.append(peer.name)
         self._peers.record_sent(peer.name)
--- a/oriolelock/gateway/pool.py
+++ b/oriolelock/gateway/pool.py
@@ -29,15 +29,28 @@
         self.opened = 0
 
     def acquire(
-        self, name: str, address: tuple[str, int], is_idempotent: bool, now: float
+        self,
+        name: str,
+        address: tuple[str, int],
+        is_idempotent: bool,
+        request_id: bytes,
+        now: float,
     ) -> outbound.Outbound:
         """Return an idle connection to an endpoint, or a new one that is not connected yet."""
         idle = self._idle.get(name, [])
-        while idle:
+        carried = []
+        found = None
+        while idle and found is None:
             conn = idle.pop()
-            if _is_usable(conn, address, is_idempotent, now):
-                return conn
-            conn.close()
+            if not _is_usable(conn, address, is_idempotent, now):
+                conn.close()
+            elif conn.has_carried(request_id):
+                carried.append(conn)
+            else:
+                found = conn
+        idle.extend(reversed(carried))
+        if found is not None:
+            return found
         self.opened += 1
         return outbound.Outbound(
             self._loop,
@@ -48,11 +61,17 @@
         )
 
     def has_usable(
-        self, name: str, address: tuple[str, int], is_idempotent: bool, now: float
+        self,
+        name: str,
+        address: tuple[str, int],
+        is_idempotent: bool,
+        request_id: bytes,
+        now: float,
     ) -> bool:
         """Return whether ``acquire`` would return an idle connection."""
         return any(
-            _is_usable(conn, address, is_idempotent, now) for conn in self._idle.get(name, ())
+            _is_usable(conn, address, is_idempotent, now) and not conn.has_carried(request_id)
+            for conn in self._idle.get(name, ())
         )
 
     def release(self, name: str, conn: outbound.Outbound) -> None:
--- a/oriolelock/http1/outbound.py
+++ b/oriolelock/http1/outbound.py
@@ -9,6 +9,7 @@
     response to an earlier request and is not accepted.
 """
 
+import collections
 import collections.abc
 import selectors
 import socket
@@ -28,6 +29,7 @@
 MAX_HEALTH_BODY_BYTES = 64 * 1024
 # Responses to earlier requests that are skipped before the connection is closed.
 MAX_STALE_RESPONSES = 2
+MAX_CARRIED_IDS = 64
 # Share of the endpoint's keep-alive timeout during which a connection is reused.
 KEEP_ALIVE_RATIO = 0.7
 # Reuse period of connections to endpoints that announce no keep-alive timeout.
@@ -65,6 +67,9 @@
         self._timer: loops.Timer | None = None
         self._protocol: h11.Connection | None = None
         self._request: messages.Request | None = None
+        # Ids of the latest requests. A copy of an earlier response can't be told from the response
+        # to a request with the same id.
+        self._carried_ids: collections.deque[bytes] = collections.deque(maxlen=MAX_CARRIED_IDS)
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sockets.set_options(self._sock)
 
@@ -81,6 +86,9 @@
         lost.
         """
         self._on_result, self._request = on_result, req
+        request_id = req.header(self._id_header)
+        if request_id:
+            self._carried_ids.append(request_id)
         self._max_body_bytes = max_body_bytes
         self._has_sent_bytes = False
         self._is_reused = self._connected
@@ -99,6 +107,10 @@
         else:
             self._loop.call_soon(lambda: self._finish(transfers.NotSent("connect-failed", True)))
 
+    def has_carried(self, request_id: bytes) -> bool:
+        """Return whether one of the latest requests had this id."""
+        return request_id in self._carried_ids
+
     def _start_exchange(self):
         """Reset the parser for one response; the request is only queued on the first call."""
         req = self._request
