Answer each request in progress at the end of a planned stop, and take none that would outlast it

Operators' report: requests that came late in the grace period were passed on and cut at its end with no answer, among them requests that may not be repeated. Possible here, in part: requests were taken for the first quarter of the grace period only, but also those that were expected to take longer than the rest of it; and what was in progress at the end of the wait lost its connection without an answer. Change: while an entry stops, a request that is expected to end too late, with a margin of half the expected time, is refused as not run, so that its caller goes to another entry at once. 0.1 s before the end what is in progress gets the response of an earlier attempt, if there is one, or 502. Ruled out: shortening the deadline of such requests, as the endpoint would give up work that is nearly done. The counter of requests in flight is replaced by what it counted.

--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -81,6 +81,10 @@
         self._limit_gossip = limit_gossip.LimitGossip(loop, self.gossip, self.chooser, rng)
         self.reachability = reachability.Reachability()
         self._quarantine = quarantine.Quarantine()
+        # By number of a request in progress: answers it when the process ends.
+        self.in_progress: dict[int, collections.abc.Callable[[], None]] = {}
+        # Until when requests must end; None unless the process is stopping.
+        self.stop_deadline_s: float | None = None
         self._splitters: dict[str, splitter.Splitter] = {}
         self._retries: dict[str, retry_budget.RetryBudget] = {}
         self._cfg = configuration.EMPTY
@@ -115,6 +119,11 @@
         """Limits on callers' requests."""
         return self._cfg.table.limits
 
+    def end_requests(self) -> None:
+        """Answer all requests in progress, as the process ends."""
+        for end_at_stop in list(self.in_progress.values()):
+            end_at_stop()
+
     def configure(self, cfg: configuration.Configuration) -> None:
         """Apply a configuration."""
         now, previous = clock.monotonic_s(), self._cfg
--- a/oriolelock/gateway/daemon.py
+++ b/oriolelock/gateway/daemon.py
@@ -32,6 +32,8 @@
 # while callers refresh their lists of entries; until the second, requests in flight are finished.
 ACCEPT_RATIO = 0.25
 STOP_RATIO = 0.88
+# Requests that are still in progress are answered this long before the second.
+LAST_ANSWERS_S = 0.1
 
 log = events.Events("gateway")
 
@@ -123,7 +125,7 @@
             cfg.index,
             self._state,
             self._since_s,
-            self.core.metrics.in_flight,
+            len(self.core.in_progress),
         )
 
     def _on_config(self, cfg):
@@ -160,7 +162,7 @@
         if exchange.request.path == self._dialect.ready_path:
             self._handle_ready(exchange)
         elif self._refuses_requests:
-            headers = ((b"retry-after", b"0.05"),)
+            headers = ((b"retry-after", b"%.2f" % flow.STOPPING_RETRY_AFTER_S),)
             exchange.reply(messages.Response(503, headers, b"stopping\n", closes=True))
         else:
             flow.Flow(self.core, exchange).start()
@@ -197,6 +199,7 @@
         gauges = {
             "routes_revision": self.core.revision,
             "control_age_seconds": -1.0 if age_s is None else round(age_s, 3),
+            "requests_in_flight": len(self.core.in_progress),
             "endpoints": len(self.core.chooser.views),
             "endpoints_ejected": self.core.chooser.ejected_count(),
             "services_cut_off": self.core.cut_off_count(),
@@ -232,20 +235,21 @@
         """Start a graceful shutdown; must be called in the loop's thread."""
         if self._state == "leaving":
             return
-        log.notable("stopping", name=self._settings.name, in_flight=self.core.metrics.in_flight)
+        log.notable("stopping", name=self._settings.name, in_flight=len(self.core.in_progress))
         self._state = "leaving"
         self._uplink.send_report()
         now, grace_s = clock.monotonic_s(), self._settings.grace_s
         self.loop.call_at(now + ACCEPT_RATIO * grace_s, self._stop_accepting)
-        self._stop_deadline_s = now + STOP_RATIO * grace_s
+        self.core.stop_deadline_s = now + STOP_RATIO * grace_s
+        self.loop.call_at(self.core.stop_deadline_s - LAST_ANSWERS_S, self.core.end_requests)
 
     def _stop_accepting(self):
         self._refuses_requests = True
         for http_server in self._servers:
             http_server.stop_listening()
             http_server.close_idle()
-        shutdown.stop_when_idle(self.loop, self._is_idle, self._stop_deadline_s)
+        shutdown.stop_when_idle(self.loop, self._is_idle, self.core.stop_deadline_s)
 
     def _is_idle(self):
         is_busy = any(http_server.busy for http_server in self._servers)
-        return not self.core.metrics.in_flight and not is_busy
+        return not self.core.in_progress and not is_busy
--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -12,7 +12,7 @@
 from oriolelock.gateway import core, facts, forwarded, peer_request
 from oriolelock.http1 import inbound, messages, outbound, transfers
 
-__all__ = ["Flow"]
+__all__ = ["STOPPING_RETRY_AFTER_S", "Flow"]
 
 # A new connection takes two trips, up to 0.15 s between distant regions.
 CONNECT_TIMEOUT_S = 0.35
@@ -20,6 +20,10 @@
 MAX_UNSENT_ATTEMPTS = 3
 # Suggested delay before a retry if no entry reaches an endpoint.
 PEER_RETRY_AFTER_S = 0.3
+# The caller goes to another entry: lookups name others at once.
+STOPPING_RETRY_AFTER_S = 0.05
+# During a planned stop, time to leave for a response relative to the expected time.
+STOP_MARGIN = 1.5
 # For requests without a deadline.
 DEFAULT_DEADLINE_S = 30.0
 # Round trip between caller and entry, which the caller's deadline includes.
@@ -98,7 +102,7 @@
         self._exchange.on_gone = self._on_caller_gone
         if not self._tried:
             shared.retry_budget_of(self._service).record_request(req.received_s)
-        shared.metrics.in_flight += 1
+        shared.in_progress[self._number] = self._end_at_stop
         self._attempt()
 
     def _deadline_s(self):
@@ -121,9 +125,16 @@
             self._delegate("cut-off", PEER_RETRY_AFTER_S)
         elif isinstance(decision, decisions.Refuse):
             self._give_up(decision.reason, decision.retry_after_s, decision.wait_s)
+        elif not self._can_end_before_stop(decision, now):
+            self._give_up("stopping", STOPPING_RETRY_AFTER_S)
         else:
             self._send(decision, now)
 
+    def _can_end_before_stop(self, decision, now):
+        stop_s = self._core.stop_deadline_s
+        expected_s = decision.wait_s + decision.service_s
+        return stop_s is None or now + STOP_MARGIN * expected_s < stop_s
+
     def _delegate(self, reason, retry_after_s):
         """Let another entry forward the request; ``reason``: why this one can't."""
         shared = self._core
@@ -282,6 +293,12 @@
             self._decision.view.answered(2.0, False, now)
         self._fail(504, "timeout")
 
+    def _end_at_stop(self):
+        """Answer the request, whose response can't be awaited, as the process ends."""
+        self._abort(clock.monotonic_s())
+        self._may_have_run = True
+        self._give_up("stopping")
+
     def _on_caller_gone(self):
         """Cancel the request after its caller disconnected."""
         self._core.metrics.count("caller_gone")
@@ -328,7 +345,7 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-            self._core.metrics.in_flight -= 1
+            del self._core.in_progress[self._number]
 
     def _age_s(self):
         return clock.monotonic_s() - self._req.received_s
--- a/oriolelock/gateway/request_metrics.py
+++ b/oriolelock/gateway/request_metrics.py
@@ -17,7 +17,6 @@
     """Not thread-safe; the text format is that of Prometheus, version 0.0.4."""
 
     def __init__(self) -> None:
-        self.in_flight = 0
         self._counts: collections.Counter[str] = collections.Counter()
         self._outcomes: collections.Counter[str] = collections.Counter()
         self._buckets = [0] * (len(BUCKETS_S) + 1)
@@ -50,7 +49,6 @@
             lines.append(f'oriolelock_request_seconds_bucket{{le="{bound}"}} {cumulative}')
         lines.append(f"oriolelock_request_seconds_sum {self._sum_s:.3f}")
         lines.append(f"oriolelock_request_seconds_count {cumulative}")
-        lines.append(f"oriolelock_requests_in_flight {self.in_flight}")
         for name, value in sorted(gauges.items()):
             lines.append(f"oriolelock_{name} {value}")
         return "\n".join(lines) + "\n"
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -86,33 +86,9 @@
         return self.endpoints[name]
 
     def configure(self, **overrides):
-        """Apply routes ``/safe/`` (idempotent) and ``/once/`` (not idempotent)."""
-        fields = {
-            "host": "h",
-            "timeout_ms": 1000.0,
-            "objective_ms": 400.0,
-            "priority": 1,
-            "parts": (route.Part("s", 1.0),),
-            "attempts": 2,
-            "affinity": True,
-        }
-        fields.update(overrides)
-        routes = {
-            name: route.Route(name=name, prefix=f"/{name}/", idempotent=name == "safe", **fields)
-            for name in ("safe", "once")
-        }
-        endpoints = {
-            name: endpoint.Endpoint(name, "s", _text(self._address(name)), "a", "a1", 4, 0)
-            for name in self.endpoints
-        }
-        cfg = configuration.Configuration(
-            index=1,
-            endpoints=endpoints,
-            members=self.members,
-            table=route_table.RouteTable(
-                1, routes, {"s": service.Service("s", "/health", 10, 1000.0, 4.0)}
-            ),
-        )
+        """Apply ``make_configuration`` with the endpoints of this fixture."""
+        addresses = {name: self._address(name) for name in self.endpoints}
+        cfg = make_configuration(addresses, self.members, **overrides)
         self.loop_thread.call(lambda: self.core.configure(cfg))
 
     def _address(self, endpoint_name):
@@ -137,9 +113,7 @@
         )
 
     def connect(self):
-        sock = socket.create_connection(self.address, 5)
-        sock.settimeout(5)
-        return sock
+        return connect(self.address)
 
     def send(self, path, deadline_ms=3000, body=b"", request_id=b"id1", host=b"h"):
         """Return status, lower-case head and body of the response to one request."""
@@ -169,6 +143,45 @@
     return ":".join(map(str, address))
 
 
+def connect(address):
+    sock = socket.create_connection(address, 5)
+    sock.settimeout(5)
+    return sock
+
+
+def make_configuration(addresses, members=None, **overrides):
+    """Return a configuration with routes ``/safe/`` (idempotent) and ``/once/`` (not idempotent).
+
+    ``addresses``: of endpoints by name; ``overrides``: fields of both routes.
+    """
+    fields = {
+        "host": "h",
+        "timeout_ms": 1000.0,
+        "objective_ms": 400.0,
+        "priority": 1,
+        "parts": (route.Part("s", 1.0),),
+        "attempts": 2,
+        "affinity": True,
+    }
+    fields.update(overrides)
+    routes = {
+        name: route.Route(name=name, prefix=f"/{name}/", idempotent=name == "safe", **fields)
+        for name in ("safe", "once")
+    }
+    endpoints = {
+        name: endpoint.Endpoint(name, "s", _text(address), "a", "a1", 4, 0)
+        for name, address in addresses.items()
+    }
+    return configuration.Configuration(
+        index=1,
+        endpoints=endpoints,
+        members=members or {},
+        table=route_table.RouteTable(
+            1, routes, {"s": service.Service("s", "/health", 10, 1000.0, 4.0)}
+        ),
+    )
+
+
 def make_request(path, deadline_ms=3000, body=b"", request_id=b"id1", host=b"h"):
     """Return the bytes of a request with ``Connection: close``."""
     return (
