Try parents of the configuration side by side

Cause: an entry that has lost its parent tried others one after another, and each that was frozen, silent or without a parent of its own took 0.6 s to connect or 0.8 s to its first confirmation, and a pause. In a failure domain that has lost several of them this adds up to more than 5 s. Ruled out: shorter limits, as three round trips between distant regions take up to 0.4 s. Change: each 0.25 s (0.6 s for an entry without a configuration, so that a starting fleet does not connect several times over) the next parent is tried as well, and the first that confirms is kept. Messages of parents that can't confirm are applied only if there is no other.

--- /dev/null
+++ b/oriolelock/distribution/parent_race.py
@@ -0,0 +1,150 @@
+"""
+oriolelock.distribution.parent_race
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+    Connects to several parents, each a moment after the one before, and keeps the first that
+    confirms the configuration.
+
+    Some may be frozen, cut off, or without a parent of their own. Asked one after another, each of
+    them would delay the next change by its time limits.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import queue
+import threading
+
+from oriolelock import clock, logs
+from oriolelock.distribution import errors, messages
+from oriolelock.wire import channel, hello
+from oriolelock.wire import errors as wire_errors
+
+__all__ = ["Connected", "ParentRace"]
+
+# Three round trips between distant regions, to a busy parent. A frozen parent never answers.
+CONNECT_LIMIT_S = 0.6
+# So that a thread soon notices that another parent was faster.
+POLL_INTERVAL_S = 0.1
+MAX_PARALLEL_ATTEMPTS = 5
+
+Address = tuple[str, int]
+log = logs.get_logger("uplink")
+
+
+@dataclasses.dataclass(frozen=True)
+class Connected:
+    """A subscription; ``received``: its messages, the last of which confirms the configuration."""
+
+    address: Address
+    link: channel.Channel
+    received: list[object]
+
+
+@dataclasses.dataclass(frozen=True)
+class _Failed:
+    received: list[object]
+
+
+class ParentRace:
+    """One search for a parent.
+
+    ``index``: to subscribe from; ``confirm_limit_s``: from a connection to the first confirmation;
+    ``interval_s``: until the next address is tried as well.
+    """
+
+    def __init__(
+        self, greeting: hello.Hello, index: int, confirm_limit_s: float, interval_s: float
+    ):
+        self._hello = greeting
+        self._index = index
+        self._confirm_limit_s = confirm_limit_s
+        self._interval_s = interval_s
+        self._lock = threading.Lock()
+        self._is_over = False
+        self._outcomes: queue.Queue[Connected | _Failed] = queue.Queue()
+        # Addresses that failed or were asked before the one that confirmed.
+        self.unfit: set[Address] = set()
+        # Messages of the parents that failed.
+        self.unconfirmed: list[object] = []
+
+    def run(
+        self, addresses: collections.abc.Iterable[Address], stopping: threading.Event
+    ) -> Connected:
+        """Return the first connection that is confirmed; raises Disconnected if there is none."""
+        untried, running = collections.deque(addresses), 0
+        next_start_s = clock.monotonic_s()
+        try:
+            while (untried or running) and not stopping.is_set():
+                now = clock.monotonic_s()
+                if untried and running < MAX_PARALLEL_ATTEMPTS and now >= next_start_s:
+                    self._start(untried.popleft())
+                    running += 1
+                    next_start_s = now + self._interval_s
+                outcome = self._wait()
+                if isinstance(outcome, Connected):
+                    self.unfit.discard(outcome.address)
+                    return outcome
+                if outcome is not None:
+                    running -= 1
+                    self.unconfirmed += outcome.received
+                    next_start_s = now
+        finally:
+            self._end()
+        raise errors.Disconnected("no parent confirms the configuration")
+
+    def _wait(self):
+        try:
+            return self._outcomes.get(timeout=POLL_INTERVAL_S / 2)
+        except queue.Empty:
+            return None
+
+    def _end(self):
+        with self._lock:
+            self._is_over = True
+        while not self._outcomes.empty():
+            late = self._outcomes.get()
+            if isinstance(late, Connected):
+                late.link.close()
+
+    def _start(self, address):
+        self.unfit.add(address)
+        threading.Thread(
+            target=self._attempt, args=(address,), name="uplink-attempt", daemon=True
+        ).start()
+
+    def _attempt(self, address):
+        received = []
+        outcome = _Failed(received)
+        try:
+            link = channel.connect(address, self._hello, CONNECT_LIMIT_S)
+            try:
+                self._subscribe(link, received)
+                outcome = Connected(address, link, received)
+            except (wire_errors.WireError, errors.DistributionError):
+                link.close()
+                raise
+        except (wire_errors.WireError, errors.DistributionError) as exc:
+            if not self._is_over:
+                log.warning("connection to {}:{} failed: {}", *address, exc)
+        with self._lock:
+            if not self._is_over:
+                self._outcomes.put(outcome)
+                return
+        if isinstance(outcome, Connected):
+            outcome.link.close()
+
+    def _subscribe(self, link, received):
+        """Add messages to ``received`` up to the first that confirms the configuration."""
+        deadline_s = clock.monotonic_s() + self._confirm_limit_s
+        link.send(messages.Subscribe(self._hello.name, self._index))
+        while not self._is_over:
+            left_s = deadline_s - clock.monotonic_s()
+            if left_s <= 0.0:
+                raise errors.Disconnected(f"not confirmed for {self._confirm_limit_s} s")
+            msg = link.recv(min(POLL_INTERVAL_S, left_s))
+            if msg is not None:
+                received.append(msg)
+            if isinstance(msg, messages.Snapshot | messages.Delta) and msg.confirmed:
+                return
+        raise errors.Disconnected("another parent was faster")
--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -15,6 +15,7 @@
     errors,
     held_configuration,
     messages,
+    parent_race,
     pending_calls,
     recent_changes,
     report_packing,
@@ -37,8 +38,9 @@
 # The limit once a configuration is held. It is shorter, so that parents that can't confirm delay
 # a change less; a parent knows after 0.7 s whether it can confirm.
 NEXT_CONFIRMATION_LIMIT_S = 0.8
-# Three round trips between distant regions, to a busy parent. A frozen parent never answers.
-CONNECT_LIMIT_S = 0.6
+# Until the next parent is tried as well. A starting fleet must not connect several times over.
+FIRST_RACE_INTERVAL_S = 0.6
+NEXT_RACE_INTERVAL_S = 0.25
 RECV_TIMEOUT_S = 0.2
 BACKOFF_MIN_S = 0.1
 BACKOFF_MAX_S = 0.6
@@ -189,12 +191,10 @@
         failures = 0
         while not self._stopping.is_set():
             started_s = clock.monotonic_s()
-            address = self._choose_parent(started_s)
             try:
-                self._serve_connection(address)
+                self._serve_connection(self._find_parent(started_s))
             except (wire_errors.WireError, errors.DistributionError) as exc:
-                log.warning("connection to {}:{} ended: {}", *address, exc)
-                self._avoid_until_s[address] = clock.monotonic_s() + FAILED_PARENT_PENALTY_S
+                log.warning("disconnected from control: {}", exc)
             except Exception:
                 # If this thread ended, the entry would receive no further changes.
                 log.exception("uplink failed, reconnecting")
@@ -204,16 +204,37 @@
             max_delay_s = min(BACKOFF_MAX_S, BACKOFF_MIN_S * 2 ** min(failures, 10))
             self._stopping.wait(self._rng.uniform(BACKOFF_MIN_S / 2, max_delay_s))
 
-    def _choose_parent(self, now):
-        """Return the best parent that has not failed recently, else the one that failed first."""
+    def _order_parents(self, now):
+        """Return the parents that have not failed recently, then the others, earliest first."""
         addresses = list(self._parents(self._holder.cfg))
-        usable = [a for a in addresses if self._avoid_until_s.get(a, 0.0) <= now]
-        if usable:
-            return usable[0]
-        return min(addresses, key=lambda a: self._avoid_until_s[a])
+        return sorted(addresses, key=lambda a: max(now, self._avoid_until_s.get(a, 0.0)))
+
+    def _find_parent(self, now):
+        """Return a connection to a parent that confirms the configuration."""
+        index = self._holder.cfg.index
+        limits = (
+            (NEXT_CONFIRMATION_LIMIT_S, NEXT_RACE_INTERVAL_S)
+            if index
+            else (FIRST_CONFIRMATION_LIMIT_S, FIRST_RACE_INTERVAL_S)
+        )
+        race = parent_race.ParentRace(self._hello, index, *limits)
+        try:
+            return race.run(self._order_parents(now), self._stopping)
+        except errors.Disconnected:
+            # Changes that a parent holds are committed, whether it can confirm them or not.
+            for msg in race.unconfirmed:
+                self._handle(msg)
+            raise
+        finally:
+            for address in race.unfit:
+                self._avoid(address)
 
-    def _serve_connection(self, address):
-        link = self._link = channel.connect(address, self._hello, CONNECT_LIMIT_S)
+    def _avoid(self, address):
+        self._avoid_until_s[address] = clock.monotonic_s() + FAILED_PARENT_PENALTY_S
+
+    def _serve_connection(self, connected):
+        address, link = connected.address, connected.link
+        self._link = link
         outbox = queue.Queue(MAX_QUEUED_SENDS)
         # Callers only queue messages: sending to a peer that does not read would block them.
         writer = threading.Thread(
@@ -224,8 +245,10 @@
             self._parent, self._outbox = address, outbox
             log.info("connected to {}:{}", *address)
             self._is_resyncing = False
-            self._subscribe()
-            self._receive_until_disconnected(link)
+            self._receive_until_disconnected(link, connected.received)
+        except (wire_errors.WireError, errors.DistributionError):
+            self._avoid(address)
+            raise
         finally:
             self._parent = self._outbox = None
             closed_totals = self.traffic(), self.messages()
@@ -238,11 +261,10 @@
     def _subscribe(self):
         self._enqueue(messages.Subscribe(self._hello.name, self._holder.cfg.index))
 
-    def _receive_until_disconnected(self, link):
-        confirmed_s, was_confirmed = clock.monotonic_s(), False
-        first_limit_s = (
-            NEXT_CONFIRMATION_LIMIT_S if self._holder.cfg.index else FIRST_CONFIRMATION_LIMIT_S
-        )
+    def _receive_until_disconnected(self, link, received):
+        confirmed_s = clock.monotonic_s()
+        for msg in received:
+            self._handle(msg)
         rebalance_s = confirmed_s + self._rng.uniform(1.0, 2.0) * REBALANCE_INTERVAL_S
         report_due_s = forward_due_s = 0.0
         while not self._stopping.is_set():
@@ -252,21 +274,17 @@
                 self._queue_reports(is_report_due)
                 forward_due_s = now + FORWARD_INTERVAL_S
                 report_due_s = now + REPORT_INTERVAL_S if is_report_due else report_due_s
-            limit_s = UNCONFIRMED_LIMIT_S if was_confirmed else first_limit_s
-            if now - confirmed_s > limit_s:
-                raise errors.Disconnected(f"not confirmed for {limit_s} s")
+            if now - confirmed_s > UNCONFIRMED_LIMIT_S:
+                raise errors.Disconnected(f"not confirmed for {UNCONFIRMED_LIMIT_S} s")
             if now >= rebalance_s:
                 rebalance_s = now + REBALANCE_INTERVAL_S
-                if self._choose_parent(now) != self._parent:
+                if self._order_parents(now)[0] != self._parent:
                     log.info("moving to a better parent")
                     return
             wait_s = min(report_due_s, forward_due_s) - now
             msg = link.recv(max(0.0, min(RECV_TIMEOUT_S, wait_s)))
-            was_ready = self.is_ready
             if msg is not None and self._handle(msg):
-                confirmed_s, was_confirmed = clock.monotonic_s(), True
-                if not was_ready:
-                    report_due_s = 0.0
+                confirmed_s = clock.monotonic_s()
 
     def _queue_reports(self, include_own):
         own_report = self._make_report() if include_own else None
