Refuse a request as not run if its connection was not established by the route's timeout

Cause: at the timeout a request that waits for a connection was taken for one at the endpoint. Change: if no byte was written, the connection is closed and the answer is 503, not run. Requests that left for another entry are still answered 504. test_request_that_reached_no_endpoint_by_its_timeout_is_refused_as_not_run failed before (504).

--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -284,8 +284,9 @@
 
     def _on_deadline(self):
         now = clock.monotonic_s()
-        is_at_endpoint = self._conn is not None
+        is_at_endpoint = self._conn is not None and self._conn.has_sent_bytes
         if not is_at_endpoint and self._peer_request is None:
+            self._abort(now)
             self._give_up("deadline-passed")
             return
         self._abort(now)
--- a/oriolelock/http1/outbound.py
+++ b/oriolelock/http1/outbound.py
@@ -62,7 +62,8 @@
         self.on_connected: collections.abc.Callable[[], None] = lambda: None
         self._connected = False
         self._send_buffer = bytearray()
-        self._has_sent_bytes = False
+        # Whether a part of the latest request was written.
+        self.has_sent_bytes = False
         self._on_result: collections.abc.Callable[[transfers.Transfer], None] | None = None
         self._timer: loops.Timer | None = None
         self._protocol: h11.Connection | None = None
@@ -90,7 +91,7 @@
         if request_id:
             self._carried_ids.append(request_id)
         self._max_body_bytes = max_body_bytes
-        self._has_sent_bytes = False
+        self.has_sent_bytes = False
         self._is_reused = self._connected
         self._stale_responses = 0
         self._start_exchange()
@@ -126,7 +127,7 @@
         if req.body:
             data += self._protocol.send(h11.Data(data=req.body))
         data += self._protocol.send(h11.EndOfMessage())
-        if not self._has_sent_bytes:
+        if not self.has_sent_bytes:
             self._send_buffer.extend(data)
 
     def abort(self) -> None:
@@ -165,7 +166,7 @@
         try:
             while self._send_buffer:
                 count = self._sock.send(self._send_buffer)
-                self._has_sent_bytes = True
+                self.has_sent_bytes = True
                 del self._send_buffer[:count]
         except BlockingIOError:
             pass
@@ -176,7 +177,7 @@
         self._loop.watch(self._sock, events, self._on_event)
 
     def _on_socket_error(self, exc):
-        if self._has_sent_bytes:
+        if self.has_sent_bytes:
             self._finish(transfers.Lost(type(exc).__name__))
         else:
             self._finish(transfers.NotSent("connection-ended"))
@@ -202,7 +203,7 @@
             # The endpoint closed an idle connection or sent unsolicited bytes.
             self._end_idle()
             return
-        if data and not self._has_sent_bytes:
+        if data and not self.has_sent_bytes:
             # An extra response to an earlier request: it came before this one was sent.
             self._finish(transfers.NotSent("connection-ended"))
             return
@@ -211,7 +212,7 @@
             self._read_events()
             self._check_head_size(len(data))
         except h11.RemoteProtocolError as exc:
-            if not data and self._head is None and not self._has_sent_bytes:
+            if not data and self._head is None and not self.has_sent_bytes:
                 self._finish(transfers.NotSent("connection-ended"))
             else:
                 self._finish(transfers.Lost(f"malformed response: {exc}"))
@@ -283,7 +284,7 @@
         if not reusable or self._stale_responses > MAX_STALE_RESPONSES:
             self._finish(transfers.Lost("response to another request"))
             return
-        self._has_sent_bytes = True
+        self.has_sent_bytes = True
         self._start_exchange()
         if trailing_bytes:
             self._protocol.receive_data(trailing_bytes)
--- a/tests/gateway/test_cut_off_entry.py
+++ b/tests/gateway/test_cut_off_entry.py
@@ -118,3 +118,10 @@
     for thread in threads:
         thread.join(5)
     assert found == [200] * 20
+
+
+@pytest.mark.parametrize("kind", [b"once", b"safe"])
+def test_request_that_reached_no_endpoint_by_its_timeout_is_refused_as_not_run(make_fleet, kind):
+    (entry,) = make_fleet(succeeding, entries=1, timeout_ms=50.0, objective_ms=20.0)
+    cut(entry, "hang")
+    assert entry.send(b"/%s/1" % kind)[0] == 503
