--- a/oriolelock/gateway/daemon.py
+++ b/oriolelock/gateway/daemon.py
@@ -202,7 +202,7 @@
             "requests_in_flight": len(self.core.in_progress),
             "endpoints": len(self.core.chooser.views),
             "endpoints_ejected": self.core.chooser.ejected_count(),
-            "services_cut_off": self.core.cut_off_count(),
+            "services_cut_off": len(self.core.connectivity.cut_off_services()),
             "endpoints_limited": self.core.chooser.limits.limited_count(now),
             "entries_cut_off": len(self.core.cut_off_entries(now)),
             "entries": self.core.chooser.entry_count(now),
--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -169,7 +169,7 @@
         self._conn = shared.pool.acquire(
             instance.name, view.address, self._route.idempotent, self._id_bytes, now
         )
-        self._conn.on_connected = lambda: shared.record_connected(view)
+        self._conn.on_connected = lambda: shared.connectivity.record_connected(view)
         req = forwarded.to_endpoint(
             self._req, shared.words, instance.name, self._deadline_at_s - now
         )
@@ -182,7 +182,7 @@
         conn, self._conn = self._conn, None
         if isinstance(result, transfers.Answered):
             self._core.pool.release(view.endpoint.name, conn)
-            self._core.record_response(view)
+            self._core.connectivity.record_response(view)
             self._handle_response(result.response, now)
         elif isinstance(result, transfers.NotSent):
             self._handle_not_sent(result, now)
--- /dev/null
+++ b/oriolelock/gateway/health_checks.py
@@ -0,0 +1,140 @@
+"""
+oriolelock.gateway.health_checks
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+    Health checks: whether ejected endpoints may be used again, and whether services that are cut
+    off can be reached again.
+"""
+
+import collections.abc
+import random
+
+from oriolelock import clock, events
+from oriolelock.dispatch import chooser, endpoint_view
+from oriolelock.gateway import connectivity, facts, request_metrics
+from oriolelock.gateway import dialect as dialects
+from oriolelock.http1 import buffer_budget, messages, outbound, transfers
+from oriolelock.http1 import loop as loops
+from oriolelock.model import service
+
+__all__ = ["HealthChecks"]
+
+TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.35
+INTERVAL_S = 0.1
+# Between health checks of a service whose endpoints are not reached.
+PROBE_INTERVAL_S = 0.25
+
+log = events.Events("gateway")
+
+
+class HealthChecks:
+    """Not thread-safe: used in the loop's thread. ``budget``: of buffered bytes."""
+
+    def __init__(
+        self,
+        loop: loops.Loop,
+        words: dialects.Dialect,
+        endpoint_chooser: chooser.Chooser,
+        endpoint_connectivity: connectivity.Connectivity,
+        budget: buffer_budget.BufferBudget,
+        metrics: request_metrics.RequestMetrics,
+        rng: random.Random,
+    ):
+        self._loop = loop
+        self._words = words
+        self._chooser = endpoint_chooser
+        self._connectivity = endpoint_connectivity
+        self._budget = budget
+        self._metrics = metrics
+        self._rng = rng
+        self._services: collections.abc.Mapping[str, service.Service] = {}
+        loop.call_each(INTERVAL_S, self._check_due_endpoints)
+        loop.call_each(PROBE_INTERVAL_S, self._probe_cut_off_services)
+
+    def configure(self, services: collections.abc.Mapping[str, service.Service]) -> None:
+        """Apply the services, by name."""
+        self._services = services
+
+    def _check_due_endpoints(self):
+        now = clock.monotonic_s()
+        for view in self._chooser.views.values():
+            if self._is_check_due(view, now):
+                self.check(view, lambda is_reachable: None)
+
+    def _probe_cut_off_services(self):
+        """Check one endpoint of each service that is cut off, to learn when the cut has ended."""
+        now = clock.monotonic_s()
+        for name in self._connectivity.cut_off_services():
+            views = [
+                view
+                for view in self._chooser.views.values()
+                if view.endpoint.service == name
+                and view.is_usable(now)
+                and not view.health_check_pending
+                and self._limit_wait_s(view, now) <= 0.0
+            ]
+            if views:
+                self.check(self._rng.choice(views), lambda is_reachable: None)
+
+    def _limit_wait_s(self, view, now):
+        # A health check is a request like any other to an endpoint that has announced a rate.
+        instance = view.endpoint
+        return self._chooser.limits.wait_s(instance.name, instance.region, 0, now)
+
+    def _is_check_due(self, view, now):
+        if not view.needs_health_check or view.health_check_pending or now < view.ejected_until_s:
+            return False
+        return view.endpoint.state == "live" and self._limit_wait_s(view, now) <= 0.0
+
+    def check(
+        self,
+        view: endpoint_view.EndpointView,
+        on_checked: collections.abc.Callable[[bool], None],
+    ) -> None:
+        """Check an endpoint's health, then call ``on_checked(is_reachable)``.
+
+        It is not called if the entry is cut off, which tells nothing of the endpoint.
+        """
+        view.health_check_pending = True
+        config = self._services.get(view.endpoint.service)
+        if config is None:
+            view.health_check_pending = False
+            return
+        self._metrics.count("health_checks")
+        self._chooser.limits.record_sent(view.endpoint.name, clock.monotonic_s())
+        headers = ((b"host", view.endpoint.address.encode()), (b"connection", b"close"))
+        req = messages.Request(b"GET", config.health_path.encode(), headers)
+        conn = outbound.Outbound(
+            self._loop, view.address, self._words.request_id, lambda c: None, self._budget
+        )
+        conn.on_connected = lambda: self._connectivity.record_connected(view)
+        timer = self._loop.call_later(TIMEOUT_S, lambda: expired())
+
+        def finished(result):
+            timer.cancel()
+            self._apply(view, result, on_checked)
+
+        def expired():
+            conn.abort()
+            finished(transfers.NotSent("check-timeout"))
+
+        conn.send(req, CONNECT_TIMEOUT_S, finished, outbound.MAX_HEALTH_BODY_BYTES)
+
+    def _apply(self, view, result, on_checked):
+        now = clock.monotonic_s()
+        health = None
+        if isinstance(result, transfers.Answered):
+            health = facts.health(result.response, self._words)
+        elif isinstance(result, transfers.NotSent) and result.reason != "check-timeout":
+            self._connectivity.record_failure(view, result.refused, now)
+        was_ejected = view.needs_health_check
+        if health is None and self._connectivity.is_cut_off(view.endpoint.service):
+            view.postpone_health_check(now)
+            return
+        view.record_health_check(health, self._chooser.cold_period_s(view), now)
+        if was_ejected and not view.needs_health_check:
+            log.notable("endpoint-back", endpoint=view.endpoint.name, cold_ms=health.cold_ms)
+        elif view.needs_health_check and not was_ejected:
+            log.notable("endpoint-out", endpoint=view.endpoint.name, reason="health check")
+        on_checked(health is not None)
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -49,7 +49,7 @@
 
     def learn():
         for view in entry.core.chooser.views.values():
-            entry.core.reachability.record_failure("s", view.endpoint.name, True, 0.0)
+            entry.core.connectivity.record_failure(view, True, 0.0)
 
     entry.loop_thread.call(learn)
     return fleet
@@ -252,5 +252,5 @@
     assert entry.send(b"/once/1")[0] == 200
     for link in entry.links.values():
         link.restore()
-    waiting.until(lambda: not entry.core.reachability.is_cut_off("s"), 1.0)
+    waiting.until(lambda: not entry.core.connectivity.is_cut_off("s"), 1.0)
     assert entry.core.chooser.ejected_count() == 0
