Ignore failures to reach endpoints that were removed meanwhile

What callers would see: a request whose endpoint left the list while its connection was being opened got no answer before its deadline, if three such failures made the entry believe to be cut off. Cause: the endpoints whose failures make up the belief were looked up among those in use (KeyError in a callback of the loop, which logs it and goes on). test_failures_to_reach_endpoints_that_were_removed_meanwhile_are_ignored failed before (KeyError).

--- a/oriolelock/gateway/connectivity.py
+++ b/oriolelock/gateway/connectivity.py
@@ -84,6 +84,9 @@
         ``refused``: by an answer, not by a timeout. If the entry turns out to be cut off, endpoints
         that were ejected for such failures are used again.
         """
+        if self._chooser.views.get(view.endpoint.name) is not view:
+            # The endpoint was removed or replaced while the connection was being opened.
+            return
         name = view.endpoint.service
         was_cut_off = self.is_cut_off(name)
         self._reachability.record_failure(name, view.endpoint.name, refused, now)
