--- a/oriolelock/http1/inbound.py
+++ b/oriolelock/http1/inbound.py
@@ -11,7 +11,7 @@
 
 import h11
 
-from oriolelock import clock
+from oriolelock import clock, events
 from oriolelock.http1 import loop as loops
 from oriolelock.http1 import messages, server_rules, sockets
 
@@ -31,6 +31,8 @@
     431: b"Request Header Fields Too Large",
 }
 
+log = events.Events("http1")
+
 
 class Exchange:
     """One request and its response; ``on_gone`` is called if the caller disconnects first."""
@@ -78,7 +80,7 @@
         self._timer: loops.Timer | None = None
         self._request_started_s: float | None = None
         self.is_open = True
-        sockets.set_options(sock)
+        sockets.set_options(sock, sockets.CALLER_TIMEOUT_MS)
         loop.watch(sock, selectors.EVENT_READ, self._on_event)
         self._set_timer(self._limits.head_ms / 1000.0, self._request_expired)
 
@@ -136,10 +138,15 @@
         else:
             self._refuse(408, b"the request did not arrive in time")
 
-    def _on_event(self, events):
-        if events & selectors.EVENT_WRITE:
+    def _lose(self, exc):
+        """Close a connection that was reset, or whose caller has fallen silent."""
+        log.usual("caller-lost", reason=type(exc).__name__, busy=self.is_busy)
+        self.close()
+
+    def _on_event(self, mask):
+        if mask & selectors.EVENT_WRITE:
             self._flush()
-        if events & selectors.EVENT_READ and self.is_open:
+        if mask & selectors.EVENT_READ and self.is_open:
             self._on_readable()
 
     def _on_readable(self):
@@ -147,8 +154,8 @@
             received = self._sock.recv(RECV_BYTES)
         except BlockingIOError:
             return
-        except OSError:
-            self.close()
+        except OSError as exc:
+            self._lose(exc)
             return
         if not received:
             self.close()
@@ -303,14 +310,14 @@
                 del self._send_buffer[:count]
         except BlockingIOError:
             pass
-        except OSError:
-            self.close()
+        except OSError as exc:
+            self._lose(exc)
             return
         if self._closing and not self._send_buffer:
             self._linger()
             return
-        events = selectors.EVENT_READ | (selectors.EVENT_WRITE if self._send_buffer else 0)
-        self._loop.watch(self._sock, events, self._on_event)
+        mask = selectors.EVENT_READ | (selectors.EVENT_WRITE if self._send_buffer else 0)
+        self._loop.watch(self._sock, mask, self._on_event)
 
     def _linger_after_flush(self):
         self._closing = True
