Give callers' connections time for lost and late packets

Suspected cause: callers' connections had the timeouts of those to endpoints, 1.2 s. As TCP_USER_TIMEOUT decides for keep-alive probes too, whatever their count, an idle connection ended with one probe whose answer was lost, or more than a second late on a congested link of 2 Mbit/s; a request that was on its way was lost with it. Change: 5 s for callers; 1.2 s stays for endpoints, where another connection can take its place.

--- a/oriolelock/http1/outbound.py
+++ b/oriolelock/http1/outbound.py
@@ -72,7 +72,7 @@
         # to a request with the same id.
         self._carried_ids: collections.deque[bytes] = collections.deque(maxlen=MAX_CARRIED_IDS)
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sockets.set_options(self._sock)
+        sockets.set_options(self._sock, sockets.ENDPOINT_TIMEOUT_MS)
 
     def send(
         self,
