--- a/oriolelock/dispatch/peer_selection.py
+++ b/oriolelock/dispatch/peer_selection.py
@@ -69,8 +69,8 @@
         cut_off = self.cut_off(now)
         for peer in self._peers.values():
             is_able = now >= self._unable_until_s.get((peer.name, service), now)
-            is_asked = peer.name in asked or peer.name in cut_off
-            if is_able and not is_asked and (not regions or peer.region in regions):
+            is_excluded = peer.name in asked or peer.name in cut_off
+            if is_able and not is_excluded and (not regions or peer.region in regions):
                 tiers.setdefault(self._distance(peer), []).append(peer)
         if not tiers:
             return None
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -10,8 +10,7 @@
 from oriolelock.gateway import delegation
 from oriolelock.http1 import messages
 from tests import waiting
-from tests.gateway import conftest
-from tests.gateway.test_cut_off_entry import cut, succeeding
+from tests.gateway import conftest, test_cut_off_entry
 
 HEALTH = b"GET /health"
 
@@ -45,7 +44,7 @@
     """Return entries of which the first has found out that it is cut off."""
     fleet = make_fleet(respond, **options)
     entry = fleet[0]
-    cut(entry, "refuse")
+    test_cut_off_entry.cut(entry, "refuse")
 
     def learn():
         for view in entry.core.chooser.views.values():
@@ -65,16 +64,20 @@
 
 
 @pytest.mark.parametrize("kind", [b"once", b"safe"])
-@pytest.mark.parametrize("respond", [succeeding, disconnecting, shedding, failing])
+@pytest.mark.parametrize(
+    "respond", [test_cut_off_entry.succeeding, disconnecting, shedding, failing]
+)
 def test_a_delegated_request_reaches_no_more_endpoints_than_one_that_is_not(
     make_fleet, kind, respond
 ):
     entry, _ = make_cut_fleet(make_fleet, respond)
     status, _, _ = entry.send(b"/%s/1" % kind)
     found = len(requests_of(entry))
-    may_repeat = respond is shedding or (kind == b"safe" and respond is not succeeding)
+    may_repeat = respond is shedding or (
+        kind == b"safe" and respond is not test_cut_off_entry.succeeding
+    )
     assert found == (2 if may_repeat else 1)
-    expected = {succeeding: 200, disconnecting: 502, shedding: 503, failing: 500}
+    expected = {test_cut_off_entry.succeeding: 200, disconnecting: 502, shedding: 503, failing: 500}
     assert status == expected[respond]
 
 
@@ -86,7 +89,7 @@
             conn.sendall(conftest.make_response(head))
             return True
         # The entry loses the endpoints while the first attempt is under way.
-        cut(entry, "refuse")
+        test_cut_off_entry.cut(entry, "refuse")
         return False
 
     for endpoint in entry.endpoints.values():
@@ -122,7 +125,7 @@
 
 
 def test_the_deadline_of_a_delegated_request_is_the_time_that_is_left(make_fleet):
-    entry, _ = make_cut_fleet(make_fleet, succeeding)
+    entry, _ = make_cut_fleet(make_fleet, test_cut_off_entry.succeeding)
     entry.send(b"/safe/1", deadline_ms=700)
     ((head, _),) = requests_of(entry)
     left_ms = int(conftest.raw_endpoint.header(head, b"oriolelock-deadline-ms"))
@@ -139,7 +142,7 @@
 
 
 def test_request_and_response_pass_unchanged(make_fleet):
-    entry, _ = make_cut_fleet(make_fleet, succeeding)
+    entry, _ = make_cut_fleet(make_fleet, test_cut_off_entry.succeeding)
     status, head, body = entry.send(b"/once/1?q=%20", body=b"abc", request_id=b"id7")
     assert (status, body) == (200, b"done")
     assert b"x-stamp: s" in head
@@ -153,9 +156,9 @@
 
 
 def test_entries_that_are_all_cut_off_refuse_at_once_and_do_not_pass_requests_around(make_fleet):
-    fleet = make_cut_fleet(make_fleet, succeeding, entries=4, cut_off=4)
+    fleet = make_cut_fleet(make_fleet, test_cut_off_entry.succeeding, entries=4, cut_off=4)
     for item in fleet[1:]:
-        cut(item, "refuse")
+        test_cut_off_entry.cut(item, "refuse")
     entry = fleet[0]
     for _ in range(3):
         start_s = time.monotonic()
@@ -167,7 +170,9 @@
 
 
 def test_requests_that_are_bound_to_regions_are_delegated_to_entries_there_only(make_fleet):
-    fleet = make_cut_fleet(make_fleet, succeeding, entries=3, regions="baab", route_regions=("a",))
+    fleet = make_cut_fleet(
+        make_fleet, test_cut_off_entry.succeeding, entries=3, regions="baab", route_regions=("a",)
+    )
     entry, *others = fleet
     for _ in range(4):
         assert entry.send(b"/once/1")[0] == 200
@@ -175,7 +180,9 @@
 
 
 def test_requests_that_are_bound_to_regions_without_an_entry_are_refused(make_fleet):
-    entry, other = make_cut_fleet(make_fleet, succeeding, regions="bb", route_regions=("a",))
+    entry, other = make_cut_fleet(
+        make_fleet, test_cut_off_entry.succeeding, regions="bb", route_regions=("a",)
+    )
     assert entry.send(b"/once/1", body=b"abc")[0] == 503
     assert accepted(other) == 0
 
@@ -185,7 +192,7 @@
 
 
 def test_an_entry_that_stops_takes_no_requests_of_others(make_fleet):
-    entry, second, third = make_cut_fleet(make_fleet, succeeding, entries=3)
+    entry, second, third = make_cut_fleet(make_fleet, test_cut_off_entry.succeeding, entries=3)
     second.is_leaving = True
     assert [entry.send(b"/once/1")[0] for _ in range(6)] == [200] * 6
     assert accepted(second) == 0
@@ -193,7 +200,7 @@
 
 
 def test_a_request_counts_once_in_the_retry_budgets_of_all_entries(make_fleet):
-    entry, other = make_cut_fleet(make_fleet, succeeding)
+    entry, other = make_cut_fleet(make_fleet, test_cut_off_entry.succeeding)
     for _ in range(3):
         entry.send(b"/safe/1")
     counts = [len(item.core.retry_budget_of("s")._requests) for item in (entry, other)]
@@ -201,7 +208,7 @@
 
 
 def test_requests_of_others_than_entries_are_rejected(make_fleet):
-    entry, other = make_cut_fleet(make_fleet, succeeding)
+    entry, other = make_cut_fleet(make_fleet, test_cut_off_entry.succeeding)
     for token in ("", "other"):
         order = delegation.Order("once", "s", False, 1000, 500, ())
         req = messages.Request(b"GET", b"/once/1", ((b"host", b"h"),))
@@ -219,7 +226,7 @@
 
 
 def test_a_caller_that_names_an_order_is_served_as_any_other(make_fleet):
-    entry, _ = make_fleet(succeeding)
+    entry, _ = make_fleet(test_cut_off_entry.succeeding)
     with entry.connect() as sock:
         request = conftest.make_request(b"/once/1")
         sock.sendall(request.replace(b"Host:", b"Oriolelock-Delegated: xx\r\nHost:", 1))
@@ -227,15 +234,15 @@
 
 
 def test_the_only_endpoint_of_a_service_is_reached_by_another_entry(make_fleet):
-    entry, _ = make_fleet(succeeding, endpoints=1)
-    cut(entry, "reset")
+    entry, _ = make_fleet(test_cut_off_entry.succeeding, endpoints=1)
+    test_cut_off_entry.cut(entry, "reset")
     time.sleep(0.1)
     statuses = [entry.send(b"/once/%d" % n)[0] for n in range(6)]
     assert statuses == [200] * 6
 
 
 def test_requests_lost_in_a_cut_are_not_blamed_for_the_death_of_endpoints(make_fleet):
-    entry, _ = make_cut_fleet(make_fleet, succeeding)
+    entry, _ = make_cut_fleet(make_fleet, test_cut_off_entry.succeeding)
 
     def lose():
         view = entry.core.chooser.views["x0"]
@@ -248,7 +255,7 @@
 
 
 def test_endpoints_are_used_again_right_after_the_cut(make_fleet):
-    entry, _ = make_cut_fleet(make_fleet, succeeding)
+    entry, _ = make_cut_fleet(make_fleet, test_cut_off_entry.succeeding)
     assert entry.send(b"/once/1")[0] == 200
     for link in entry.links.values():
         link.restore()
