--- a/oriolelock/http1/inbound.py
+++ b/oriolelock/http1/inbound.py
@@ -136,9 +136,10 @@
             self._timer = None
 
     def _request_expired(self):
-        # What is overdue may have arrived while the process was busy.
+        # What is overdue may have arrived while the process was busy, and set another timer.
+        self._timer = None
         self._on_readable()
-        if not self.is_open or self._exchange is not None:
+        if not self.is_open or self._exchange is not None or self._timer is not None:
             return
         if self._request_started_s is None:
             self._linger()
--- a/tests/http1/test_idle_connections.py
+++ b/tests/http1/test_idle_connections.py
@@ -24,6 +24,12 @@
         yield sock
 
 
+def _connected_pair():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        caller = socket.create_connection(listener.getsockname())
+        return listener.accept()[0], caller
+
+
 def is_served(sock):
     return sock.recv(65536).startswith(b"HTTP/1.1 200")
 
@@ -58,3 +64,21 @@
     time.sleep(0.8 * IDLE_S)
     caller.sendall(REQUEST)
     assert is_served(caller)
+
+
+def test_request_that_begins_as_its_time_is_over_is_not_refused(running):
+    own, caller = _connected_pair()
+    limits = request_limits.RequestLimits()
+    rules = server_rules.ServerRules(
+        lambda exchange: exchange.reply(messages.Response(200, (), b"ok")), lambda: limits
+    )
+    conn = running.call(lambda: inbound.Inbound(running.loop, own, rules))
+
+    def begin_and_expire():
+        caller.sendall(REQUEST[:10])
+        conn._request_expired()
+
+    running.call(begin_and_expire)
+    caller.settimeout(5)
+    caller.sendall(REQUEST[10:])
+    assert is_served(caller)
