Failing test: a request that entries hand back counts in several retry budgets

The entry that delegates withdraws the request from its retry budget, but each entry that refuses it for want of an endpoint keeps it, and the next one counts it anew. No product code changes.

--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -261,3 +261,16 @@
         link.restore()
     waiting.until(lambda: not entry.core.connectivity.is_cut_off("s"), 1.0)
     assert entry.core.chooser.ejected_count() == 0
+
+
+def test_a_request_that_entries_hand_back_counts_once_in_the_retry_budget(make_fleet):
+    fleet = make_cut_fleet(make_fleet, test_cut_off_entry.succeeding, entries=3)
+
+    def eject_all(item):
+        for view in item.core.chooser.views.values():
+            view.record_failure(clock.monotonic_s() + 60.0)
+
+    for item in fleet[1:]:
+        item.loop_thread.call(lambda item=item: eject_all(item))
+    assert fleet[0].send(b"/once/1")[0] == 503
+    assert sum(len(item.core.retry_budget_of("s")._requests) for item in fleet) <= 1
