Leave odd entries out of the lists of instances and follow the others

Cause: one value that is nested too deeply or has too many digits made the JSON parser give up on the whole page, so that the list was no longer followed. A number of slots with 400 digits was accepted, spread to all entries and overflowed in each choice of an endpoint; a port out of range raised OverflowError in the attempt to connect. In both cases requests of the service got no answer. Ruled out: that processes end by this; the event loop logs the error and goes on. Change: tolerant_json reads such texts; fields are checked for ranges. Endpoints' keep-alive times and operators' numbers are bounded as well. The check that one malformed entry refuses the product's own list as a whole was wrong: it let one entry stop all others. In its place each odd entry must be left out while the others are used, with more odd values; malformed texts are still refused.

--- a/oriolelock/control/instance_list.py
+++ b/oriolelock/control/instance_list.py
@@ -8,9 +8,10 @@
 import collections.abc
 import dataclasses
 import io
-import json
 
+from oriolelock import logs
 from oriolelock.model import changes, configuration, endpoint, member
+from oriolelock.wire import tolerant_json
 
 __all__ = ["InstanceDiff", "ListUnreadable", "fetch", "parse"]
 
@@ -21,12 +22,19 @@
 # missing from this many consecutive readings.
 READINGS_UNTIL_REMOVED = 3
 STATES = ("live", "leaving")
+MAX_PORT = 65535
+
+log = logs.get_logger("control.instances")
 
 
 class ListUnreadable(Exception):
     """The list can't be fetched or is malformed; the previous configuration stays in use."""
 
 
+class _EntryUnreadable(Exception):
+    """One entry is malformed; the others hold."""
+
+
 def fetch(url: str) -> bytes:
     """Return the body of the list; raises ListUnreadable."""
     import pycurl
@@ -57,16 +65,20 @@
 
 
 def parse(data: bytes) -> dict[str, member.Member | endpoint.Endpoint]:
-    """Return the instances by name; raises ListUnreadable if any of them is malformed."""
+    """Return the instances by name, without malformed ones; raises ListUnreadable."""
     try:
-        rows = json.loads(data)
+        rows = tolerant_json.loads(data)
     except ValueError as exc:
         raise ListUnreadable(f"not JSON: {exc}") from exc
     if not isinstance(rows, list):
         raise ListUnreadable("not a JSON list")
     instances = {}
     for row in rows:
-        instance = _parse_instance(row)
+        try:
+            instance = _parse_instance(row)
+        except _EntryUnreadable as exc:
+            log.warning("Left out an entry of the instance list: {}.", exc)
+            continue
         instances[instance.name] = instance
     return instances
 
@@ -74,24 +86,31 @@
 def _read_text(row, key, default=None):
     value = row.get(key, default)
     if not isinstance(value, str) or (default is None and not value):
-        raise ListUnreadable(f"{key}: found {value!r}, allowed: a string")
+        raise _EntryUnreadable(f"{key}: found {str(value)[:60]!r}, allowed: a string")
     return value
 
 
 def _read_count(row, key):
     value = row.get(key)
     if type(value) is not int or not 0 < value < 1 << 31:
-        raise ListUnreadable(f"{key}: found {value!r}, allowed: a whole number above 0")
+        raise _EntryUnreadable(f"{key}: found {str(value)[:60]!r}, allowed: a whole number above 0")
     return value
 
 
+def _check_port(address):
+    port = address.rpartition(":")[2]
+    if not (port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) <= MAX_PORT):
+        raise _EntryUnreadable(f"address: found {address[:60]!r}, allowed: host:port")
+
+
 def _parse_instance(row):
     if not isinstance(row, dict):
-        raise ListUnreadable(f"found {row!r}, allowed: a mapping")
+        raise _EntryUnreadable(f"found {str(row)[:60]!r}, allowed: a mapping")
     role, state = _read_text(row, "role"), _read_text(row, "state", "live")
     if role not in ("entry", "endpoint", "control") or state not in STATES:
-        raise ListUnreadable(f"unknown role {role!r} or state {state!r}")
+        raise _EntryUnreadable(f"unknown role {role!r} or state {state!r}")
     common = {key: _read_text(row, key) for key in ("address", "region", "failure_domain")}
+    _check_port(common["address"])
     if role == "endpoint":
         return endpoint.Endpoint(
             name=_read_text(row, "id"),
--- a/oriolelock/http1/outbound.py
+++ b/oriolelock/http1/outbound.py
@@ -32,6 +32,8 @@
 MAX_CARRIED_IDS = 64
 # Share of the endpoint's keep-alive timeout during which a connection is reused.
 KEEP_ALIVE_RATIO = 0.7
+# Longer timeouts are not used up; they could overflow.
+MAX_KEEP_ALIVE_DIGITS = 6
 # Reuse period of connections to endpoints that announce no keep-alive timeout.
 DEFAULT_KEEP_ALIVE_S = 4.0
 
@@ -101,8 +103,9 @@
         self._timer = self._loop.call_later(connect_limit_s, self._connect_expired)
         try:
             code = self._sock.connect_ex(self.address)
-        except OSError as exc:
-            code = exc.errno or -1
+        except (OSError, OverflowError) as exc:
+            # A port out of range is no OSError.
+            code = getattr(exc, "errno", None) or -1
         if code in (0, 115):  # 115: EINPROGRESS
             self._loop.watch(self._sock, selectors.EVENT_WRITE, self._on_connect_result)
         else:
@@ -312,5 +315,5 @@
     for parameter in header.split(b","):
         name, _, timeout = parameter.strip().partition(b"=")
         if name.lower() == b"timeout" and timeout.isdigit():
-            return KEEP_ALIVE_RATIO * int(timeout)
+            return KEEP_ALIVE_RATIO * int(timeout[:MAX_KEEP_ALIVE_DIGITS])
     return DEFAULT_KEEP_ALIVE_S
--- a/oriolelock/platform/instances.py
+++ b/oriolelock/platform/instances.py
@@ -6,7 +6,7 @@
 """
 
 import collections.abc
-import json
+import ipaddress
 import re
 import urllib.parse
 
@@ -15,12 +15,20 @@
 from oriolelock.http1 import blocking
 from oriolelock.model import endpoint, errors
 from oriolelock.platform import quantities
+from oriolelock.wire import tolerant_json
 
 __all__ = ["make_reader"]
 
 CALL_TIMEOUT_S = 1.5
 MAX_PAGES = 200
-ADDRESS = re.compile(r"\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}")
+# Names are sent in headers and logs.
+NAME = re.compile(r"[!-~]{1,200}")
+PORT = re.compile(r"[0-9]{1,5}")
+MAX_PORT = 65535
+# More than any machine has; sums over a fleet stay exact.
+MAX_SLOTS = 100_000
+# Unix milliseconds until the year 5138.
+MAX_BORN_MS = 100_000_000_000_000
 STATES = {"ready": "live", "draining": "leaving"}
 
 log = events.Events("instances")
@@ -28,30 +36,44 @@
 
 def _rows(listed):
     """Yield each entry as a table, whichever way the list is laid out."""
-    if isinstance(listed, dict) and isinstance(listed.get("columns"), list):
+    columns = listed.get("columns") if isinstance(listed, dict) else None
+    if isinstance(columns, list) and all(isinstance(name, str) for name in columns):
         rows = listed.get("rows")
         for row in rows if isinstance(rows, list) else ():
-            if isinstance(row, list):
-                yield dict(zip(listed["columns"], row, strict=False))
+            yield dict(zip(columns, row, strict=False)) if isinstance(row, list) else {}
     elif isinstance(listed, list):
-        yield from (row for row in listed if isinstance(row, dict))
+        yield from (row if isinstance(row, dict) else {} for row in listed)
     else:
         raise instance_list.ListUnreadable("no instances in the answer")
 
 
-def _is_text(value):
-    return isinstance(value, str) and bool(value)
+def _is_name(value):
+    return isinstance(value, str) and NAME.fullmatch(value) is not None
+
+
+def _is_whole(value, least, most):
+    # A boolean is an integer in Python.
+    return type(value) is int and least <= value <= most
+
+
+def _is_address(value):
+    host, _, port = value.partition(":") if isinstance(value, str) else ("", "", "")
+    if not PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
+        return False
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return True
 
 
 def _endpoint(row, regions):
     """Return the endpoint in an entry, or None when it names none that can be used."""
     name, service = row.get("id"), row.get("service")
     address, zone, slots = row.get("address"), row.get("zone"), row.get("slots")
-    if not (_is_text(name) and _is_text(service) and _is_text(zone) and zone in regions):
-        return None
-    if not _is_text(address) or not ADDRESS.fullmatch(address):
+    if not (_is_name(name) and _is_name(service) and _is_name(zone) and zone in regions):
         return None
-    if isinstance(slots, bool) or not isinstance(slots, int) or slots < 1:
+    if not _is_address(address) or not _is_whole(slots, 1, MAX_SLOTS):
         return None
     state = row.get("state")
     if not isinstance(state, str) or state not in STATES:
@@ -61,7 +83,7 @@
     except errors.InvalidData:
         return None
     born = row.get("born")
-    if born is not None and (isinstance(born, bool) or not isinstance(born, int)):
+    if born is not None and not _is_whole(born, 0, MAX_BORN_MS):
         return None
     return endpoint.Endpoint(
         name=name,
@@ -87,8 +109,8 @@
     if answer.status != 200:
         raise instance_list.ListUnreadable(f"status {answer.status}")
     try:
-        data = json.loads(answer.body)
-    except (ValueError, RecursionError) as exc:
+        data = tolerant_json.loads(answer.body)
+    except ValueError as exc:
         raise instance_list.ListUnreadable(f"not JSON: {exc}") from exc
     if not isinstance(data, dict):
         raise instance_list.ListUnreadable("the answer is no table")
@@ -115,7 +137,7 @@
                 else:
                     found.setdefault(item.name, item)
             token = data.get("nextPageToken")
-            if not _is_text(token):
+            if not isinstance(token, str) or not token:
                 break
         if skipped:
             log.usual("entries-skipped", count=skipped, used=len(found))
--- a/oriolelock/platform/routes.py
+++ b/oriolelock/platform/routes.py
@@ -16,6 +16,8 @@
 DEFAULT_TIMEOUT_MS = 30_000.0
 # Attempts of a route that does not say: one retry.
 DEFAULT_ATTEMPTS = 2
+# Larger numbers are mistakes, and could overflow where they are used.
+MAX_NUMBER = 1e15
 
 
 def _invalid(where, found, allowed):
@@ -45,11 +47,17 @@
 def _number(value, where):
     if isinstance(value, bool) or not isinstance(value, (int, float)) or value != value:
         raise _invalid(where, value, "a number")
+    if abs(value) > MAX_NUMBER:
+        # Python does not convert integers of any length to text.
+        raise _invalid(where, "a larger one", f"a number up to {MAX_NUMBER:.0f}")
     return value
 
 
-def _document(item):
-    return json.dumps(item, separators=(",", ":"))
+def _document(item, where):
+    try:
+        return json.dumps(item, separators=(",", ":"))
+    except (RecursionError, ValueError) as exc:
+        raise errors.InvalidData(f"{where}: {exc}") from exc
 
 
 def _part(item, where):
@@ -91,7 +99,7 @@
         attempts=int(_number(item.get("maxAttempts", DEFAULT_ATTEMPTS), f"{where}.maxAttempts")),
         affinity=item.get("stickySessions") is True,
         regions=tuple(_text(name, f"{where}.allowedRegions") for name in regions),
-        document=_document(item),
+        document=_document(item, where),
     )
 
 
@@ -104,7 +112,7 @@
         connections=int(_number(item.get("maxConnections", 0), f"{where}.maxConnections")),
         cold_ms=quantities.read_ms(item.get("coldStart", "0ms"), f"{where}.coldStart"),
         cold_rate=float(_number(item.get("coldPerS", 0.0), f"{where}.coldPerS")),
-        document=_document(item),
+        document=_document(item, where),
     )
 
 
@@ -124,7 +132,7 @@
         body_bytes=size("maxBodyBytes", usual.body_bytes),
         head_ms=time_ms("headerTimeout", usual.head_ms),
         idle_ms=time_ms("idleTimeout", usual.idle_ms),
-        document=_document(item),
+        document=_document(item, "limits"),
     )
 
 
--- a/tests/platform/test_edge.py
+++ b/tests/platform/test_edge.py
@@ -146,6 +146,53 @@
     assert list(list_of([bad, row(), bad])) == ["i-1"]
 
 
+ODD_VALUES = [
+    (b'"slots"', b"9" * 5000),
+    (b'"slots"', b"9" * 400),
+    (b'"slots"', b"1e999"),
+    (b'"slots"', b"NaN"),
+    (b'"slots"', b"100001"),
+    (b'"slots"', b"3.0"),
+    (b'"born"', b"9" * 400),
+    (b'"born"', b"-1"),
+    (b'"born"', b"1e400"),
+    (b'"coldRemaining"', b'"' + b"9" * 400 + b's"'),
+    (b'"coldRemaining"', b"1e999"),
+    (b'"address"', b'"10.0.0.1:65536"'),
+    (b'"address"', b'"10.0.0.1:0"'),
+    (b'"address"', b'"10.0.0.1:99999"'),
+    (b'"address"', b'"10.0.0.256:80"'),
+    (b'"address"', b'"10.0.0.1:8\xd9\xa0"'),
+    (b'"id"', b'"i-2\\r\\nX-Smuggled: 1"'),
+    (b'"id"', b'"i-\xff"'),
+    (b'"id"', b'"' + b"i" * 5000 + b'"'),
+    (b'"zone"', b"[" * 100_000 + b"]" * 100_000),
+    (b'"version"', b'{"a":' * 100_000 + b"1" + b"}" * 100_000),
+]
+
+
+@pytest.mark.parametrize("layout", ["columns", "tables"])
+@pytest.mark.parametrize(("field", "value"), ODD_VALUES)
+def test_odd_entry_is_left_out_and_the_others_are_followed(field, value, layout):
+    def entry(name, odd=None):
+        values = dict(zip(COLUMNS, row(id=name), strict=True))
+        texts = {json.dumps(k).encode(): json.dumps(v).encode() for k, v in values.items()}
+        if odd:
+            texts[field] = odd
+        if layout == "columns":
+            return b"[" + b",".join(texts.values()) + b"]"
+        return b"{" + b",".join(k + b":" + v for k, v in texts.items()) + b"}"
+
+    rows = b",".join([entry("i-1"), entry("i-2", value), entry("i-3")])
+    listed = b"[" + rows + b"]"
+    if layout == "columns":
+        listed = b'{"columns":%s,"rows":%s}' % (json.dumps(COLUMNS).encode(), listed)
+    found = list_of(b'{"instances":%s,"nextPageToken":null}' % listed)
+    # A version that can't be read is not used, so that its entry is fine.
+    assert set(found) - {"i-2"} == {"i-1", "i-3"}
+    assert ("i-2" in found) == (field == b'"version"')
+
+
 @pytest.mark.parametrize("page", [b"not json", b"[]", b'{"instances":7}', b"\xff"])
 def test_a_list_that_cannot_be_read_is_an_error(page):
     with pytest.raises(instance_list.ListUnreadable):
