Keep a replica running when a full disk refuses to cut off a partial record

Cause: after a record that did not fit, the store cut off its first part; a disk that refuses this as well ended the process (SyncFailed), and a restart failed in the same call. Change: the partial record is remembered and cut off before the next one is written.

--- a/oriolelock/storage/files.py
+++ b/oriolelock/storage/files.py
@@ -11,7 +11,9 @@
 
 from oriolelock.storage import errors
 
-__all__ = ["replace", "sync", "sync_folder", "write"]
+__all__ = ["replace", "sync", "sync_folder", "truncate", "write"]
+
+FULL_ERRORS = (errno.ENOSPC, errno.EDQUOT)
 
 
 def write(fd: int, data: bytes) -> None:
@@ -21,11 +23,21 @@
         while view:
             view = view[os.write(fd, view) :]
     except OSError as exc:
-        if exc.errno in (errno.ENOSPC, errno.EDQUOT):
+        if exc.errno in FULL_ERRORS:
             raise errors.DiskFull(str(exc)) from exc
         raise errors.SyncFailed(f"write failed: {exc}") from exc
 
 
+def truncate(fd: int, size: int) -> None:
+    """Cut a file to ``size`` bytes; raises DiskFull, with the file unchanged, or SyncFailed."""
+    try:
+        os.ftruncate(fd, size)
+    except OSError as exc:
+        if exc.errno in FULL_ERRORS:
+            raise errors.DiskFull(str(exc)) from exc
+        raise errors.SyncFailed(f"truncation failed: {exc}") from exc
+
+
 def sync(fd: int) -> None:
     """Sync a file; raises SyncFailed.
 
@@ -56,7 +68,7 @@
     try:
         fd = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
     except OSError as exc:
-        if exc.errno in (errno.ENOSPC, errno.EDQUOT):
+        if exc.errno in FULL_ERRORS:
             raise errors.DiskFull(str(exc)) from exc
         raise errors.SyncFailed(f"{temporary}: {exc}") from exc
     try:
--- a/oriolelock/storage/store.py
+++ b/oriolelock/storage/store.py
@@ -16,6 +16,7 @@
 import secrets
 import shutil
 
+from oriolelock import logs
 from oriolelock.consensus import messages, outputs, persistent_state
 from oriolelock.storage import errors, files, frames, log_state, records
 from oriolelock.wire import codec
@@ -29,6 +30,8 @@
 MIN_REWRITE_BYTES = 16 * 1024 * 1024
 ENTRIES_PER_RECORD = 1000
 
+log = logs.get_logger("storage")
+
 
 def exists(folder: str | os.PathLike, name: str) -> bool:
     """Return whether ``folder`` contains a store of the group ``name``."""
@@ -90,6 +93,8 @@
     def __init__(self, path: pathlib.Path, name: str):
         self._path = path
         self._failure_reason = ""
+        # Whether a part of a record that did not fit may follow the last whole one.
+        self._has_partial_record = False
         self._fd = -1
         self._lock_fd = self._acquire_lock()
         try:
@@ -170,8 +175,11 @@
             raise self._corrupt_store(f"{file_name}: {exc}") from exc
         self._open_segment(len(parsed.payloads), parsed.valid_bytes)
         if parsed.valid_bytes < len(data):
-            os.ftruncate(self._fd, parsed.valid_bytes)
-            files.sync(self._fd)
+            self._has_partial_record = True
+            try:
+                self._remove_partial_record()
+            except errors.DiskFull as exc:
+                log.warning("{}: a partial record stays until the next save: {}.", self._path, exc)
         return state
 
     def _open_segment(self, record_count, size):
@@ -243,9 +251,12 @@
     def _append_record(self, record):
         self._log_state.check(record)
         data = frames.encode(self._record_count, codec.encode(record))
+        if self._has_partial_record:
+            self._remove_partial_record()
         try:
             files.write(self._fd, data)
         except errors.DiskFull:
+            self._has_partial_record = True
             self._remove_partial_record()
             raise
         files.sync(self._fd)
@@ -254,10 +265,10 @@
         self.log_bytes += len(data)
 
     def _remove_partial_record(self):
-        try:
-            os.ftruncate(self._fd, self.log_bytes)
-        except OSError as exc:
-            raise errors.SyncFailed(f"cannot remove a partial record: {exc}") from exc
+        """Raises DiskFull if a full disk refuses that too; the next save then tries again."""
+        files.truncate(self._fd, self.log_bytes)
+        files.sync(self._fd)
+        self._has_partial_record = False
 
     def _rewrite_segment(self):
         """Write the live entries to a new segment and delete the old one."""
@@ -266,7 +277,7 @@
         old_path = self._path / f"log-{self._segment_number}"
         files.replace(self._path / f"log-{self._segment_number + 1}", data)
         self._segment_number += 1
-        self._segment_outdated = False
+        self._segment_outdated = self._has_partial_record = False
         self._open_segment(len(segment_records), len(data))
         old_path.unlink(missing_ok=True)
 
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -175,6 +175,38 @@
     assert [entry.index for entry in reload(folder).entries] == [1, 2, 3]
 
 
+def test_disk_full_that_refuses_to_cut_a_partial_record(folder, monkeypatch):
+    """Guards against a replica that ends because a full disk refuses that as well."""
+    opened_store = store.open(folder, "config")
+    opened_store.save(make_save(1))
+    with monkeypatch.context() as patch:
+        fail_calls(patch, "write", errno.ENOSPC, partial_bytes=5)
+        fail_calls(patch, "ftruncate", errno.ENOSPC, failures=2)
+        with pytest.raises(errors.DiskFull):
+            opened_store.save(make_save(2))
+        # The partial record must go before anything follows it.
+        with pytest.raises(errors.DiskFull):
+            opened_store.save(make_save(2))
+    opened_store.save(make_save(2))
+    opened_store.save(make_save(3))
+    opened_store.close()
+    assert [entry.index for entry in reload(folder).entries] == [1, 2, 3]
+
+
+def test_restart_with_a_partial_record_on_a_full_disk(folder, monkeypatch):
+    opened_store = store.open(folder, "config")
+    opened_store.save(make_save(1))
+    opened_store.close()
+    (segment,) = (folder / "config").glob("log-*")
+    segment.write_bytes(segment.read_bytes() + b"part")
+    with monkeypatch.context() as patch:
+        fail_calls(patch, "ftruncate", errno.ENOSPC)
+        opened_store = store.open(folder, "config")
+    opened_store.save(make_save(2))
+    opened_store.close()
+    assert [entry.index for entry in reload(folder).entries] == [1, 2]
+
+
 @pytest.mark.parametrize("successful_writes", [0, 1])
 def test_disk_full_during_snapshot(folder, monkeypatch, successful_writes):
     """Guards against losing the log when the disk is too full for a snapshot or the new segment."""
