Find a leader soon after all replicas have started at once

Connections to replicas that are still starting hang for the second until the kernel repeats the packet, the first pre-votes find no majority, and each replica then waits for a whole election timeout. Change: pre-votes are repeated after 0.1 s and growing times; a replica that has granted another's pre-vote leaves the election to it for a moment; connections between replicas are given up after 0.5 s at first.

--- a/oriolelock/consensus/election.py
+++ b/oriolelock/consensus/election.py
@@ -28,6 +28,12 @@
 # Range of the initial timeout, as multiples of ``election_min_s``. The lower bound leaves time to
 # connect to the other replicas.
 FIRST_TIMEOUT_FACTORS = (0.25, 0.7)
+# Between the rounds of a pre-vote that finds no majority, such as after a start of all replicas,
+# whose connections take a while. Grows, so that a replica that is cut off sends little.
+PRE_VOTE_RETRY_S = 0.1
+PRE_VOTE_RETRY_GROWTH = 1.3
+# For how long a replica leaves the election to another one whose pre-vote it has granted.
+DEFERENCE_S = (0.15, 0.4)
 
 
 def reset_election_timer(node: state.Node, now: float) -> None:
@@ -65,9 +71,12 @@
     """Start a pre-vote if the election timeout has expired without contact from a leader."""
     if node.role == state.Role.LEADER or now < node.election_deadline_s:
         return
-    reset_election_timer(node, now)
     if not _is_eligible(node):
+        reset_election_timer(node, now)
         return
+    if node.role != state.Role.PRE_CANDIDATE:
+        node.pre_vote_rounds = 0
+    _set_pre_vote_timer(node, now)
     node.role, node.leader = state.Role.PRE_CANDIDATE, ""
     node.votes = {node.cfg.name}
     _send_to_other_voters(
@@ -78,6 +87,13 @@
     count_votes(node, now)
 
 
+def _set_pre_vote_timer(node, now):
+    retry_s = PRE_VOTE_RETRY_S * PRE_VOTE_RETRY_GROWTH**node.pre_vote_rounds
+    retry_s = min(node.cfg.election_min_s, retry_s)
+    node.pre_vote_rounds += 1
+    node.election_deadline_s = now + retry_s * node.rng.uniform(0.8, 1.2)
+
+
 def _is_eligible(node):
     return quorum.is_voter(node.membership, node.cfg.name, node.cfg.incarnation)
 
@@ -134,9 +150,24 @@
         and not _has_live_leader(node, now)
     )
     term = msg.term if granted else node.term
+    if granted:
+        _defer_to(node, event.sender, now)
     persistence.send_when_saved(node, event.sender, messages.PreVoteReply(term, granted))
 
 
+def _defer_to(node, sender, now):
+    """Leave the election to ``sender`` for a while, so that the votes are not split.
+
+    Of two replicas that ask each other, the one with the lower name goes on.
+    """
+    if node.role == state.Role.PRE_CANDIDATE and node.cfg.name < sender:
+        return
+    if node.role in (state.Role.FOLLOWER, state.Role.PRE_CANDIDATE):
+        node.role = state.Role.FOLLOWER
+        deferred_until_s = now + node.rng.uniform(*DEFERENCE_S)
+        node.election_deadline_s = max(node.election_deadline_s, deferred_until_s)
+
+
 def on_pre_vote_reply(node: state.Node, event, now: float) -> None:
     """Count a pre-vote if the sender is a voter of the current membership."""
     msg = event.msg
--- a/oriolelock/consensus/state.py
+++ b/oriolelock/consensus/state.py
@@ -92,6 +92,8 @@
     follower_since_s: float = 0.0
     election_deadline_s: float = 0.0
     votes: set[str] = dataclasses.field(default_factory=set)
+    # Rounds of the pre-vote in progress.
+    pre_vote_rounds: int = 0
     vote_save_number: int = 0
     # State of a leader.
     progress: dict[str, Progress] = dataclasses.field(default_factory=dict)
--- a/oriolelock/control/peer_link.py
+++ b/oriolelock/control/peer_link.py
@@ -19,6 +19,10 @@
 BACKOFF_MIN_S = 0.1
 # Well below one election timeout, so that a replica that comes back is reached in time.
 BACKOFF_MAX_S = 0.4
+# Packets to a replica whose machine is still starting are lost, and the kernel sends the next one
+# after a second. The time grows for replicas that are slow to answer.
+CONNECT_MIN_S = 0.5
+CONNECT_MAX_S = 2.0
 # The consensus protocol resends lost messages; a longer queue would only deliver stale ones.
 MAX_QUEUED = 2000
 
@@ -84,16 +88,17 @@
                 conn.close()
 
     def _run_connection(self):
-        backoff_s = BACKOFF_MIN_S
+        backoff_s, limit_s = BACKOFF_MIN_S, CONNECT_MIN_S
         while not self._stopping.is_set():
             try:
-                conn = channel.connect(self._peer.link_address, self._make_hello())
+                conn = channel.connect(self._peer.link_address, self._make_hello(), limit_s)
             except errors.WireError as exc:
                 self._log_error(str(exc))
                 self._stopping.wait(backoff_s * self._rng.uniform(0.5, 1.0))
                 backoff_s = min(2 * backoff_s, BACKOFF_MAX_S)
+                limit_s = min(2 * limit_s, CONNECT_MAX_S)
                 continue
-            backoff_s = BACKOFF_MIN_S
+            backoff_s, limit_s = BACKOFF_MIN_S, CONNECT_MIN_S
             self._last_error = ""
             log.info("Connected to {}.", self._peer.name)
             self._channel = conn
