--- a/oriolelock/bench/policy/request_model.py
+++ b/oriolelock/bench/policy/request_model.py
@@ -73,7 +73,7 @@
         self._sim.at(
             now + trip_s, self._sim.endpoints[item.name].arrive, self._key, self._end_s, ran
         )
-        self._sim.at(self._end_s, self._expired, found)
+        self._sim.at(self._end_s, self._expired, found, asked)
 
     def _answered(self, now, found, asked, load, sent_s):
         if self._over:
@@ -96,12 +96,12 @@
         else:
             self._refused(now, SHED_RETRY_AFTER_S)
 
-    def _expired(self, now, found):
+    def _expired(self, now, found, asked):
         if self._over or now < self._end_s:
             return
         self._over = True
         found.view.ended(self._number)
-        found.view.answered(2.0, False, now)
+        self._chooser.timed_out(found, asked, now)
         self._sim.outcome.failed(self._place, self._work, "timeout")
 
     def _refused(self, now, retry_after_s):
--- a/oriolelock/bench/policy/samples.py
+++ b/oriolelock/bench/policy/samples.py
@@ -22,6 +22,13 @@
     ("scan", 0.12, 0.76, 2, 4.2, 4.0, 4.0, 75, 6, 8, 0.4, 0.12, True),
 )
 LARGE_SAVED = 0.75
+# Hundreds of entries: cold work takes as long as the routes' timeouts.
+HUNDREDS = (
+    ("read", 0.523, 1.0, 1, 1.968, 1.0, 2.0, 432, 6, 15, 0.79, 0.16, True),
+    ("write", 0.205, 0.51, 1, 2.544, 1.5, 2.5, 168, 6, 11, 1.6, 0.32, False),
+    ("ask", 0.171, 0.22, 0, 1.344, 0.8, 1.2, 141, 6, 21, 4.5, 0.36, False),
+    ("scan", 0.101, 0.77, 2, 7.68, 8.0, 8.0, 90, 6, 8, 0.4, 0.12, True),
+)
 SMALL = (
     ("read", 0.52, 1.0, 1, 0.88, 0.6, 1.2, 24, 6, 25, 0.8, 0.16, True),
     ("write", 0.2, 1.0, 1, 1.16, 0.8, 1.2, 24, 3, 25, 1.6, 0.3, False),
@@ -70,8 +77,24 @@
     return _make(places, _works(SMALL, SMALL_SAVED), load)
 
 
+def _hundreds(load: float) -> scenes.Scene:
+    """Return three regions of which one has a tenth of the endpoints and a third of the callers."""
+    places = tuple(
+        scenes.Place(f"{region}{number}", region, entries, endpoints, 78.0 * load, phase)
+        for number in range(3)
+        for region, entries, endpoints, phase in (
+            ("a", 20, 59, 0.2),
+            ("b", 20, 12, 0.53),
+            ("c", 22, 49, 0.87),
+        )
+    )
+    works = _works(HUNDREDS, LARGE_SAVED)
+    return scenes.Scene(places, works, wave=scenes.Wave(0.55), duration_s=30.0)
+
+
 SCENES = {
     "small": _small,
     "uneven": functools.partial(_large, 13, 2, 10),
+    "hundreds": _hundreds,
     "tight": functools.partial(_large, 10, 2, 8),
 }
--- a/oriolelock/bench/policy/scene.py
+++ b/oriolelock/bench/policy/scene.py
@@ -6,21 +6,39 @@
 """
 
 import dataclasses
+import math
 
 from oriolelock.model import configuration, endpoint, member, route, route_table, service
 
-__all__ = ["Burst", "Place", "Scene", "Work", "make_configuration"]
+__all__ = ["Burst", "Place", "Scene", "Wave", "Work", "make_configuration"]
 
 
 @dataclasses.dataclass(frozen=True)
 class Place:
-    """A failure domain. ``endpoints``: of a service of density 1; ``rate``: requests a second."""
+    """A failure domain. ``endpoints``: of a service of density 1; ``rate``: mean requests a second.
+
+    ``phase``: where the region's wave of requests begins, as a part of its period.
+    """
 
     name: str
     region: str
     entries: int
     endpoints: int
     rate: float
+    phase: float = 0.0
+
+    def rate_at(self, now: float, wave: "Wave") -> float:
+        """Return the requests a second at ``now``."""
+        angle = 2.0 * math.pi * (now / wave.period_s + self.phase)
+        return self.rate * (1.0 + wave.swing * math.sin(angle))
+
+
+@dataclasses.dataclass(frozen=True)
+class Wave:
+    """Rates swing around their mean by the part ``swing``."""
+
+    swing: float = 0.0
+    period_s: float = 36.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -67,6 +85,7 @@
     works: tuple[Work, ...]
     trips_s: tuple[float, float, float] = (0.0001, 0.0005, 0.02)
     bursts: tuple[Burst, ...] = ()
+    wave: Wave = Wave()
     duration_s: float = 26.0
 
 
--- a/oriolelock/bench/policy/simulation.py
+++ b/oriolelock/bench/policy/simulation.py
@@ -70,7 +70,7 @@
         heapq.heappush(self._events, (at_s, next(self._ids), callback, args))
 
     def _arrive(self, now, place, work):
-        rate = place.rate * work.share
+        rate = place.rate_at(now, self._scene.wave) * work.share
         for burst in self._scene.bursts:
             if burst.work == work.name and burst.start_s <= now < burst.end_s:
                 rate *= burst.factor
--- a/oriolelock/dispatch/chooser.py
+++ b/oriolelock/dispatch/chooser.py
@@ -15,13 +15,15 @@
 
 from oriolelock.dispatch import (
     cold_quota,
-    costs,
     decisions,
     endpoint_limits,
     endpoint_view,
     entry_census,
+    estimates,
     observation,
+    peer_reports,
     ranking,
+    rankings,
     region_split,
     service_times,
 )
@@ -29,20 +31,16 @@
 
 __all__ = ["Chooser"]
 
-CROSS_REGION_DELAY_S = 0.05
-# Cost of each rank below an object's preferred endpoint, up to MAX_RANK.
-RANK_COST = 0.06
-MAX_RANK = 4
-# Cached endpoint rankings, one per object; each takes 1.6 KB with 80 endpoints of a service.
-MAX_CACHED_RANKINGS = 512
 # Longest queueing delay relative to the latency objective, by priority. The most urgent
 # requests wait as long as they can be served at all.
 WAIT_FACTORS = (6.0, 3.0, 2.0)
 RETRY_AFTER_MIN_S = 0.1
 RETRY_AFTER_MAX_S = 1.0
-# Cold endpoints run at about half their usual speed.
-COLD_SLOWDOWN = 2.0
+# Callers return in this time after the first endpoint takes requests again.
+PAUSE_SPREAD_S = 0.5
 FALLBACK_COLD_MS = 3000.0
+# Ratio of elapsed to expected time that a request without a response counts as.
+TIMEOUT_RATIO = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -63,15 +61,15 @@
     def __init__(self, name: str, region: str, domain: str, shift_speed: float, rng: random.Random):
         self.name = name
         self._region = region
-        self._domain = domain
+        self._estimator = estimates.Estimator(region, domain, rng)
         self._rng = rng
         self.views: dict[str, endpoint_view.EndpointView] = {}
         self._by_service: dict[str, list[endpoint_view.EndpointView]] = {}
         self._services: dict[str, service.Service] = {}
         self._drained: set[str] = set()
         self._by_digest: dict[int, endpoint_view.EndpointView] = {}
-        # By service and affinity key: the rank of each endpoint by name.
-        self._rank_cache: dict[tuple[str, str], dict[str, int]] = {}
+        self.peer_reports = peer_reports.PeerReports(domain)
+        self._rankings = rankings.Rankings()
         self._route_times: dict[str, service_times.ServiceTimes] = {}
         self._cold_quota = cold_quota.ColdQuota()
         self._census = entry_census.EntryCensus(name, region)
@@ -95,8 +93,9 @@
                 self.views[name].needs_health_check = True
         self._drained = drained
         self._by_service = {}
-        self._rank_cache.clear()
-        self._by_digest = {_view_digest(view): view for view in self.views.values()}
+        self._rankings.clear()
+        self._by_digest = {peer_reports.view_digest(view): view for view in self.views.values()}
+        self.peer_reports.configure(self._by_digest)
         for view in self.views.values():
             self._by_service.setdefault(view.endpoint.service, []).append(view)
         self._cold_quota.retain(self.views)
@@ -151,18 +150,25 @@
         """Select an endpoint for a request, or refuse the request."""
         times = self.service_times_of(context.route)
         by_region: dict[str, list[endpoint_view.EndpointView]] = {}
-        limit_waits_s = []
+        limit_waits_s, pauses_s = [], []
         for view in self._by_service.get(context.service, ()):
             if not self._is_eligible(view, context, now):
                 continue
-            limit_wait_s = self._limit_wait_s(view, context, now)
-            if limit_wait_s > 0.0:
+            limit_wait_s, pause_s = self._limit_wait_s(view, context, now), view.pause_s(now)
+            if pause_s > 0.0:
+                pauses_s.append(max(pause_s, limit_wait_s))
+            elif limit_wait_s > 0.0:
                 limit_waits_s.append(limit_wait_s)
             else:
                 by_region.setdefault(view.endpoint.region, []).append(view)
         if not by_region and limit_waits_s:
             wait_s = min(RETRY_AFTER_MAX_S, *limit_waits_s)
             return decisions.Refuse("endpoint-limit", self._jittered(wait_s), wait_s)
+        if not by_region and pauses_s:
+            # An earlier return would be refused again; the spread keeps callers from one moment.
+            wait_s = min(pauses_s)
+            retry_after_s = wait_s + self._rng.uniform(0.0, PAUSE_SPREAD_S)
+            return decisions.Refuse("endpoint-paused", retry_after_s, wait_s)
         if not by_region:
             return decisions.Refuse(
                 "no-endpoint", self._jittered(0.4), unreachable=self._count_unreachable(context)
@@ -180,9 +186,13 @@
     def _best_candidate(self, views, context, times, now):
         """Return the cheapest acceptable endpoint, its cost, and the shortest wait of all."""
         best, best_cost, least_wait_s = None, float("inf"), float("inf")
-        ranks = self._ranks(context) if context.key else None
+        ranks, best_rank = None, rankings.LAST_RANK
+        if context.key:
+            of_service = self._by_service.get(context.service, ())
+            ranks = self._rankings.ranks(context.service, context.key, of_service)
+            best_rank = min(ranks.get(view.endpoint.name, rankings.LAST_RANK) for view in views)
         for view in views:
-            send, cost = self._estimate(view, context, times, ranks, now)
+            send, cost = self._estimator.estimate(view, context, times, ranks, best_rank, now)
             least_wait_s = min(least_wait_s, send.wait_s)
             if cost < best_cost and self._is_acceptable(send, context):
                 best, best_cost = send, cost
@@ -251,47 +261,6 @@
             return False
         return self._cold_quota.may_send(view.endpoint.name, now)
 
-    def _estimate(self, view, context, times, ranks, now):
-        instance = view.endpoint
-        cross_region = instance.region != self._region
-        warm = not times.has_affinity or (bool(context.key) and view.has_object(context.digest))
-        is_cold = view.is_cold(now)
-        wait_s = view.expected_wait_s(times.expected_s(warm), now)
-        service_s = times.expected_s(warm) * view.slowness(now)
-        if is_cold:
-            service_s *= COLD_SLOWDOWN
-        delay_s = CROSS_REGION_DELAY_S if cross_region else 0.0
-        send = decisions.Send(view, wait_s, service_s, warm, cross_region, is_cold)
-        cost = costs.time_cost(wait_s + service_s + delay_s, context.objective_s, context.left_s)
-        cost += view.error_rate(now)
-        if cross_region:
-            cost += costs.CROSS_REGION
-        elif instance.failure_domain != self._domain:
-            cost += costs.CROSS_DOMAIN
-        if not warm:
-            cost += costs.CACHE_MISS
-        if ranks is not None:
-            cost += RANK_COST * min(MAX_RANK, ranks[instance.name])
-        else:
-            cost += RANK_COST * MAX_RANK * self._rng.random()
-        return send, cost
-
-    def _ranks(self, context):
-        """Return each endpoint's rank for the object within its region; 0 is preferred."""
-        ranks = self._rank_cache.get((context.service, context.key))
-        if ranks is None:
-            if len(self._rank_cache) >= MAX_CACHED_RANKINGS:
-                self._rank_cache.clear()
-            by_region: dict[str, list[str]] = {}
-            for view in self._by_service.get(context.service, ()):
-                by_region.setdefault(view.endpoint.region, []).append(view.endpoint.name)
-            ranks = self._rank_cache[(context.service, context.key)] = {
-                name: rank
-                for names in by_region.values()
-                for rank, name in enumerate(ranking.order(context.key, names))
-            }
-        return ranks
-
     def _is_acceptable(self, send, context):
         if send.wait_s + send.service_s >= context.left_s:
             return send.wait_s <= 0.0 and context.left_s > 0.5 * send.service_s
@@ -301,7 +270,7 @@
     def started(self, decision: decisions.Send, number: int, now: float) -> None:
         """Record that a request was sent to the selected endpoint."""
         self.limits.record_sent(decision.view.endpoint.name, now)
-        decision.view.record_start(number, decision.wait_s + decision.service_s, now)
+        decision.view.record_start(number, decision.usual_s, now, decision.warm)
         self._split_for(decision.view.endpoint.service).record_sent(decision.view.endpoint.region)
         if decision.cold:
             self._cold_quota.record_sent(decision.view.endpoint.name, now)
@@ -321,25 +290,41 @@
     ) -> None:
         """Record the response to a request after ``elapsed_s`` seconds."""
         view, times = decision.view, self.service_times_of(context.route)
+        service_s = max(0.001, elapsed_s - decision.wait_s)
+        seems_warm = times.seems_warm(service_s)
         expected_s = decision.wait_s + decision.service_s
+        if not decision.warm and not decision.cold:
+            expected_s = decision.wait_s + times.expected_s(1.0 if seems_warm else 0.0)
         view.answered(elapsed_s / max(0.05, expected_s), is_error, now)
         if load is not None:
             view.reported(load, now)
         if is_error:
             return
-        service_s = max(0.001, elapsed_s - decision.wait_s)
         if not decision.cold and view.slowness(now) < 1.5:
-            if decision.warm and times.has_affinity:
-                view.record_cache_outcome(times.seems_warm(service_s))
+            if times.has_affinity and decision.warm:
+                view.record_cache_outcome(seems_warm)
+            elif times.has_affinity and context.key:
+                times.record_unknown(seems_warm, decision.preferred)
             times.observe(service_s, decision.warm)
         if context.key and times.has_affinity:
             view.record_object(context.digest, now)
 
+    def timed_out(
+        self, decision: decisions.Send, context: decisions.RequestContext, now: float
+    ) -> None:
+        """Record that a request was still without a response when its time was over."""
+        times = self.service_times_of(context.route)
+        decision.view.answered(TIMEOUT_RATIO, False, now)
+        if times.has_affinity and context.key and not decision.warm and not decision.cold:
+            times.record_unknown(False, decision.preferred)
+
     def learned(
         self, view: endpoint_view.EndpointView, key: str, load: endpoint_view.Load | None
     ) -> observation.Observation:
         """Return an observation for other entries; ``key``: of the handled object, or empty."""
-        return observation.Observation(_view_digest(view), ranking.digest(key) if key else 0, load)
+        return observation.Observation(
+            peer_reports.view_digest(view), ranking.digest(key) if key else 0, load
+        )
 
     def observed(self, received: observation.Observation, now: float) -> None:
         """Apply an observation received from another entry."""
@@ -357,7 +342,9 @@
         """Return what is known of announced rates; ``endpoints``: only of these, None for all."""
         return [
             observation.LimitReport(
-                _view_digest(self.views[name]), known.rate, max(0.0, now - known.stated_s)
+                peer_reports.view_digest(self.views[name]),
+                known.rate,
+                max(0.0, now - known.stated_s),
             )
             for name, known in self.limits.statements(now).items()
             if name in self.views and (endpoints is None or name in endpoints)
@@ -371,7 +358,3 @@
         name = view.endpoint.name
         is_changed = self.limits.record(name, report.rate, now - report.age_s, now)
         return name if is_changed else ""
-
-
-def _view_digest(view):
-    return ranking.digest(f"{view.endpoint.name}\n{view.endpoint.started_ms}")
--- a/oriolelock/dispatch/costs.py
+++ b/oriolelock/dispatch/costs.py
@@ -5,13 +5,15 @@
     Cost of sending a request to an endpoint, relative to the value of a timely response.
 """
 
-__all__ = ["CACHE_MISS", "CROSS_DOMAIN", "CROSS_REGION", "time_cost"]
+__all__ = ["CACHE_MISS", "CROSS_DOMAIN", "CROSS_REGION", "UNREACHABLE", "time_cost"]
 
 # Traffic between failure domains and between regions is billed.
 CROSS_DOMAIN = 0.05
 CROSS_REGION = 0.2
 # A request whose object is not cached holds a slot about three times as long.
 CACHE_MISS = 0.12
+# Other entries can't connect to the endpoint; the attempt would most likely be lost.
+UNREACHABLE = 1.0
 # Below the first ratio to the latency objective, time costs little; above the second it is late.
 EARLY_RATIO = 0.65
 LATE_RATIO = 1.15
--- a/oriolelock/dispatch/decisions.py
+++ b/oriolelock/dispatch/decisions.py
@@ -42,7 +42,9 @@
 
     ``wait_s``: expected queueing delay; ``service_s``: expected service time; ``warm``: whether
     the endpoint probably has the object cached; ``cross_region``: whether the endpoint is in
-    another region; ``cold``: whether it started recently.
+    another region; ``cold``: whether it started recently; ``usual_s``: how long the request may
+    take before the endpoint counts as slow; ``preferred``: whether all entries of its region prefer
+    it for the object.
     """
 
     view: endpoint_view.EndpointView
@@ -51,6 +53,8 @@
     warm: bool
     cross_region: bool
     cold: bool
+    usual_s: float
+    preferred: bool
 
 
 @dataclasses.dataclass(frozen=True)
--- a/oriolelock/dispatch/endpoint_view.py
+++ b/oriolelock/dispatch/endpoint_view.py
@@ -7,10 +7,12 @@
 
 import collections
 import dataclasses
+import enum
 
+from oriolelock.dispatch import reported_symptoms
 from oriolelock.model import endpoint
 
-__all__ = ["EndpointView", "Health", "Load"]
+__all__ = ["EndpointView", "Fact", "Health", "Load", "make_load"]
 
 # Other entries' requests start and end after a load report, so its weight decays.
 REPORT_HALF_LIFE_S = 2.0
@@ -32,6 +34,25 @@
 BACKOFF_MAX_S = 4.0
 # A replaced endpoint backs off as long as possible, until the instance list reports its new state.
 REPLACED_FAILURES = 3
+# An endpoint with more requests than this many digits can write reports nonsense.
+MAX_LOAD_DIGITS = 6
+# How long an endpoint is not used that other entries report to be replaced. The instance list shows
+# it by then; no entry needs to check by itself.
+REPLACED_HOLD_S = 10.0
+# Longest time for which an endpoint may turn requests away.
+MAX_PAUSE_S = 60.0
+# Until the next request to an endpoint that took none, while the first one is under way.
+RESUME_WAIT_S = 0.1
+
+
+class Fact(enum.Enum):
+    """What is certain of an endpoint until it starts again; the values are sent to other entries.
+
+    ``LEAVING``: it has said so in a response; ``REPLACED``: another one answers at its address.
+    """
+
+    LEAVING = 1
+    REPLACED = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -43,17 +64,30 @@
     slots: int
 
 
+def make_load(running: bytes, waiting: bytes, slots: bytes) -> Load | None:
+    """Return the load in three decimal numbers; None if one of them is impossible."""
+    if max(len(running), len(waiting), len(slots)) > MAX_LOAD_DIGITS:
+        return None
+    try:
+        load = Load(int(running), int(waiting), int(slots))
+    except ValueError:
+        return None
+    return load if min(load.running, load.waiting, load.slots) >= 0 else None
+
+
 @dataclasses.dataclass(frozen=True)
 class Health:
     """Response to a health check.
 
     ``endpoint_id``: name of the responding endpoint, may be empty; ``cold_ms``: how much longer it
-    stays cold.
+    stays cold; ``is_leaving``: it ends soon; ``pause_s``: for how long it wants no requests.
     """
 
     is_healthy: bool
     endpoint_id: str = ""
     cold_ms: float = 0.0
+    is_leaving: bool = False
+    pause_s: float = 0.0
 
 
 def _decayed(value, age_s, half_life_s):
@@ -68,8 +102,9 @@
         host, _, port = instance.address.partition(":")
         self.address = (host, int(port))
         self.slots = instance.slots
-        # This entry's requests in flight: number to (start, expected end).
-        self.in_flight: dict[int, tuple[float, float]] = {}
+        # This entry's requests in flight: number to (start, expected end, whether the object is
+        # known to be cached).
+        self.in_flight: dict[int, tuple[float, float, bool]] = {}
         self._other_requests = 0.0
         self._reported_s = float("-inf")
         self._slowness = 1.0
@@ -83,6 +118,13 @@
         # Unreachable, unresponsive or replaced: not used until a health check passes.
         self.needs_health_check = False
         self.health_check_pending = False
+        self.is_leaving = False
+        self._replaced_until_s = 0.0
+        self._paused_until_s = 0.0
+        # Requests are sent one by one after a pause, until one of them is answered.
+        self._is_resuming = False
+        # Created when needed: most endpoints have none.
+        self._symptoms: reported_symptoms.ReportedSymptoms | None = None
         # Ejected because no connection could be opened, and not checked since.
         self._is_unreachable = False
         self._cache_size = MAX_CACHED_OBJECTS
@@ -120,14 +162,61 @@
         """Return whether the endpoint may receive requests."""
         return (
             self.endpoint.state == "live"
+            and not self.is_leaving
             and not self.needs_health_check
             and now >= self.ejected_until_s
+            and now >= self._replaced_until_s
         )
 
+    def record_pause(self, duration_s: float, now: float) -> None:
+        """Record that the endpoint wants no requests of this entry for ``duration_s`` seconds."""
+        until_s = now + min(MAX_PAUSE_S, duration_s)
+        self._paused_until_s = max(self._paused_until_s, until_s)
+        self._is_resuming = True
+
+    def pause_s(self, now: float) -> float:
+        """Return seconds until the endpoint takes the next request of this entry."""
+        if now < self._paused_until_s:
+            return self._paused_until_s - now
+        return RESUME_WAIT_S if self._is_resuming and self.in_flight else 0.0
+
+    def is_paused(self, now: float) -> bool:
+        """Return whether the endpoint wants no requests of this entry now."""
+        return now < self._paused_until_s
+
+    def record_fact(self, fact: Fact, now: float) -> bool:
+        """Record a fact; returns False if it was known."""
+        match fact:
+            case Fact.LEAVING:
+                is_new, self.is_leaving = not self.is_leaving, True
+            case Fact.REPLACED:
+                is_new = now >= max(self._replaced_until_s, self.ejected_until_s)
+                self._replaced_until_s = now + REPLACED_HOLD_S
+        return is_new
+
+    def _reported(self):
+        if self._symptoms is None:
+            self._symptoms = reported_symptoms.ReportedSymptoms()
+        return self._symptoms
+
+    def record_reported_unreachable(self, domain_digest: int, now: float) -> None:
+        """Record that an entry of another failure domain can't connect to the endpoint."""
+        self._reported().record_unreachable(domain_digest, now)
+
+    def record_reported_slowness(self, domain_digest: int, ratio: float, now: float) -> None:
+        """Record that an entry finds the endpoint slower than expected, ``ratio`` times."""
+        self._reported().record_slowness(domain_digest, ratio, now)
+
+    def is_reported_unreachable(self, now: float) -> bool:
+        """Return whether entries of several failure domains can't connect to the endpoint."""
+        return self._symptoms is not None and self._symptoms.is_unreachable(now)
+
     def reported(self, load: Load, now: float) -> None:
         """Record a load report that came with a response."""
         if load.slots > 0:
             self.slots = load.slots
+        if self._symptoms is not None:
+            self._symptoms.record_contact()
         self._other_requests = max(0.0, load.running + load.waiting - len(self.in_flight))
         self._reported_s = now
 
@@ -147,20 +236,35 @@
     def slowness(self, now: float) -> float:
         """Return the ratio of observed to expected response time; at least 1."""
         decayed = 1.0 + _decayed(self._slowness - 1.0, now - self._slowness_s, SLOWNESS_HALF_LIFE_S)
+        if self._symptoms is not None:
+            decayed = max(decayed, self._symptoms.slowness(now))
         if not self.in_flight:
             return decayed
-        start_s, end_s = next(iter(self.in_flight.values()))
+        start_s, end_s, _ = next(iter(self.in_flight.values()))
         # An overdue request counts before it ends.
         overdue = (now - start_s) / max(0.05, end_s - start_s)
         return min(MAX_SLOWNESS, max(decayed, overdue if overdue > 1.5 else 1.0))
 
+    def overdue_ratio(self, now: float, min_age_s: float) -> float:
+        """Return elapsed by expected time of the oldest request for a cached object, 0 for none.
+
+        Requests younger than ``min_age_s`` don't count.
+        """
+        for start_s, end_s, is_known in self.in_flight.values():
+            if is_known:
+                age_s = now - start_s
+                return age_s / max(0.05, end_s - start_s) if age_s >= min_age_s else 0.0
+        return 0.0
+
     def error_rate(self, now: float) -> float:
         """Return the recent share of responses that were errors, from 0 to 1."""
         return _decayed(self._error_rate, now - self._error_rate_s, ERROR_HALF_LIFE_S)
 
-    def record_start(self, number: int, expected_s: float, now: float) -> None:
-        """Record a request that is sent to the endpoint."""
-        self.in_flight[number] = (now, now + expected_s)
+    def record_start(
+        self, number: int, expected_s: float, now: float, is_cached: bool = False
+    ) -> None:
+        """Record a request that is sent to the endpoint, which is known to have its object."""
+        self.in_flight[number] = (now, now + expected_s, is_cached)
 
     def ended(self, number: int) -> float | None:
         """Record the end of a request. Returns its start, or None for an unknown number."""
@@ -172,6 +276,7 @@
         self._error_rate = self.error_rate(now) * (1 - ERROR_WEIGHT) + ERROR_WEIGHT * is_error
         self._error_rate_s = now
         if not is_error:
+            self._is_resuming = False
             old = 1.0 + _decayed(self._slowness - 1.0, now - self._slowness_s, SLOWNESS_HALF_LIFE_S)
             new = min(MAX_SLOWNESS, max(1.0, ratio))
             self._slowness = old + SLOWNESS_WEIGHT * (new - old)
@@ -222,6 +327,11 @@
         ``cold_s``: the service's cold period after a start, the upper bound of ``cold_ms``.
         """
         self.health_check_pending = self._is_unreachable = False
+        is_own = health is not None and health.endpoint_id in ("", self.endpoint.name)
+        if is_own and health.is_leaving:
+            self.record_fact(Fact.LEAVING, now)
+        if is_own and health.pause_s > 0.0:
+            self.record_pause(health.pause_s, now)
         if health is None or not health.is_healthy:
             self.record_failure(now)
             return
--- a/oriolelock/dispatch/observation.py
+++ b/oriolelock/dispatch/observation.py
@@ -9,7 +9,14 @@
 
 from oriolelock.dispatch import endpoint_view
 
-__all__ = ["CutOffReport", "LimitReport", "Observation"]
+__all__ = [
+    "CutOffReport",
+    "EndpointNotice",
+    "LimitReport",
+    "Observation",
+    "SlownessReport",
+    "UnreachableReport",
+]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -38,3 +45,30 @@
     """An entry reaches no endpoint; ``entry_digest``: of its name."""
 
     entry_digest: int
+
+
+@dataclasses.dataclass(frozen=True)
+class EndpointNotice:
+    """``endpoint_digest``: of the endpoint's name and start time."""
+
+    endpoint_digest: int
+    fact: endpoint_view.Fact
+
+
+@dataclasses.dataclass(frozen=True)
+class UnreachableReport:
+    """No connection to an endpoint could be opened; ``domain_digest``: of the failure domain of
+    the entry that tried."""
+
+    endpoint_digest: int
+    domain_digest: int
+
+
+@dataclasses.dataclass(frozen=True)
+class SlownessReport:
+    """An endpoint takes ``ratio`` times as long as expected for an object that it has cached;
+    ``domain_digest``: of the failure domain of the entry that waits."""
+
+    endpoint_digest: int
+    domain_digest: int
+    ratio: float
--- a/oriolelock/dispatch/retry_budget.py
+++ b/oriolelock/dispatch/retry_budget.py
@@ -12,21 +12,30 @@
 
 __all__ = ["RetryBudget"]
 
-# A restarted entry has lost its count of retries. Half of the share keeps an entry that restarts
-# once per window within the fleet's budget.
-RESTART_FACTOR = 0.5
+# A restarted entry has lost its count of retries. What it may spend in its first window and what it
+# may have spent before it ended make one share together.
+FIRST_WINDOW_FACTOR = 0.4
+LATER_FACTOR = 0.6
 
 
 class RetryBudget:
     """Retry budget of one service on one entry.
 
-    ``ratio``: retries per request; ``allowance``: retries of the whole fleet per window.
+    ``ratio``: retries per request; ``allowance``: retries of the whole fleet per window;
+    ``started_s``: when the entry started.
     """
 
-    def __init__(self, ratio: float, allowance: float, window_s: float):
+    def __init__(
+        self,
+        ratio: float,
+        allowance: float,
+        window_s: float,
+        started_s: float = float("-inf"),
+    ):
         self._ratio = ratio
         self._allowance = allowance
         self._window_s = window_s
+        self._started_s = started_s
         self._requests: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
 
@@ -49,7 +58,8 @@
     def remaining(self, entries: int, now: float) -> float:
         """Return how many more retries are allowed now; ``entries``: number of entries."""
         self._trim(now)
-        budget = RESTART_FACTOR * (
+        is_first = now - self._started_s < self._window_s
+        budget = (FIRST_WINDOW_FACTOR if is_first else LATER_FACTOR) * (
             self._ratio * len(self._requests) + self._allowance / max(1, entries)
         )
         return budget - len(self._retries)
--- a/oriolelock/distribution/tree.py
+++ b/oriolelock/distribution/tree.py
@@ -47,12 +47,19 @@
     """Return the link addresses to subscribe to, best first, ending with the control replicas.
 
     A parent always precedes its child in the fixed order, so that no cycle can form, even
-    while entries disagree on which of them are live.
+    while entries disagree on which of them are live. Replicas of the own region come first: the
+    same changes then pass between regions once for each replica, not for each head.
     """
+    all_members = tuple(all_members)
+    near = {m.link_address for m in all_members if m.role == "control" and m.region == own.region}
     order = _order_domain(own, all_members)
     position = next(n for n, m in enumerate(order) if m.name == own.name)
     replicas = sorted(
-        control, key=lambda address: xxhash.xxh64_intdigest((address + own.name).encode())
+        control,
+        key=lambda address: (
+            address not in near,
+            xxhash.xxh64_intdigest((address + own.name).encode()),
+        ),
     )
     if position < HEADS:
         return replicas
--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -26,6 +26,7 @@
     gossip,
     health_checks,
     limit_gossip,
+    notice_gossip,
     peer_request,
     pool,
     request_metrics,
@@ -39,6 +40,9 @@
 __all__ = ["Core"]
 
 POOL_SWEEP_INTERVAL_S = 1.0
+# Bounds of the delay that callers of an entry without a configuration are told.
+NOT_READY_RETRY_MIN_S = 0.6
+NOT_READY_RETRY_MAX_S = 1.5
 
 log = events.Events("gateway")
 
@@ -60,6 +64,7 @@
     ):
         self._settings = cfg
         self._rng = rng
+        self._started_s = clock.monotonic_s()
         self._report_crash = report_crash
         self.loop = loop
         self.words = words
@@ -75,6 +80,9 @@
             loop, cfg.link_listen, cfg.cluster_token, self._apply_report, rng
         )
         self._limit_gossip = limit_gossip.LimitGossip(loop, self.gossip, self.chooser, rng)
+        self._notices = notice_gossip.NoticeGossip(
+            loop, self.gossip, self.chooser.peer_reports, rng
+        )
         self.connectivity = connectivity.Connectivity(cfg.name, loop, self.chooser, self.gossip)
         self._health_checks = health_checks.HealthChecks(
             loop, words, self.chooser, self.connectivity, budget, self.metrics, rng
@@ -138,7 +146,9 @@
         if cfg.drains != previous.drains:
             log.notable("drains", targets=sorted(d.target for d in cfg.drains.values()))
         self.gossip.use_peers(self._gossip_peers(cfg, (self._settings.region,)))
-        self._limit_gossip.use_peers(self._gossip_peers(cfg, None))
+        all_peers = list(self._gossip_peers(cfg, None))
+        self._limit_gossip.use_peers(all_peers)
+        self._notices.use_peers(all_peers)
         self._quarantine.configure(cfg.crashes)
         self.chooser.configure(cfg, now, clock.wall_s())
         self.connectivity.configure(cfg.table.services)
@@ -167,6 +177,10 @@
                 endpoint = self._limit_gossip.apply(report, now)
                 if endpoint:
                     self._log_limit(endpoint, report.rate, report.age_s, "gossip")
+            case observation.EndpointNotice():
+                self._notices.apply(report, now)
+            case observation.UnreachableReport() | observation.SlownessReport():
+                self.chooser.peer_reports.apply_symptom(report, now)
 
     def splitter_of(self, route) -> splitter.Splitter:
         """Return the splitter of a route's requests among its services."""
@@ -181,7 +195,7 @@
         if budget is None:
             cfg = self._settings
             budget = retry_budget.RetryBudget(
-                cfg.retry_ratio, cfg.retry_allowance, cfg.retry_window_s
+                cfg.retry_ratio, cfg.retry_allowance, cfg.retry_window_s, self._started_s
             )
             self._retries[service] = budget
         return budget
@@ -265,6 +279,7 @@
         is_cut_off = self.connectivity.is_cut_off(view.endpoint.service)
         if not is_cut_off and not view.needs_health_check:
             log.notable("endpoint-out", endpoint=view.endpoint.name, reason=result.reason)
+            self._notices.report_unreachable(view)
             view.record_unreachable(now)
             view.clear_objects()
             self.pool.close_idle(view.endpoint.name)
@@ -272,16 +287,40 @@
     def record_misdirected(self, view: endpoint_view.EndpointView, now: float) -> None:
         """Eject an endpoint at whose address another one answers."""
         log.notable("endpoint-replaced", endpoint=view.endpoint.name)
+        self._notices.announce(view, endpoint_view.Fact.REPLACED)
         view.record_replacement(now)
         self.pool.close_idle(view.endpoint.name)
 
+    def record_leaving(self, view: endpoint_view.EndpointView, now: float) -> None:
+        """Send no further requests to an endpoint that has said that it ends soon."""
+        if view.record_fact(endpoint_view.Fact.LEAVING, now):
+            log.notable("endpoint-leaving", endpoint=view.endpoint.name)
+            self._notices.announce(view, endpoint_view.Fact.LEAVING)
+            self.pool.close_idle(view.endpoint.name)
+
+    def record_pause(self, view: endpoint_view.EndpointView, duration_s: float, now: float) -> None:
+        """Send no requests to an endpoint for a time that it has named."""
+        log.notable("endpoint-paused", endpoint=view.endpoint.name, for_s=duration_s)
+        view.record_pause(duration_s, now)
+
+    def not_ready_retry_after_s(self, now: float) -> float:
+        """Return when a caller should return that came before a configuration was in force.
+
+        The longer an entry has waited for it, the longer it will probably take: at first the entry
+        alone has started again, later control as well.
+        """
+        waited_s = now - self._started_s
+        delay_s = min(NOT_READY_RETRY_MAX_S, max(NOT_READY_RETRY_MIN_S, waited_s))
+        return delay_s * self._rng.uniform(1.0, 1.5)
+
     def record_lost(
         self, view: endpoint_view.EndpointView, fingerprint: str, reason: str, now: float
     ) -> None:
         """Record a connection lost during a request; a health check shows if the endpoint died."""
         self.metrics.count("answers_lost")
         view.record_disconnect(now)
-        if not view.health_check_pending and not view.needs_health_check:
+        is_due = not view.health_check_pending and not view.needs_health_check
+        if is_due and not view.is_paused(now):
             self._health_checks.check(
                 view, lambda is_reachable: is_reachable or self._report_death(view, fingerprint)
             )
--- a/oriolelock/gateway/delegated_flow.py
+++ b/oriolelock/gateway/delegated_flow.py
@@ -42,6 +42,11 @@
     def _delegate(self, reason, retry_after_s):
         self._give_up(reason, retry_after_s)
 
+    def _refuse(self, status, reason, retry_after_s=None, wait_s=0.0):
+        # The delegating entry may ask another one, which then counts the request.
+        self._uncount()
+        super()._refuse(status, reason, retry_after_s, wait_s)
+
     def _send_response(self, response, outcome):
         super()._send_response(delegation.with_outcome(response, outcome), f"{outcome}.for-entry")
 
--- a/oriolelock/gateway/dialect.py
+++ b/oriolelock/gateway/dialect.py
@@ -17,11 +17,10 @@
     """Parse a load report such as ``in_flight=2;slots=6;queued=0``; None if malformed."""
     try:
         fields = dict(part.split("=") for part in header.decode("ascii").split(";"))
-        return endpoint_view.Load(
-            int(fields["in_flight"]), int(fields["queued"]), int(fields["slots"])
-        )
+        numbers = [fields[name].encode() for name in ("in_flight", "queued", "slots")]
     except (ValueError, KeyError):
         return None
+    return endpoint_view.make_load(*numbers)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -31,7 +30,8 @@
     ``request_id``: set by the caller, repeated by the endpoint; ``deadline_ms``: remaining time;
     ``object_key``: affinity key; ``stamp``: proof that an endpoint sent the response, empty for
     none; ``expected_endpoint``: id of the only endpoint that may run the request; ``load``: load
-    report, read by ``parse_load``; ``rate_limit``: requests per second that an overloaded endpoint
+    report, read by ``parse_load``; ``leaving``: ``1`` in all responses of an endpoint that ends
+    soon; ``rate_limit``: requests per second that an overloaded endpoint
     takes from all entries; ``not_run``: the endpoint did not run the request; ``endpoint_id`` and
     ``cold_ms``: in responses to health checks.
     """
@@ -43,6 +43,7 @@
     expected_endpoint: bytes = b"x-expected-endpoint"
     load: bytes = b"x-load"
     parse_load: collections.abc.Callable[[bytes], endpoint_view.Load | None] = _parse_default_load
+    leaving: bytes = b"x-leaving"
     rate_limit: bytes = b"x-rate-limit"
     not_run: bytes = b"x-not-run"
     endpoint_id: bytes = b"x-endpoint-id"
--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -60,6 +60,8 @@
         self._sent_s = 0.0
         self._timer = None
         self._may_have_run = False
+        # Whether the request counts among those that retries are a share of.
+        self._is_counted = False
         # The last response that may be passed on; used if no retry yields a better one.
         self._fallback_response: messages.Response | None = None
 
@@ -67,7 +69,8 @@
         """Route and forward the request, or refuse it."""
         shared, req = self._core, self._req
         if not shared.is_ready:
-            self._refuse(503, "not-ready", 0.3)
+            retry_after_s = shared.not_ready_retry_after_s(req.received_s)
+            self._refuse(503, "not-ready", retry_after_s)
             return
         host = (req.header(b"host") or b"").decode("latin-1")
         self._route = shared.index.find(host, req.path.decode("latin-1"))
@@ -102,6 +105,7 @@
         self._exchange.on_gone = self._on_caller_gone
         if not self._tried:
             shared.retry_budget_of(self._service).record_request(req.received_s)
+            self._is_counted = True
         shared.in_progress[self._number] = self._end_at_stop
         self._attempt()
 
@@ -138,8 +142,7 @@
     def _delegate(self, reason, retry_after_s):
         """Let another entry forward the request; ``reason``: why this one can't."""
         shared = self._core
-        if not self._tried:
-            shared.retry_budget_of(self._service).withdraw_request()
+        self._uncount()
         shared.metrics.count("delegated")
         self._peer_request = shared.make_peer_request(
             self._req,
@@ -149,6 +152,12 @@
         )
         self._peer_request.start(self._service, self._deadline_at_s, self._objective_s, self._tried)
 
+    def _uncount(self):
+        """Take back that a request that no endpoint got counts in the retry budget."""
+        if self._is_counted and not self._tried:
+            self._core.retry_budget_of(self._service).withdraw_request()
+            self._is_counted = False
+
     def _on_peer_request_end(self, result):
         match result:
             case peer_request.Completed(response):
@@ -216,6 +225,10 @@
         elapsed_s = now - self._sent_s
         if not response_facts.misdirected:
             shared.record_rate_limit(decision.view, response_facts.rate_limit, now)
+        if response_facts.leaving:
+            shared.record_leaving(decision.view, now)
+        if response_facts.pause_s > 0.0:
+            shared.record_pause(decision.view, response_facts.pause_s, now)
         if response_facts.not_run:
             self._handle_not_run(response_facts, now)
             return
@@ -291,7 +304,7 @@
             return
         self._abort(now)
         if is_at_endpoint:
-            self._decision.view.answered(2.0, False, now)
+            self._core.chooser.timed_out(self._decision, self._context, now)
         self._fail(504, "timeout")
 
     def _end_at_stop(self):
--- a/oriolelock/gateway/gossip.py
+++ b/oriolelock/gateway/gossip.py
@@ -20,11 +20,25 @@
 from oriolelock.gateway import signing
 from oriolelock.http1 import loop as loops
 
-__all__ = ["Gossip", "Report", "Unreadable", "decode", "encode", "encode_cut_off", "encode_limits"]
+__all__ = [
+    "Gossip",
+    "Report",
+    "Unreadable",
+    "decode",
+    "encode",
+    "encode_cut_off",
+    "encode_limits",
+    "encode_notices",
+    "encode_symptoms",
+]
 
 INTERVAL_S = 0.2
 # Recipients of each round.
-FAN_OUT = 5
+FAN_OUT = 8
+# An entry with few requests collects observations of several rounds: most of a datagram with one
+# of them would be headers.
+MIN_OBSERVATIONS = 4
+MAX_HOLD_S = 0.4
 # Older observations say too little about the current load.
 MAX_AGE_S = 1.0
 # About 16 bytes each; keeps datagrams below the usual MTU of 1,500 bytes.
@@ -34,15 +48,32 @@
 # Datagrams read per event, so that gossip does not delay requests.
 MAX_READS_PER_EVENT = 32
 MAX_LIMITS_PER_DATAGRAM = 50
-# Datagrams of observations, of limits, and of entries that are cut off.
+MAX_REPORTS_PER_DATAGRAM = 50
+# Datagrams of observations, of limits, of entries that are cut off, of facts about endpoints, and
+# of their symptoms. A changed format gets a new number, so that entries of an older version ignore
+# it and go on.
 FORMAT_VERSION = 1
 LIMITS_FORMAT_VERSION = 2
 CUT_OFF_FORMAT_VERSION = 3
+NOTICES_FORMAT_VERSION = 4
+SYMPTOMS_FORMAT_VERSION = 5
+# Ratios of response times are sent as whole hundredths; 0 stands for an endpoint not reached.
+RATIO_UNIT = 100
+MAX_RATIO = 1000 * RATIO_UNIT
+MAX_LOAD = 1_000_000
 # Recipients of a report that this entry is cut off.
 CUT_OFF_FAN_OUT = 32
+SYMPTOM_FAN_OUT = 20
 
 Address = tuple[str, int]
-Report = observation.Observation | observation.LimitReport | observation.CutOffReport
+Symptom = observation.UnreachableReport | observation.SlownessReport
+Report = (
+    observation.Observation
+    | observation.LimitReport
+    | observation.CutOffReport
+    | observation.EndpointNotice
+    | Symptom
+)
 log = events.Events("gossip")
 
 
@@ -79,6 +110,24 @@
     return _authenticated((CUT_OFF_FORMAT_VERSION, [(report.entry_digest,)]), token)
 
 
+def encode_notices(
+    notices: collections.abc.Iterable[observation.EndpointNotice], token: str
+) -> bytes:
+    """Encode a datagram of facts about endpoints, authenticated as the others."""
+    rows = [(notice.endpoint_digest, notice.fact.value) for notice in notices]
+    return _authenticated((NOTICES_FORMAT_VERSION, rows), token)
+
+
+def encode_symptoms(symptoms: collections.abc.Iterable[Symptom], token: str) -> bytes:
+    """Encode a datagram of symptoms of endpoints, authenticated as the others."""
+    rows = []
+    for symptom in symptoms:
+        is_slow = isinstance(symptom, observation.SlownessReport)
+        ratio = round(symptom.ratio * RATIO_UNIT) if is_slow else 0
+        rows.append((symptom.endpoint_digest, symptom.domain_digest, ratio))
+    return _authenticated((SYMPTOMS_FORMAT_VERSION, rows), token)
+
+
 def _authenticated(content, token):
     return signing.sign(cbor2.dumps(content), token)
 
@@ -94,7 +143,7 @@
         if parse is None:
             raise Unreadable(f"unsupported format version {version}")
         return [parse(*row) for row in rows]
-    except (cbor2.CBORDecodeError, TypeError, ValueError) as exc:
+    except (cbor2.CBORDecodeError, TypeError, ValueError, RecursionError) as exc:
         raise Unreadable(str(exc)) from exc
 
 
@@ -103,6 +152,8 @@
         isinstance(value, int) and value >= 0 for value in (endpoint, object_digest, *load_values)
     ):
         raise ValueError("field is not a non-negative integer")
+    if any(value > MAX_LOAD for value in load_values):
+        raise ValueError("impossible load")
     return observation.Observation(
         endpoint, object_digest, endpoint_view.Load(*load_values) if load_values else None
     )
@@ -124,10 +175,26 @@
     return observation.CutOffReport(entry)
 
 
+def _parse_notice(endpoint, fact):
+    if type(endpoint) is not int or endpoint < 0:
+        raise ValueError("field is not a non-negative integer")
+    return observation.EndpointNotice(endpoint, endpoint_view.Fact(fact))
+
+
+def _parse_symptom(endpoint, domain, ratio):
+    if not all(type(value) is int and value >= 0 for value in (endpoint, domain, ratio)):
+        raise ValueError("field is not a non-negative integer")
+    if ratio == 0:
+        return observation.UnreachableReport(endpoint, domain)
+    return observation.SlownessReport(endpoint, domain, min(ratio, MAX_RATIO) / RATIO_UNIT)
+
+
 PARSERS = {
     FORMAT_VERSION: _parse_observation,
     LIMITS_FORMAT_VERSION: _parse_limit,
     CUT_OFF_FORMAT_VERSION: _parse_cut_off,
+    NOTICES_FORMAT_VERSION: _parse_notice,
+    SYMPTOMS_FORMAT_VERSION: _parse_symptom,
 }
 
 
@@ -177,6 +244,25 @@
             for peer in peers:
                 self._send(data, peer)
 
+    def send_notices(
+        self,
+        notices: collections.abc.Sequence[observation.EndpointNotice],
+        peers: collections.abc.Iterable[Address],
+    ) -> None:
+        """Send facts about endpoints to ``peers``, which may be in other regions."""
+        for start in range(0, len(notices), MAX_REPORTS_PER_DATAGRAM):
+            data = encode_notices(notices[start : start + MAX_REPORTS_PER_DATAGRAM], self._token)
+            for peer in peers:
+                self._send(data, peer)
+
+    def send_symptoms(self, symptoms: collections.abc.Sequence[Symptom]) -> None:
+        """Send symptoms of endpoints to entries of the region."""
+        peers = self._rng.sample(self._peers, min(SYMPTOM_FAN_OUT, len(self._peers)))
+        for start in range(0, len(symptoms), MAX_REPORTS_PER_DATAGRAM):
+            data = encode_symptoms(symptoms[start : start + MAX_REPORTS_PER_DATAGRAM], self._token)
+            for peer in peers:
+                self._send(data, peer)
+
     def send_cut_off(self, report: observation.CutOffReport) -> None:
         """Tell entries of the region that this entry reaches no endpoint."""
         data = encode_cut_off(report, self._token)
@@ -185,6 +271,9 @@
 
     def _send_round(self):
         now = clock.monotonic_s()
+        is_old = bool(self._pending) and now - self._pending[0][0] >= MAX_HOLD_S - INTERVAL_S
+        if len(self._pending) < MIN_OBSERVATIONS and not is_old:
+            return
         fresh = [pending for recorded_s, pending in self._pending if now - recorded_s <= MAX_AGE_S]
         self._pending = []
         if not fresh or not self._peers:
--- a/oriolelock/gateway/health_checks.py
+++ b/oriolelock/gateway/health_checks.py
@@ -72,20 +72,23 @@
                 if view.endpoint.service == name
                 and view.is_usable(now)
                 and not view.health_check_pending
-                and self._limit_wait_s(view, now) <= 0.0
+                and self._hold_s(view, now) <= 0.0
             ]
             if views:
                 self.check(self._rng.choice(views), lambda is_reachable: None)
 
-    def _limit_wait_s(self, view, now):
-        # A health check is a request like any other to an endpoint that has announced a rate.
+    def _hold_s(self, view, now):
+        # A health check is a request like any other to an endpoint that has announced a rate or
+        # wants no requests for a while.
         instance = view.endpoint
-        return self._chooser.limits.wait_s(instance.name, instance.region, 0, now)
+        limit_wait_s = self._chooser.limits.wait_s(instance.name, instance.region, 0, now)
+        return max(limit_wait_s, view.pause_s(now))
 
     def _is_check_due(self, view, now):
         if not view.needs_health_check or view.health_check_pending or now < view.ejected_until_s:
             return False
-        return view.endpoint.state == "live" and self._limit_wait_s(view, now) <= 0.0
+        is_wanted = view.endpoint.state == "live" and not view.is_leaving
+        return is_wanted and self._hold_s(view, now) <= 0.0
 
     def check(
         self,
--- a/oriolelock/gateway/limit_gossip.py
+++ b/oriolelock/gateway/limit_gossip.py
@@ -13,15 +13,11 @@
 
 from oriolelock import clock
 from oriolelock.dispatch import chooser, observation
-from oriolelock.gateway import gossip
+from oriolelock.gateway import gossip, rumor_rounds
 from oriolelock.http1 import loop as loops
 
 __all__ = ["LimitGossip"]
 
-CHANGE_INTERVAL_S = 0.2
-# With this many recipients and rounds, a change reaches all of a large fleet with near certainty.
-CHANGE_FAN_OUT = 5
-CHANGE_ROUNDS = 4
 FULL_INTERVAL_S = 1.0
 
 
@@ -39,9 +35,9 @@
         self._chooser = selector
         self._rng = rng
         self._peers: list[gossip.Address] = []
-        # By endpoint: rounds in which its change is still to be sent.
-        self._rounds_left: dict[str, int] = {}
-        loop.call_each(CHANGE_INTERVAL_S, self._send_changes)
+        # Names of the endpoints whose change is still to be sent.
+        self._rounds = rumor_rounds.RumorRounds()
+        loop.call_each(rumor_rounds.INTERVAL_S, self._send_changes)
         loop.call_each(FULL_INTERVAL_S, self._send_all)
 
     def use_peers(self, peers: collections.abc.Iterable[gossip.Address]) -> None:
@@ -50,7 +46,7 @@
 
     def announce(self, endpoint: str) -> None:
         """Pass on the rate of an endpoint, which has changed."""
-        self._rounds_left[endpoint] = CHANGE_ROUNDS
+        self._rounds.add(endpoint)
 
     def apply(self, report: observation.LimitReport, now: float) -> str:
         """Apply a report of another entry; returns the endpoint's name if the rate changed."""
@@ -60,12 +56,8 @@
         return endpoint
 
     def _send_changes(self):
-        if self._rounds_left:
-            changed = set(self._rounds_left)
-            self._send(CHANGE_FAN_OUT, changed)
-            self._rounds_left = {
-                name: rounds - 1 for name, rounds in self._rounds_left.items() if rounds > 1
-            }
+        if self._rounds:
+            self._send(rumor_rounds.FAN_OUT, set(self._rounds.take_round()))
 
     def _send_all(self):
         self._send(1, None)
--- a/oriolelock/platform/headers.py
+++ b/oriolelock/platform/headers.py
@@ -15,11 +15,10 @@
 
 def _read_load(value: bytes) -> endpoint_view.Load | None:
     """Return the load in ``running,waiting,slots``, None for anything else."""
-    try:
-        running, waiting, slots = (int(part) for part in value.split(b","))
-    except ValueError:
+    parts = [part.strip() for part in value.split(b",")]
+    if len(parts) != 3 or not all(part.isdigit() for part in parts):
         return None
-    return endpoint_view.Load(running, waiting, slots)
+    return endpoint_view.make_load(*parts)
 
 
 DIALECT = dialect.Dialect(
@@ -30,6 +29,7 @@
     expected_endpoint=b"x-expected-instance",
     load=b"x-server-load",
     parse_load=_read_load,
+    leaving=b"server-leaving",
     rate_limit=b"server-limit",
     not_run=b"x-not-executed",
     endpoint_id=b"x-instance-id",
--- a/tests/dispatch/builders.py
+++ b/tests/dispatch/builders.py
@@ -2,10 +2,17 @@
 
 import random
 
-from oriolelock.dispatch import chooser, decisions
+from oriolelock.dispatch import chooser, decisions, endpoint_view
 from oriolelock.model import configuration, endpoint, member, route, route_table, service
 
-__all__ = ["configure", "make_chooser", "make_context", "make_endpoint", "make_route"]
+__all__ = [
+    "configure",
+    "make_chooser",
+    "make_context",
+    "make_endpoint",
+    "make_load",
+    "make_route",
+]
 
 
 def make_route(name="r", priority=1, affinity=True, regions=(), **overrides):
@@ -30,6 +37,10 @@
     )
 
 
+def make_load(running=0, waiting=0, slots=4):
+    return endpoint_view.Load(running, waiting, slots)
+
+
 def configure(endpoints, drains=(), entries=("e1",), cold_rate=4.0):
     """Return a configuration with one service, ``s``, and entries in region ``a``."""
     return configuration.Configuration(
--- a/tests/dispatch/test_parts.py
+++ b/tests/dispatch/test_parts.py
@@ -74,6 +74,19 @@
     assert total <= 0.2 * 200 + 60
 
 
+def test_an_entry_that_restarts_in_a_window_keeps_to_its_share():
+    """Guards against retries over the budget after a restart, which forgets the earlier ones."""
+    share = 0.2 * 100 + 60 / 10
+    spent = 0
+    for started_s, now in ((0.0, 19.0), (20.0, 21.0)):
+        budget = retry_budget.RetryBudget(0.2, 60.0, 10.0, started_s)
+        for _ in range(100):
+            budget.record_request(now)
+        while budget.try_spend(10, now):
+            spent += 1
+    assert share / 2 < spent <= share
+
+
 def test_cold_endpoint_receives_one_request_per_second_from_few_entries():
     entries = [f"e{n}" for n in range(12)]
     permitted = [
@@ -90,6 +103,24 @@
     assert sent <= 10
 
 
+def test_chance_of_a_cached_object_is_learned_from_requests_of_others():
+    """Answers to a load of which each entry sees a small part, and others have warmed the objects.
+
+    Until it knows of an object, an entry would expect all of its requests to take the long time.
+    """
+    times = service_times.ServiceTimes(1.0, True)
+    assert times.hit_rate(False, True) == 0.0
+    assert times.expected_s(times.hit_rate(False, True)) == times.cold_s
+    for _ in range(40):
+        times.record_unknown(True, True)
+    assert times.hit_rate(False, True) > 0.9
+    assert times.hit_rate(False, False) == 0.0
+    assert times.hit_rate(True, False) == 1.0
+    for _ in range(40):
+        times.record_unknown(False, True)
+    assert times.hit_rate(False, True) < 0.1
+
+
 def test_warm_and_cold_service_times_are_estimated_separately():
     times = service_times.ServiceTimes(0.6, True)
     for _ in range(100):
--- a/tests/distribution/test_tree.py
+++ b/tests/distribution/test_tree.py
@@ -54,3 +54,21 @@
     assert tree.parent_candidates(last_member, members, CONTROL)[-3:] == tree.parent_candidates(
         last_member, [], CONTROL
     )
+
+
+def test_heads_prefer_replicas_of_their_region():
+    """Answers to a change that passes between regions once for each head of hundreds of entries."""
+    replicas = [
+        member.Member(f"c{n}", "control", "", f"127.0.0.1:{n}", "ab"[n % 2], "c1")
+        for n in range(1, 7)
+    ]
+    addresses = [replica.link_address for replica in replicas]
+    near = {replica.link_address for replica in replicas if replica.region == "a"}
+    firsts = set()
+    for n in range(20):
+        own = member.Member(f"e{n}", "entry", "", f"127.0.0.2:{n}", "a", f"d{n}")
+        candidates = tree.parent_candidates(own, [*replicas, own], addresses)
+        assert set(candidates[:3]) == near
+        assert sorted(candidates) == sorted(addresses)
+        firsts.add(candidates[0])
+    assert len(firsts) > 1
--- a/tests/gateway/test_flow.py
+++ b/tests/gateway/test_flow.py
@@ -261,3 +261,19 @@
         )
         assert sock.recv(100).startswith(b"HTTP/1.1 400")
     assert gateway.forwarded_requests() == 0
+
+
+def test_callers_of_an_entry_without_a_configuration_are_told_to_wait_longer_and_longer(gateway):
+    """Answers to the load after a restart of everything: callers come back once.
+
+    Told to return at once, they all return before control can serve.
+    """
+    core = gateway.core
+    started_s = core._started_s
+    status, head, _ = gateway.send(b"/safe/1")
+    assert (status, b"retry-after" in head) == (503, True)
+    for waited_s, least_s, most_s in ((0.0, 0.6, 0.9), (1.0, 1.0, 1.5), (60.0, 1.5, 2.25)):
+        delays_s = [core.not_ready_retry_after_s(started_s + waited_s) for _ in range(100)]
+        assert least_s <= min(delays_s)
+        assert max(delays_s) <= most_s
+        assert max(delays_s) - min(delays_s) > 0.1
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -122,3 +122,62 @@
     payload = gossip.cbor2.dumps((gossip.CUT_OFF_FORMAT_VERSION, [row]))
     with pytest.raises(gossip.Unreadable):
         gossip.decode(signing.sign(payload, "token"), "token")
+
+
+NOTICES = [
+    observation.EndpointNotice(7, endpoint_view.Fact.LEAVING),
+    observation.EndpointNotice(4_000_000_000, endpoint_view.Fact.REPLACED),
+]
+SYMPTOMS = [observation.UnreachableReport(7, 8), observation.SlownessReport(2**32 - 1, 0, 2.5)]
+
+
+def test_facts_and_symptoms_are_read_back():
+    assert gossip.decode(gossip.encode_notices(NOTICES, "token"), "token") == NOTICES
+    assert gossip.decode(gossip.encode_symptoms(SYMPTOMS, "token"), "token") == SYMPTOMS
+
+
+@pytest.mark.parametrize(
+    ("version", "row"),
+    [
+        (gossip.NOTICES_FORMAT_VERSION, (1, 9)),
+        (gossip.NOTICES_FORMAT_VERSION, (-1, 1)),
+        (gossip.NOTICES_FORMAT_VERSION, (True, 1)),
+        (gossip.NOTICES_FORMAT_VERSION, (1, "1")),
+        (gossip.NOTICES_FORMAT_VERSION, (1,)),
+        (gossip.SYMPTOMS_FORMAT_VERSION, (1, 2, -1)),
+        (gossip.SYMPTOMS_FORMAT_VERSION, (1, 2, 2.5)),
+        (gossip.SYMPTOMS_FORMAT_VERSION, (1, "2", 200)),
+        (gossip.SYMPTOMS_FORMAT_VERSION, (1, 2)),
+        (gossip.FORMAT_VERSION, (1, 0, 10**400, 0, 4)),
+    ],
+)
+def test_malformed_facts_symptoms_and_loads_are_rejected(version, row):
+    payload = gossip.cbor2.dumps((version, [row]))
+    with pytest.raises(gossip.Unreadable):
+        gossip.decode(signing.sign(payload, "token"), "token")
+
+
+def test_enormous_ratio_is_bounded():
+    payload = gossip.cbor2.dumps((gossip.SYMPTOMS_FORMAT_VERSION, [(1, 2, 10**400)]))
+    (report,) = gossip.decode(signing.sign(payload, "token"), "token")
+    assert report.ratio <= gossip.MAX_RATIO
+
+
+def test_largest_datagrams_of_facts_and_symptoms_fit_the_size_limit():
+    largest = observation.SlownessReport(2**32 - 1, 2**32 - 1, 1000.0)
+    data = gossip.encode_symptoms([largest] * gossip.MAX_REPORTS_PER_DATAGRAM, "token")
+    assert len(data) <= gossip.MAX_DATAGRAM_BYTES
+
+
+def test_few_observations_are_collected_for_a_short_while(running):
+    """Guards against datagrams that consist of headers, of entries with few requests."""
+    peers, received = make_pair(running)
+    address = peers["b"]._sock.getsockname()
+    running.call(lambda: peers["a"].use_peers([address]))
+    start_s = time.monotonic()
+    running.call(lambda: peers["a"].publish(OBSERVATIONS[0]))
+    time.sleep(0.05)
+    running.call(lambda: peers["a"].publish(OBSERVATIONS[1]))
+    wait_until(lambda: received["b"] == OBSERVATIONS)
+    assert time.monotonic() - start_s < gossip.MAX_HOLD_S + 2 * gossip.INTERVAL_S
+    assert peers["a"].sent == 1
--- a/tests/gateway/test_limit_gossip.py
+++ b/tests/gateway/test_limit_gossip.py
@@ -54,6 +54,6 @@
     running.call(lambda: old.gossip.use_peers([]))
     running.call(lambda: old.state(2.5))
     # The rounds for the change pass before the other entry is known.
-    waiting.until(lambda: not old.gossip._rounds_left, 5.0)
+    waiting.until(lambda: not old.gossip._rounds, 5.0)
     running.call(lambda: old.gossip.use_peers([new.address]))
     waiting.until(lambda: new.rate() == 2.5, 5.0)
