Compress configurations on their way to entries

Cause: a starting entry gets the whole configuration, some 130 KB with 900 endpoints, half a second of a 2 Mbit/s link, and two thirds of the 185 entries get it from another region; after the loss of all machines that adds to the time in which nobody is served.

--- a/oriolelock/distribution/parent_race.py
+++ b/oriolelock/distribution/parent_race.py
@@ -117,7 +117,9 @@
         received = []
         outcome = _Failed(received)
         try:
-            link = channel.connect(address, self._hello, CONNECT_LIMIT_S)
+            # A configuration of hundreds of endpoints would fill the link of a small instance for
+            # half a second.
+            link = channel.connect(address, self._hello, CONNECT_LIMIT_S, offer_compression=True)
             try:
                 self._subscribe(link, received)
                 outcome = Connected(address, link, received)
--- a/oriolelock/wire/channel.py
+++ b/oriolelock/wire/channel.py
@@ -138,16 +138,22 @@
 
 
 def connect(
-    address: tuple[str, int], greeting: hello.Hello, timeout_s: float = CONNECT_TIMEOUT_S
+    address: tuple[str, int],
+    greeting: hello.Hello,
+    timeout_s: float = CONNECT_TIMEOUT_S,
+    offer_compression: bool = False,
 ) -> Channel:
-    """Connect and perform the handshake; raises ChannelClosed or HandshakeRefused."""
+    """Connect and perform the handshake; raises ChannelClosed or HandshakeRefused.
+
+    ``offer_compression``: compress the messages of both directions if the peer agrees (RFC 7692).
+    """
     try:
         conn = websockets.sync.client.connect(
             f"ws://{address[0]}:{address[1]}/",
             open_timeout=timeout_s,
             close_timeout=1,
             ping_interval=None,
-            compression=None,
+            compression="deflate" if offer_compression else None,
             max_size=MAX_MESSAGE_BYTES,
             proxy=None,
         )
@@ -224,6 +230,7 @@
         open_timeout=CONNECT_TIMEOUT_S,
         close_timeout=1,
         ping_interval=None,
-        compression=None,
+        # Used on connections of which the client offers it.
+        compression="deflate",
         max_size=MAX_MESSAGE_BYTES,
     )
