--- a/oriolelock/dispatch/chooser.py
+++ b/oriolelock/dispatch/chooser.py
@@ -10,12 +10,10 @@
 """
 
 import collections.abc
-import dataclasses
 import random
 
 from oriolelock.dispatch import (
     cold_quota,
-    costs,
     decisions,
     endpoint_limits,
     endpoint_view,
@@ -25,7 +23,7 @@
     peer_reports,
     ranking,
     rankings,
-    region_split,
+    region_choice,
     service_times,
 )
 from oriolelock.model import configuration, endpoint, service
@@ -37,9 +35,6 @@
 WAIT_FACTORS = (6.0, 3.0, 2.0)
 RETRY_AFTER_MIN_S = 0.1
 RETRY_AFTER_MAX_S = 1.0
-# Objects move to another region if it saves this much of a response's value: several requests pay
-# for the slow first run there.
-MOVE_MARGIN = 0.15
 # Callers return in this time after the first endpoint takes requests again.
 PAUSE_SPREAD_S = 0.5
 FALLBACK_COLD_MS = 3000.0
@@ -47,15 +42,6 @@
 TIMEOUT_RATIO = 2.0
 
 
-@dataclasses.dataclass(frozen=True)
-class _RegionCandidate:
-    """The cheapest acceptable endpoint of a region, if any, and the region's shortest wait."""
-
-    send: decisions.Send | None
-    cost: float
-    wait_s: float
-
-
 class Chooser:
     """Load balancing state of one entry. Not thread-safe; times are monotonic seconds.
 
@@ -78,10 +64,7 @@
         self._cold_quota = cold_quota.ColdQuota()
         self._census = entry_census.EntryCensus(name, region)
         self.limits = endpoint_limits.EndpointLimits(name, self._census)
-        self._shift_speed = shift_speed
-        self._splits: dict[str, region_split.RegionSplit] = {}
-        # Names of services whose endpoints or entries may have changed since their last request.
-        self._outdated_splits: set[str] = set()
+        self._regions = region_choice.RegionChoice(region, shift_speed, self._estimator, rng)
         self._is_configured = False
 
     def configure(self, cfg: configuration.Configuration, now: float, wall_s: float) -> None:
@@ -106,8 +89,7 @@
             self._by_service.setdefault(view.endpoint.service, []).append(view)
         self._cold_quota.retain(self.views)
         self.limits.retain(self.views)
-        self._splits = {k: v for k, v in self._splits.items() if k in cfg.table.services}
-        self._outdated_splits = set(self._splits)
+        self._regions.configure(cfg.table.services)
         self._route_times = {k: v for k, v in self._route_times.items() if k in cfg.table.routes}
         self._is_configured = self._is_configured or bool(cfg.endpoints)
 
@@ -184,7 +166,13 @@
             name: self._best_candidate(views, context, times, now)
             for name, views in by_region.items()
         }
-        decision = self._select_region(candidates, context, now)
+        views = self._by_service[context.service]
+        self._regions.prepare(
+            context.service,
+            lambda: region_choice.count_slots(views, self._drained),
+            self._census.live_counts,
+        )
+        decision = self._regions.select(candidates, context, now)
         if decision is not None:
             return decision
         wait_s = min(candidate.wait_s for candidate in candidates.values())
@@ -203,58 +191,7 @@
             least_wait_s = min(least_wait_s, send.wait_s)
             if cost < best_cost and self._is_acceptable(send, context):
                 best, best_cost = send, cost
-        return _RegionCandidate(best, best_cost, least_wait_s)
-
-    def _select_region(self, candidates, context, now):
-        """Return the candidate of the region that the split selects, or None if it has none."""
-        split = self._split_for(context.service)
-        cheapest = min(candidates, key=lambda name: candidates[name].cost)
-        position = ranking.position(context.key) if context.key else self._rng.random()
-        order = [name for name in split.order(position) if name in candidates]
-        if candidates[cheapest].send is not None:
-            usual = split.usual_region(position)
-            split.record_preference(
-                self._preferred_region(candidates, (usual, *order[:1]), cheapest, context, now), now
-            )
-        if self._region not in candidates:
-            order.append(cheapest)
-        elif not order or candidates[order[0]].send is None:
-            order = [self._region]
-        return candidates[order[0]].send
-
-    def _preferred_region(self, candidates, customary, cheapest, context, now):
-        """Return the first of the ``customary`` regions that is fast enough, or the cheapest."""
-
-        def slowness_cost(name):
-            send = candidates[name].send
-            if send is None:
-                return costs.MISSED_COST
-            return self._estimator.slowness_cost(send, context, now)
-
-        limit = slowness_cost(cheapest) + MOVE_MARGIN
-        for name in customary:
-            if name in candidates and slowness_cost(name) <= limit:
-                return name
-        return cheapest
-
-    def _split_for(self, service_name):
-        split = self._splits.get(service_name)
-        if split is None:
-            shares = self._usual_shares(service_name)
-            split = region_split.RegionSplit(self._region, shares, self._shift_speed)
-            self._splits[service_name] = split
-        elif service_name in self._outdated_splits:
-            split.use_usual(self._usual_shares(service_name))
-        self._outdated_splits.discard(service_name)
-        return split
-
-    def _usual_shares(self, service_name):
-        slots: dict[str, float] = {}
-        for view in self._by_service.get(service_name, ()):
-            instance = view.endpoint
-            if instance.state == "live" and instance.name not in self._drained:
-                slots[instance.region] = slots.get(instance.region, 0.0) + instance.slots
-        return region_split.usual_shares(self._region, slots, self._census.live_counts())
+        return region_choice.RegionCandidate(best, best_cost, least_wait_s)
 
     def _jittered(self, delay_s):
         bounded_s = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, delay_s))
@@ -302,7 +239,8 @@
         """Record that a request was sent to the selected endpoint."""
         self.limits.record_sent(decision.view.endpoint.name, now)
         decision.view.record_start(number, decision.usual_s, now, decision.warm)
-        self._split_for(decision.view.endpoint.service).record_sent(decision.view.endpoint.region)
+        instance = decision.view.endpoint
+        self._regions.record_sent(instance.service, instance.region)
         if decision.cold:
             self._cold_quota.record_sent(decision.view.endpoint.name, now)
 
