--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -369,11 +369,13 @@
         self.slots, self.queue, self.work = slots, queue, work
         self.running = self.waiting = 0
         self.state = "ready"
+        self.born = int(time.time() * 1000)
         self._free = asyncio.Semaphore(slots)
         self._listener = None
         self._writers = []
 
     async def start(self):
+        self.born = int(time.time() * 1000)
         self._listener = await asyncio.start_server(self._serve, *self.address, limit=1 << 20)
 
     def crash(self):
@@ -491,9 +493,9 @@
                     [s.name, s.service, f"{s.address[0]}:{s.address[1]}", s.zone, "v1", s.slots, s.state]
                     for s in list(self.servers.values())
                 ]
-                for row in rows:
-                    row.append("0ms")
-                listed = {"columns": [*columns, "coldRemaining"], "rows": rows}
+                for row, server in zip(rows, list(self.servers.values()), strict=False):
+                    row += ["0ms", server.born]
+                listed = {"columns": [*columns, "coldRemaining", "born"], "rows": rows}
                 body = json.dumps({"instances": listed, "nextPageToken": None}).encode()
                 head = f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
                 writer.write(head.encode() + body)
