--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,7 +15,7 @@
 ROUTES = 360
 MAX_CHANGES = 400
 QUIET_CHANGES = 20
-CHANGE_S = 106.0
+CHANGE_S = 110.0
 ENDS = 3
 SERVICES = ("proof-rendering", "venue-reorder-ledger", "scribe-order-intake", "ink-and-paper")
 
