--- a/review/3/case.py
+++ b/review/3/case.py
@@ -21,27 +21,24 @@
 
 
 def _routes():
-    parts = [{"service": name, "weight": weight} for name, weight in zip(SERVICES, (70, 10, 10, 10))]
     found = {}
     for number in range(ROUTES):
         prefix = f"/planners/planner-{number}/galas-weddings-and-dinners/seating-runs/confirmations/"
         prefix += "of-cards-and-envelopes/for-the-halls-of-perth-bunbury-and-geraldton/by-the-scribes/"
-        item = fleets.route(prefix, SERVICES[0], "unsafe", timeout="6000ms")
-        del item["service"]
-        item["weightedServices"] = parts
+        item = fleets.route(prefix, SERVICES[number % 4], "unsafe", timeout="6000ms")
         item["host"] = f"venue-{number}.galas.swanquill.example"
         found[f"seating-confirmations-of-planner-{number}"] = item
     return found
 
 
-def _send(fleet, number, routes, services, until_s, names):
-    """Send one config to one replica after another until one accepts it; False if time is up."""
+def _send(fleet, number, routes, services, is_over, names):
+    """Send one config to one replica after another until one accepts it or ``is_over()``."""
     record = fleet.record
     data = {"version": f"r{number}", "routes": routes, "services": services}
     body = json.dumps({**data, "limits": fleets.LIMITS}).encode()
     headers = ["Content-Type: application/json", f"X-Base-Version: r{number - 1}"]
     pause_s = 0.1
-    while record.now_s() < until_s:
+    while not is_over():
         ip = fleet.processes[names[0]].ip
         try:
             answer = fleets.call(
@@ -82,19 +79,21 @@
         routes, services = _routes(), {name: fleets.service() for name in SERVICES}
         until_s, accepted, accepted_s = record.now_s() + CHANGE_S, 0, 0.0
         item = next(iter(routes.values()))
+
+        def is_over():
+            return record.now_s() > until_s or _ended_often(platform, fleet)
+
         for number in range(1, (MAX_CHANGES if trouble else QUIET_CHANGES) + 1):
             item["timeout"] = f"{6000 + number}ms"
-            if not _send(fleet, number, routes, services, until_s, names):
+            if not _send(fleet, number, routes, services, is_over, names):
                 break
             accepted, accepted_s = number, record.now_s()
             if number % 20 == 0:
                 used = {n: round(platform_limits.private_mb(p)) for n, p in fleet.processes.items()}
                 record.write(f"config r{number} accepted; private memory in MB: {used}")
-            if _ended_often(platform, fleet):
-                break
         if not accepted:
             raise fleets.CannotRun("no config was accepted")
-        while trouble and record.now_s() < until_s and not _ended_often(platform, fleet):
+        while trouble and not is_over():
             time.sleep(0.2)
         ends = {name: platform.ends.count(name) for name in fleet.processes}
         record.write(
