--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Hundreds of configs of 360 routes: control outgrows its memory and never comes back."""
+"""Hundreds of configs of 360 routes: control outgrows its memory again and again."""
 
 import json
 import pathlib
