--- a/oriolelock/control/host.py
+++ b/oriolelock/control/host.py
@@ -15,6 +15,7 @@
 from oriolelock import clock, logs
 from oriolelock.consensus import events, messages, node, outputs
 from oriolelock.control import (
+    applier,
     commands,
     event_queue,
     host_settings,
@@ -30,6 +31,8 @@
 __all__ = ["Host"]
 
 TICK_S = 0.05
+# Committed entries are applied for this long at once, a small part of an election timeout.
+APPLY_SLICE_S = 0.05
 # Interval between attempts to save while the disk is full.
 DISK_FULL_RETRY_S = 1.0
 STOP_TIMEOUT_S = 5.0
@@ -53,14 +56,12 @@
         self._stopping = threading.Event()
         self._leader = outputs.LeaderChanged("", 0, False)
         stored = store.load()
-        self._membership = stored.membership
-        self._applied = stored.snapshot_index
-        self._applied_term = stored.snapshot_term
         self._snapshot_policy = snapshot_policy.SnapshotPolicy(
             cfg.snapshot_every, stored.snapshot_index, len(stored.snapshot)
         )
-        if stored.snapshot:
-            state_machine.restore(stored.snapshot)
+        self._applier = applier.Applier(
+            cfg.group, state_machine, stored, self._snapshot_policy, self._pending_requests.applied
+        )
         rng = random.Random(f"{cfg.node.name}/{cfg.group}/{cfg.node.incarnation}")
         self._node = node.make(cfg.node, stored, clock.monotonic_s(), rng)
         self._thread = threading.Thread(target=self._run, name=f"group-{cfg.group}", daemon=True)
@@ -81,18 +82,19 @@
 
     def status(self) -> host_status.HostStatus:
         """Return the state of the group as this replica sees it."""
-        leader = self._leader
+        leader, membership = self._leader, self._applier.membership
         own_records = [
-            r for r in self._membership.replicas if r.incarnation == self._cfg.node.incarnation
+            r for r in membership.replicas if r.incarnation == self._cfg.node.incarnation
         ]
         return host_status.HostStatus(
             leader=leader.leader,
             term=leader.term,
             is_leader=leader.is_self,
-            applied=self._applied,
+            applied=self._applier.applied,
             voter=any(r.voter for r in own_records if r.name == self._cfg.node.name),
-            replicas=len(self._membership.replicas),
+            replicas=len(membership.replicas),
             disk_full=self._disk_full,
+            is_caught_up=self._applier.applied_term == leader.term,
         )
 
     def receive(self, sender: str, incarnation: str, msg: object) -> None:
@@ -105,7 +107,7 @@
 
     def member_names(self) -> tuple[str, ...]:
         """Return the names of the replicas in the latest membership committed here."""
-        return tuple(member.name for member in self._membership.replicas)
+        return tuple(member.name for member in self._applier.membership.replicas)
 
     def transfer(self) -> None:
         """Transfer leadership to another replica."""
@@ -126,7 +128,7 @@
     def wait_applied(self, index: int, result: object) -> concurrent.futures.Future:
         """Return a future that completes with ``result`` when ``index`` is applied."""
         fut = concurrent.futures.Future()
-        if self._applied >= index:
+        if self._applier.applied >= index:
             fut.set_result(result)
         else:
             self._event_queue.put((index, fut, result))
@@ -144,7 +146,8 @@
         try:
             next_tick_s = clock.monotonic_s()
             while not self._stopping.is_set():
-                batch = self._event_queue.take(next_tick_s)
+                now = clock.monotonic_s()
+                batch = self._event_queue.take(now if self._applier.is_behind else next_tick_s)
                 now = clock.monotonic_s()
                 if now >= next_tick_s:
                     batch.append(events.Tick())
@@ -186,8 +189,10 @@
             else:
                 pending.extend(node.step(self._node, event, now))
         self._handle_outputs(pending, now)
-        self._pending_requests.finish_waiting(self._applied)
-        if self._snapshot_policy.is_due(self._applied):
+        if self._applier.apply_for(APPLY_SLICE_S):
+            self._cfg.changed(self._cfg.group)
+        self._pending_requests.finish_waiting(self._applier.applied)
+        if self._snapshot_policy.is_due(self._applier.applied):
             self._handle_outputs(collections.deque(self._take_snapshot_or_transfer(now)), now)
 
     def _handle_outputs(self, pending, now):
@@ -236,29 +241,9 @@
     def _send(self, output):
         self._cfg.send(output.target, output.msg)
 
-    def _commit(self, output):
-        for entry in output.entries:
-            self._apply(entry)
-        self._cfg.changed(self._cfg.group)
-
-    def _apply(self, entry):
-        result = None
-        if entry.kind == "command":
-            result = self._state_machine.apply(entry.index, codec.decode(entry.data))
-        elif entry.kind == "membership":
-            self._membership = codec.decode(entry.data)
-            names = [r.name + ("" if r.voter else " (learner)") for r in self._membership.replicas]
-            log.info("Group {}: the members are {}.", self._cfg.group, ", ".join(names))
-        self._applied, self._applied_term = entry.index, entry.term
-        self._pending_requests.applied(entry, result)
-
     def _restore(self, output):
         self._store_received(output)
-        self._state_machine.restore(output.data)
-        self._membership = output.membership
-        self._applied, self._applied_term = output.index, output.term
-        self._snapshot_policy.record_snapshot(output.index, len(output.data), 0.0)
-        log.info("Group {}: restored a snapshot at index {}.", self._cfg.group, output.index)
+        self._applier.restore(output)
         self._pending_requests.restored(output.index)
         self._cfg.changed(self._cfg.group)
 
@@ -290,23 +275,22 @@
         if self._leader.is_self and self._snapshot_policy.should_transfer(now):
             return node.step(self._node, events.Transfer(), now)
         started_s = clock.monotonic_s()
-        data = self._state_machine.encode()
+        data, index = self._state_machine.encode(), self._applier.applied
+        term, membership = self._applier.applied_term, self._applier.membership
         try:
-            self._store.save_snapshot(self._applied, self._applied_term, self._membership, data)
+            self._store.save_snapshot(index, term, membership, data)
         except storage_errors.DiskFull as exc:
             # Nothing is lost: the log still holds the entries that the snapshot would replace.
             log.error("Group {}: disk full, no snapshot taken: {}.", self._cfg.group, exc)
-            self._snapshot_policy.postpone(self._applied)
+            self._snapshot_policy.postpone(index)
             return []
-        self._snapshot_policy.record_snapshot(
-            self._applied, len(data), clock.monotonic_s() - started_s
-        )
-        return node.step(self._node, events.SnapshotTaken(self._applied, data), now)
+        self._snapshot_policy.record_snapshot(index, len(data), clock.monotonic_s() - started_s)
+        return node.step(self._node, events.SnapshotTaken(index, data), now)
 
 
 _HANDLERS = {
     outputs.Send: Host._send,
-    outputs.Commit: Host._commit,
+    outputs.Commit: lambda self, out: self._applier.add(out.entries),
     outputs.RestoreSnapshot: Host._restore,
     outputs.Proposed: lambda self, out: self._pending_requests.proposed(out),
     outputs.Rejected: lambda self, out: self._pending_requests.rejected(out),
--- a/oriolelock/control/host_settings.py
+++ b/oriolelock/control/host_settings.py
@@ -18,10 +18,10 @@
     """The group's name and settings, and the callbacks of a host.
 
     ``send(target, msg)`` sends a consensus message, ``fail(text)`` ends the process, and
-    ``changed(group)`` is called after each commit and each change of leader. A snapshot is taken
-    every ``snapshot_every`` entries, or less often if snapshots are large. ``min_voters``: a voter
-    that has long been silent is removed only while at least this many others remain; None never
-    removes voters.
+    ``changed(group)`` is called after entries were applied and each change of leader. A snapshot is
+    taken after ``snapshot_every`` entries at the latest, unless snapshots are large.
+    ``min_voters``: a voter that has long been silent is removed only while at least this many
+    others remain; None never removes voters.
     """
 
     group: str
--- a/oriolelock/control/host_status.py
+++ b/oriolelock/control/host_status.py
@@ -15,6 +15,7 @@
     """``leader`` is empty if none is known and may be outdated: only a confirmed read proves it.
 
     ``applied`` is the index of the last applied log entry, ``replicas`` the number of members.
+    ``is_caught_up``: an entry of the current term is applied, and so all of earlier terms.
     """
 
     leader: str
@@ -24,3 +25,4 @@
     voter: bool
     replicas: int
     disk_full: bool
+    is_caught_up: bool
--- a/oriolelock/control/instance_monitor.py
+++ b/oriolelock/control/instance_monitor.py
@@ -85,7 +85,8 @@
         self.take_local(messages.StatusBatch((self._own_report(),)))
         self._replica.broadcast(report_packing.pack(self._reports.take_unrelayed(now).reports))
         self._report_metrics()
-        if not self._replica.status().is_leader:
+        status = self._replica.status()
+        if not (status.is_leader and status.is_caught_up):
             self._leading_since_s, self.held_back = None, ()
             return
         if self._leading_since_s is None:
@@ -116,7 +117,8 @@
         diff = instance_list.InstanceDiff(names_members)
         while not self._stopping.wait(self._cfg.instance_poll_s):
             status, started_s = self._replica.status(), clock.monotonic_s()
-            if not status.is_leader:
+            # A new leader whose state is behind would propose what has been done or undone since.
+            if not (status.is_leader and status.is_caught_up):
                 diff = instance_list.InstanceDiff(names_members)
                 continue
             try:
--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -65,7 +65,11 @@
     ``parents`` returns the addresses to try for a configuration, best first. An entry whose
     parent is not the best one moves to the best after ``REBALANCE_INTERVAL_S``.
 
-    ``on_config`` runs in the uplink's thread after each change of the configuration.
+    ``on_config`` runs in the uplink's thread after each change of the configuration in use.
+
+    A parent that starts again passes through old states while it applies its log. So the first
+    configuration is used only once a parent has confirmed it as current; until then it is held,
+    which names further parents and saves receiving it twice.
     """
 
     def __init__(
@@ -102,10 +106,18 @@
         self._thread = threading.Thread(target=self._run, name="uplink", daemon=True)
 
     @property
-    def configuration(self) -> configuration.Configuration:
-        """The configuration in use; neither its index nor its version ever decreases."""
+    def held_configuration(self) -> configuration.Configuration:
+        """The latest configuration received, which may not be confirmed and in use yet."""
         return self._holder.cfg
 
+    @property
+    def configuration(self) -> configuration.Configuration:
+        """The configuration in use, empty before the first.
+
+        Neither its index nor its version ever decreases.
+        """
+        return self._holder.cfg if self.is_ready else configuration.EMPTY
+
     @property
     def is_ready(self) -> bool:
         """True once the configuration has been confirmed, or loaded from the stored copy."""
@@ -307,24 +319,33 @@
         if verdict is held_configuration.Verdict.APPLIED:
             self._is_resyncing = False
             self._install(cfg, msg)
-            if msg.confirmed:
-                self._confirmed_s = clock.monotonic_s()
             return msg.confirmed
         self._resync(verdict, msg)
         return False
 
     def _install(self, cfg, msg):
-        if cfg.index == self._holder.cfg.index and cfg.version == self._holder.cfg.version:
-            return
-        if self._store:
+        was_ready, held = self.is_ready, self._holder.cfg
+        is_changed = (cfg.index, cfg.version) != (held.index, held.version)
+        is_used = msg.confirmed or was_ready
+        is_new = is_used and (is_changed or not was_ready)
+        if is_new and self._store:
             # Stored before use, so that a restart never returns to an older configuration.
             self._store.save(cfg)
+        if is_changed:
+            self._hold(cfg, msg)
+        if msg.confirmed:
+            self._confirmed_s = clock.monotonic_s()
+        if is_new:
+            self._on_config(cfg)
+        elif is_changed:
+            log.info("configuration at index {} is held until a parent confirms it", cfg.index)
+
+    def _hold(self, cfg, msg):
         self._holder.cfg = cfg
         if isinstance(msg, messages.Delta):
             self.recent.advance(cfg, msg.changes)
         else:
             self.recent.reset(cfg)
-        self._on_config(cfg)
 
     def _resync(self, verdict, msg):
         log.warning("{} {} at index {}", verdict.value, msg.wire_name, self._holder.cfg.index)
--- a/tests/control/test_list_readings.py
+++ b/tests/control/test_list_readings.py
@@ -8,6 +8,7 @@
 from oriolelock.control import instance_list, instance_monitor
 from oriolelock.distribution import reports
 from oriolelock.model import configuration
+from tests import waiting
 from tests.dispatch import builders
 
 POLL_S = 0.01
@@ -17,11 +18,13 @@
     """``status`` and ``configuration`` of a replica that leads; records the changes proposed."""
 
     def __init__(self):
-        self.is_leader, self.term = True, 7
+        self.is_leader, self.term, self.is_caught_up = True, 7, True
         self.proposed = []
 
     def status(self):
-        return types.SimpleNamespace(is_leader=self.is_leader, term=self.term)
+        return types.SimpleNamespace(
+            is_leader=self.is_leader, term=self.term, is_caught_up=self.is_caught_up
+        )
 
     def configuration(self):
         return configuration.EMPTY
@@ -81,3 +84,20 @@
     replica = FakeReplica()
     play(replica, lambda _: None, [100.0], monkeypatch)
     assert [change.endpoint.name for change in replica.proposed] == ["gone"]
+
+
+def test_leader_that_has_not_applied_its_log_proposes_nothing(monkeypatch):
+    """It would undo what entries of its log have done."""
+    replica = FakeReplica()
+    replica.is_caught_up = False
+    readings = []
+    cfg = types.SimpleNamespace(instance_list="", instance_poll_s=POLL_S, name="c1")
+    monitor = instance_monitor.InstanceMonitor(
+        cfg, replica, reports.Reports(), lambda: None, lambda: readings.append(None) or {}
+    )
+    monitor._threads[-1].start()
+    threading.Event().wait(10 * POLL_S)
+    assert readings == []
+    replica.is_caught_up = True
+    waiting.until(lambda: readings)
+    monitor.stop()
--- a/tests/distribution/test_relay.py
+++ b/tests/distribution/test_relay.py
@@ -92,8 +92,9 @@
     try:
         calls_before = len(rig.control.calls)
         waiting.until(lambda: len(rig.control.calls) >= calls_before + 4)
-        assert late_uplink.configuration.index == 5
+        assert late_uplink.held_configuration.index == 5
         assert not late_uplink.is_ready
+        assert late_uplink.configuration.index == 0
         rig.control.cfg = fake_parent.make_config(index=9, version=3)
         rig.control.send(messages.Delta(5, 9, (make_change(9),), True))
         waiting.until(lambda: late_uplink.is_ready)
--- a/tests/distribution/test_uplink.py
+++ b/tests/distribution/test_uplink.py
@@ -27,12 +27,11 @@
 def connect():
     uplinks = []
 
-    def make(*parents, store=None):
+    def make(*parents, **options):
         greeting = hello.Hello(1, fake_parent.CLUSTER, fake_parent.TOKEN, "a", "entry", "i")
         addresses = [p.address for p in parents]
-        uplinks.append(
-            uplink.Uplink(lambda cfg: addresses, greeting, make_report, store, rng=random.Random(1))
-        )
+        options.setdefault("rng", random.Random(1))
+        uplinks.append(uplink.Uplink(lambda cfg: addresses, greeting, make_report, **options))
         uplinks[-1].start()
         return uplinks[-1]
 
@@ -279,3 +278,53 @@
         parent.confirms = False
         last.cfg = fake_parent.make_config(index=9)
         waiting.until(index_is(link, 9), 2.0 + 2.5)
+
+
+def test_an_old_configuration_is_not_used_while_no_parent_confirms_it(connect, parent):
+    """After a start of all processes, parents send the states that they pass through."""
+    parent.confirms = False
+    seen = []
+    link = connect(parent, on_config=seen.append)
+    parent.wait_for(lambda: parent.subscriptions)
+    parent.send(messages.Delta(5, 6, (make_change(6),), False))
+    waiting.until(lambda: link.held_configuration.index == 6)
+    assert (link.is_ready, link.configuration.index, seen) == (False, 0, [])
+    parent.cfg, parent.confirms = fake_parent.make_config(index=7, version=3), True
+    waiting.until(lambda: [cfg.index for cfg in seen] == [7])
+
+
+def test_confirmation_without_a_change_puts_the_held_configuration_in_use(connect, parent):
+    parent.confirms = False
+    seen = []
+    link = connect(parent, on_config=seen.append)
+    waiting.until(lambda: link.held_configuration.index == 5)
+    parent.confirms = True
+    waiting.until(lambda: [cfg.index for cfg in seen] == [5])
+    assert link.configuration.index == 5
+
+
+def test_configuration_that_is_not_confirmed_is_not_stored(connect, parent, tmp_path):
+    """A stored copy makes an entry ready at once when it starts again."""
+    parent.confirms = False
+    store = stored_copy.StoredCopy(str(tmp_path))
+    link = connect(parent, store=store)
+    waiting.until(lambda: link.held_configuration.index == 5)
+    assert store.load() is None
+    parent.confirms = True
+    waiting.until(lambda: link.is_ready)
+    assert store.load() == link.configuration
+
+
+def test_held_configuration_names_further_parents(connect, parent, other):
+    """Otherwise an entry whose first parents can't confirm would never find another."""
+    parent.confirms = False
+    greeting = hello.Hello(1, fake_parent.CLUSTER, fake_parent.TOKEN, "a", "entry", "i")
+
+    def parents(cfg):
+        return [parent.address] if cfg.index == 0 else [parent.address, other.address]
+
+    link = uplink.Uplink(parents, greeting, make_report, rng=random.Random(1))
+    link.start()
+    waiting.until(lambda: link.is_ready)
+    assert link.parent == other.address
+    link.stop()
