--- a/oriolelock/consensus/log.py
+++ b/oriolelock/consensus/log.py
@@ -5,7 +5,9 @@
     The in-memory log of a node.
 """
 
+import bisect
 import collections.abc
+import itertools
 
 from oriolelock.consensus import messages
 
@@ -24,6 +26,9 @@
         self.base_index = base_index
         self.base_term = base_term
         self._entries = list(entries)
+        # Sum of the bytes of the entries up to each one, from an arbitrary start.
+        self._sizes = list(itertools.accumulate(_size(entry) for entry in self._entries))
+        self._base_size = 0
 
     @property
     def last_index(self) -> int:
@@ -55,6 +60,25 @@
         if entry.index != self.last_index + 1:
             raise ValueError(f"entry {entry.index} does not follow entry {self.last_index}")
         self._entries.append(entry)
+        self._sizes.append(self._size_up_to(self.last_index - 1) + _size(entry))
+
+    def _size_up_to(self, index):
+        if index <= self.base_index:
+            return self._base_size
+        return self._sizes[min(index, self.last_index) - self.base_index - 1]
+
+    def bytes_after(self, index: int) -> int:
+        """Return the size in bytes of the entries after ``index``."""
+        return self._size_up_to(self.last_index) - self._size_up_to(index)
+
+    def retained_base(self, index: int, max_entries: int, max_bytes: int) -> int:
+        """Return the index after which entries up to ``index`` have at most the given size."""
+        least_size = self._size_up_to(index) - max_bytes
+        if self._base_size >= least_size:
+            by_bytes = self.base_index
+        else:
+            by_bytes = self.base_index + 1 + bisect.bisect_left(self._sizes, least_size)
+        return max(index - max_entries, by_bytes)
 
     def between(self, first: int, last: int) -> tuple[messages.Entry, ...]:
         """Return the entries from ``first`` to ``last``, inclusive."""
@@ -65,7 +89,7 @@
         end = start = first - self.base_index - 1
         size = 0
         while end < len(self._entries):
-            size += len(self._entries[end].data) + ENTRY_OVERHEAD_BYTES
+            size += _size(self._entries[end])
             if size > max_bytes and end > start:
                 break
             end += 1
@@ -74,15 +98,23 @@
     def truncate(self, first: int) -> None:
         """Remove the entry at ``first`` and all later ones."""
         del self._entries[first - self.base_index - 1 :]
+        del self._sizes[first - self.base_index - 1 :]
 
     def compact(self, index: int) -> None:
         """Remove the entries up to and including ``index``."""
         if index <= self.base_index:
             return
         term = self.term_at(index)
+        self._base_size = self._size_up_to(index)
         del self._entries[: index - self.base_index]
+        del self._sizes[: index - self.base_index]
         self.base_index, self.base_term = index, term
 
     def reset(self, index: int, term: int) -> None:
         """Remove all entries, so that the log continues after ``index``."""
         self.base_index, self.base_term, self._entries = index, term, []
+        self._sizes, self._base_size = [], 0
+
+
+def _size(entry):
+    return len(entry.data) + ENTRY_OVERHEAD_BYTES
--- a/oriolelock/consensus/replication.py
+++ b/oriolelock/consensus/replication.py
@@ -20,6 +20,7 @@
 __all__ = [
     "MAX_IN_FLIGHT",
     "MAX_MESSAGE_BYTES",
+    "MAX_UNCOMMITTED_BYTES",
     "MAX_UNCOMMITTED_ENTRIES",
     "advance_commit",
     "become_leader",
@@ -35,8 +36,9 @@
 MAX_MESSAGE_BYTES = 256 * 1024
 # Unacknowledged messages with entries per replica; limits the data sent to a slow replica.
 MAX_IN_FLIGHT = 8
-# Proposals are rejected above this limit, e.g. if the disk is full or the followers are slow.
+# Proposals are rejected above these limits, e.g. if the disk is full or the followers are slow.
 MAX_UNCOMMITTED_ENTRIES = 10_000
+MAX_UNCOMMITTED_BYTES = 16 * 1024 * 1024
 
 
 def become_leader(node: state.Node, now: float) -> None:
@@ -63,7 +65,7 @@
         reason = "not-leader"
     elif node.transfer_target:
         reason = "transferring"
-    elif node.log.last_index - node.commit_index >= MAX_UNCOMMITTED_ENTRIES:
+    elif _is_overloaded(node):
         reason = "overloaded"
     if reason:
         node.pending_outputs.append(outputs.Rejected(event.request_id, node.leader, reason))
@@ -73,6 +75,12 @@
     send_to_all(node)
 
 
+def _is_overloaded(node):
+    count = node.log.last_index - node.commit_index
+    size = node.log.bytes_after(node.commit_index)
+    return count >= MAX_UNCOMMITTED_ENTRIES or size >= MAX_UNCOMMITTED_BYTES
+
+
 def send_to_all(node: state.Node) -> None:
     """Send new entries to each replica with fewer than ``MAX_IN_FLIGHT`` messages in flight."""
     for name in node.progress:
--- a/oriolelock/consensus/snapshots.py
+++ b/oriolelock/consensus/snapshots.py
@@ -17,6 +17,7 @@
 
 __all__ = [
     "CHUNK_BYTES",
+    "RETAINED_BYTES",
     "RETAINED_ENTRIES",
     "on_install",
     "on_install_reply",
@@ -26,8 +27,9 @@
 ]
 
 CHUNK_BYTES = 256 * 1024
-# Entries retained before a snapshot, so that a slightly lagging follower does not need one.
+# Retained before a snapshot, so that a slightly lagging follower does not need one.
 RETAINED_ENTRIES = 1000
+RETAINED_BYTES = 1024 * 1024
 
 
 def on_snapshot_taken(node: state.Node, event, now: float) -> None:
@@ -40,7 +42,7 @@
         membership.in_effect_at(node, event.index),
         event.data,
     )
-    node.log.compact(event.index - RETAINED_ENTRIES)
+    node.log.compact(node.log.retained_base(event.index, RETAINED_ENTRIES, RETAINED_BYTES))
     _drop_old_memberships(node)
 
 
--- a/oriolelock/control/config_state.py
+++ b/oriolelock/control/config_state.py
@@ -69,14 +69,15 @@
         self.wall_s = max(self.wall_s, command.wall_s)
         payload = command.payload
         if not isinstance(payload, commands.OperatorChange):
-            return self._apply_change(index, payload)
-        digest = xxhash.xxh64_intdigest(codec.encode(payload.change))
+            return self._apply_change(index, payload, len(codec.encode(payload)))
+        data = codec.encode(payload.change)
+        digest = xxhash.xxh64_intdigest(data)
         stored = self._stored_results.get(payload.change_id)
         if stored is not None and stored.digest != digest:
             return results.Refused("the change id was used for a different change")
         if stored is not None:
             return codec.from_plain(stored.result)
-        result = self._apply_operator_change(index, payload)
+        result = self._apply_operator_change(index, payload, len(data))
         is_route_change = isinstance(payload.change, changes.RouteChange)
         if not is_route_change or isinstance(result, results.Applied):
             # A route change that met a conflict may be resent once its base revision is in force.
@@ -85,7 +86,7 @@
             )
         return result
 
-    def _apply_operator_change(self, index, payload):
+    def _apply_operator_change(self, index, payload, size):
         version = self.view().version
         if payload.expect_version is not None and payload.expect_version != version:
             return results.Conflict(version)
@@ -93,9 +94,9 @@
             revision = self.view().table.revision
             if payload.change.base != revision:
                 return results.Conflict(revision)
-        return self._apply_change(index, payload.change)
+        return self._apply_change(index, payload.change, size)
 
-    def _apply_change(self, index, change):
+    def _apply_change(self, index, change, size):
         if not isinstance(change, changes.Change):
             return results.Refused(f"not a change: {type(change).__name__}")
         try:
@@ -110,7 +111,8 @@
             # The command is in every replica's log: raising would end them all, at every start.
             log.exception("Change {} at index {} failed.", type(change).__name__, index)
             return results.Refused(f"internal error: {type(exc).__name__}")
-        self._recent_changes.advance(updated, (delta.CommittedChange(index, self.wall_s, change),))
+        committed = delta.CommittedChange(index, self.wall_s, change)
+        self._recent_changes.advance(updated, (committed,), (size,))
         return results.Applied(updated.version, updated.index)
 
     def _store_result(self, change_id, stored):
--- a/oriolelock/control/peer_link.py
+++ b/oriolelock/control/peer_link.py
@@ -6,13 +6,12 @@
 """
 
 import collections.abc
-import queue
 import random
 import threading
 
 from oriolelock import logs
 from oriolelock.settings import control as settings
-from oriolelock.wire import channel, codec, errors, hello
+from oriolelock.wire import channel, codec, errors, hello, send_queue
 
 __all__ = ["PeerLink"]
 
@@ -25,6 +24,8 @@
 CONNECT_MAX_S = 2.0
 # The consensus protocol resends lost messages; a longer queue would only deliver stale ones.
 MAX_QUEUED = 2000
+# Twice what the leader sends a replica before it waits for a reply.
+MAX_QUEUED_BYTES = 4 * 1024 * 1024
 
 log = logs.get_logger("control.peer")
 
@@ -39,7 +40,7 @@
     def __init__(self, peer: settings.PeerSettings, make_hello: collections.abc.Callable):
         self._peer = peer
         self._make_hello = make_hello
-        self._queue: queue.Queue[bytes | None] = queue.Queue(MAX_QUEUED)
+        self._queue = send_queue.SendQueue(MAX_QUEUED, MAX_QUEUED_BYTES)
         self._channel: channel.Channel | None = None
         self._stopping = threading.Event()
         self._last_error = ""
@@ -57,6 +58,7 @@
     def stop(self) -> None:
         """Close the connection and stop reconnecting."""
         self._stopping.set()
+        self._queue.close()
         conn = self._channel
         if conn:
             conn.close()
@@ -68,17 +70,10 @@
 
     def send(self, msg: object) -> bool:
         """Queue a message; returns False if it was dropped."""
-        if self._channel is None:
-            return False
-        try:
-            self._queue.put_nowait(codec.encode(msg))
-        except queue.Full:
-            return False
-        return True
+        return self._channel is not None and self._queue.put(codec.encode(msg))
 
     def _run_sender(self):
-        while not self._stopping.is_set():
-            data = self._queue.get()
+        while (data := self._queue.get()) is not None:
             conn = self._channel
             if conn is None:
                 continue
--- a/oriolelock/distribution/subscriber.py
+++ b/oriolelock/distribution/subscriber.py
@@ -5,16 +5,16 @@
     One subscription, as the publisher sees it.
 """
 
-import queue
 import threading
 
-from oriolelock.wire import channel, errors
+from oriolelock.wire import channel, errors, send_queue
 
 __all__ = ["Subscriber"]
 
-# Deltas and replies to calls share the queue. A subscriber with this many unsent messages is
+# Deltas and replies to calls share the queue. A subscriber with more unsent messages is
 # disconnected.
 MAX_QUEUED_MESSAGES = 4096
+MAX_QUEUED_BYTES = 4 * 1024 * 1024
 # A subscriber with a longer backlog gets one larger delta later.
 MAX_DELTA_BACKLOG = 2
 
@@ -24,13 +24,12 @@
 
     def __init__(self, conn: channel.Channel):
         self._conn = conn
-        self._queue: queue.Queue[bytes | None] = queue.Queue(MAX_QUEUED_MESSAGES)
+        self._queue = send_queue.SendQueue(MAX_QUEUED_MESSAGES, MAX_QUEUED_BYTES)
         self._lock = threading.Lock()
         self._admitted = False
         self._is_first_due = False
         self._confirmed = False
         self._confirming = False
-        self._closed = False
         self.name = conn.peer.name
         self.index = 0
         self._thread = threading.Thread(target=self._run, name=f"to-{self.name}", daemon=True)
@@ -66,7 +65,7 @@
 
     def is_due(self, is_heartbeat_due: bool, index: int) -> bool:
         """Return whether there is something to publish and the queue has room."""
-        if not self._admitted or self._queue.qsize() > MAX_DELTA_BACKLOG:
+        if not self._admitted or len(self._queue) > MAX_DELTA_BACKLOG:
             return False
         return is_heartbeat_due or self._is_first_due or index > self.index
 
@@ -89,25 +88,16 @@
 
     def enqueue(self, data: bytes) -> None:
         """Queue an encoded message; disconnect the subscriber if its queue is full."""
-        try:
-            self._queue.put_nowait(data)
-        except queue.Full:
+        if not self._queue.put(data):
             self.close()
 
     def close(self) -> None:
         """Close the connection and stop the thread."""
-        self._closed = True
-        try:
-            self._queue.put_nowait(None)
-        except queue.Full:
-            pass
+        self._queue.close()
         self._conn.close()
 
     def _run(self):
-        while not self._closed:
-            data = self._queue.get()
-            if data is None:
-                return
+        while (data := self._queue.get()) is not None:
             try:
                 self._conn.send_bytes(data)
             except errors.ChannelClosed:
--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -6,7 +6,6 @@
 """
 
 import collections.abc
-import queue
 import random
 import threading
 
@@ -21,9 +20,8 @@
     report_packing,
     stored_copy,
 )
-from oriolelock.distribution import outbox as outboxes
 from oriolelock.model import configuration
-from oriolelock.wire import channel, hello
+from oriolelock.wire import channel, codec, hello, send_queue
 from oriolelock.wire import errors as wire_errors
 
 __all__ = ["Uplink"]
@@ -44,8 +42,9 @@
 RECV_TIMEOUT_S = 0.2
 BACKOFF_MIN_S = 0.1
 BACKOFF_MAX_S = 0.6
-# When this many messages are queued, further calls fail at once.
+# When so much is queued, further calls fail at once.
 MAX_QUEUED_SENDS = 4096
+MAX_QUEUED_BYTES = 4 * 1024 * 1024
 
 # A starting entry connects to control first, and later moves to its parent in the tree.
 REBALANCE_INTERVAL_S = 5.0
@@ -98,7 +97,7 @@
         self._is_resyncing = False
         self._confirmed_s: float | None = None
         self._parent: Address | None = None
-        self._outbox: queue.Queue | None = None
+        self._outbox: send_queue.SendQueue | None = None
         self._link: channel.Channel | None = None
         self._closed_link_bytes = (0, 0)
         self._closed_link_messages = (0, 0)
@@ -191,13 +190,7 @@
 
     def _enqueue(self, msg):
         outbox = self._outbox
-        if outbox is None:
-            return False
-        try:
-            outbox.put_nowait(msg)
-        except queue.Full:
-            return False
-        return True
+        return outbox is not None and outbox.put(codec.encode(msg))
 
     def _run(self):
         failures = 0
@@ -247,10 +240,10 @@
     def _serve_connection(self, connected):
         address, link = connected.address, connected.link
         self._link = link
-        outbox = queue.Queue(MAX_QUEUED_SENDS)
+        outbox = send_queue.SendQueue(MAX_QUEUED_SENDS, MAX_QUEUED_BYTES)
         # Callers only queue messages: sending to a peer that does not read would block them.
         writer = threading.Thread(
-            target=outboxes.run_writer, args=(link, outbox), name="uplink-writer", daemon=True
+            target=_send_queued, args=(link, outbox), name="uplink-writer", daemon=True
         )
         writer.start()
         try:
@@ -267,7 +260,7 @@
             (self._closed_link_bytes, self._closed_link_messages), self._link = closed_totals, None
             self._pending_calls.fail_all("connection to the parent ended")
             link.close()
-            outboxes.stop_writer(outbox)
+            outbox.close()
             writer.join()
 
     def _subscribe(self):
@@ -355,3 +348,12 @@
             # More deltas with a gap may arrive before the missing changes; one request is enough.
             self._is_resyncing = True
             self._subscribe()
+
+
+def _send_queued(link, outbox):
+    """Send queued messages until the queue is closed or the connection ends."""
+    while (data := outbox.get()) is not None:
+        try:
+            link.send_bytes(data)
+        except wire_errors.ChannelClosed:
+            return
--- a/tests/consensus/test_replication.py
+++ b/tests/consensus/test_replication.py
@@ -296,3 +296,18 @@
     cluster.read(new_leader)
     cluster.run(5, sync=0.0)
     assert not any(isinstance(output, outputs.ReadReady) for output in cluster.results)
+
+
+def test_changes_that_wait_for_a_majority_are_bounded_by_bytes():
+    """Operators send a change again and again while there is no majority."""
+    cluster = driver.Cluster(3)
+    leader = cluster.elect()
+    cluster.partitioned = set(cluster.replicas) - {leader}
+    data = bytes(1024 * 1024)
+    results = []
+    for number in range(100):
+        results += cluster.step(leader, events.Propose(str(number), data))
+    accepted = sum(isinstance(result, outputs.Proposed) for result in results)
+    rejected = [result for result in results if isinstance(result, outputs.Rejected)]
+    assert 0 < accepted <= replication.MAX_UNCOMMITTED_BYTES // len(data) + 1
+    assert {result.reason for result in rejected} == {"overloaded"}
--- a/tests/scenarios/control/test_control_entries.py
+++ b/tests/scenarios/control/test_control_entries.py
@@ -88,7 +88,8 @@
 @then(parsers.parse('the entry refuses callers with "{reason}"'))
 def refuses(world, reason):
     # The entry received the older configuration, and does not use it for callers.
-    waiting.until(lambda: "in use" in log_of(world, world.entry), what="an old configuration")
+    waiting.until(lambda: "is held" in log_of(world, world.entry), what="an old configuration")
+    assert "in use" not in log_of(world, world.entry)
     reply = world.request(world.entry, "read")
     assert (reply.status, reply.headers["oriolelock-outcome"]) == (503, "not-run")
     assert reply.headers["oriolelock-reason"] == reason
