--- a/oriolelock/control/call_router.py
+++ b/oriolelock/control/call_router.py
@@ -16,7 +16,7 @@
 from oriolelock.control import commands, messages, unavailable
 from oriolelock.once import messages as once_messages
 
-__all__ = ["CallRouter"]
+__all__ = ["RESENDABLE", "CallRouter"]
 
 # Two heartbeat intervals, so that a newly elected leader is found soon.
 RETRY_DELAY_S = 0.1
--- a/oriolelock/control/components.py
+++ b/oriolelock/control/components.py
@@ -40,8 +40,9 @@
         self.instance_monitor = instance_monitor.InstanceMonitor(
             cfg, self.replica, self.reports, self._report_metrics, read_instances
         )
-        self.replica.take_reports = self.instance_monitor.take_relayed
         self.publisher = publisher.Publisher(self._make_publisher_source())
+        self.replica.lag_s = self.instance_monitor.lag_s = self._lag_s
+        self.replica.take_reports = self._take_relayed
         self.replica.listen(self._on_change)
         self._joiner = joiner.Joiner(cfg, self.replica) if cfg.seeds else None
         self._links = channel.serve(cfg.link_listen, self._serve_link)
@@ -73,6 +74,12 @@
         self._links.shutdown()
         self.replica.stop()
 
+    def _lag_s(self):
+        return self.publisher.pauses.lag_s(clock.monotonic_s())
+
+    def _take_relayed(self, batch):
+        self.instance_monitor.take_relayed(reports.aged(batch, self._lag_s()))
+
     def _make_publisher_source(self):
         def confirm(timeout_s):
             result = concurrent.futures.Future()
--- a/oriolelock/control/config_state.py
+++ b/oriolelock/control/config_state.py
@@ -13,17 +13,18 @@
 import xxhash
 
 from oriolelock import logs
-from oriolelock.control import commands
+from oriolelock.control import commands, order_numbers
 from oriolelock.distribution import recent_changes
 from oriolelock.model import changes, configuration, delta, errors, results
 from oriolelock.wire import codec
 
-__all__ = ["MAX_RESULTS", "RESULT_RETENTION_S", "ConfigState"]
+__all__ = ["ID_REUSED", "MAX_RESULTS", "RESULT_RETENTION_S", "ConfigState"]
 
 RESULT_RETENTION_S = 24 * 3600.0
 # Twice the 26,000 changes per day of the target size. A result takes 328 bytes in memory and 73
 # bytes in a snapshot.
 MAX_RESULTS = 52_000
+ID_REUSED = results.Refused("the change id was used for a different change")
 
 log = logs.get_logger("control.state")
 
@@ -52,11 +53,15 @@
 
 
 class ConfigState:
-    """Changed only by its group's thread; ``view`` and ``changes_since`` are thread-safe."""
+    """Changed only by its group's thread.
+
+    ``view``, ``changes_since`` and ``last_order`` are thread-safe.
+    """
 
     def __init__(self) -> None:
         self._recent_changes = recent_changes.RecentChanges()
         self._stored_results: dict[str, StoredResult] = {}
+        self._orders = order_numbers.OrderNumbers()
         self.wall_s = 0.0
 
     def view(self) -> configuration.Configuration:
@@ -74,7 +79,7 @@
         digest = xxhash.xxh64_intdigest(data)
         stored = self._stored_results.get(payload.change_id)
         if stored is not None and stored.digest != digest:
-            return results.Refused("the change id was used for a different change")
+            return ID_REUSED
         if stored is not None:
             return codec.from_plain(stored.result)
         result = self._apply_operator_change(index, payload, len(data))
@@ -117,12 +122,18 @@
 
     def _store_result(self, change_id, stored):
         self._stored_results[change_id] = stored
+        self._orders.record(change_id)
         while self._stored_results:
             oldest_id, oldest = next(iter(self._stored_results.items()))
             expired = self.wall_s - oldest.wall_s > RESULT_RETENTION_S
             if not expired and len(self._stored_results) <= MAX_RESULTS:
                 break
             del self._stored_results[oldest_id]
+            self._orders.forget(oldest_id)
+
+    def last_order(self, subject: str) -> int:
+        """Return the number of the latest numbered order on ``subject``, 0 if there is none."""
+        return self._orders.last(subject)
 
     def changes_since(
         self, index: int
@@ -147,4 +158,7 @@
         self._stored_results = {
             key: StoredResult(*fields) for key, fields in cbor2.loads(snapshot.kept)
         }
+        self._orders = order_numbers.OrderNumbers()
+        for change_id in self._stored_results:
+            self._orders.record(change_id)
         self.wall_s = snapshot.wall_s
--- a/oriolelock/control/hosted.py
+++ b/oriolelock/control/hosted.py
@@ -44,8 +44,10 @@
     ):
         self.cfg = cfg
         self._components = components.Components(cfg, fail, metrics.Metrics(None), read_instances)
-        self.operations = route_operations.RouteOperations(self._components.replica)
         self.loop = loops.Loop()
+        self.operations = route_operations.RouteOperations(
+            self._components.replica, self.loop.call_soon
+        )
         handle = make_handler(self)
         self._servers = [
             server.Server(
--- a/oriolelock/control/instance_monitor.py
+++ b/oriolelock/control/instance_monitor.py
@@ -49,6 +49,8 @@
         self._started_s = clock.wall_s()
         self._last_read_error = ""
         self.held_back: tuple[str, ...] = ()
+        # See ``pauses.PauseDetector.lag_s``.
+        self.lag_s: collections.abc.Callable[[], float] = lambda: 0.0
         self._threads = [
             threading.Thread(target=self._run_status_rounds, name="watch", daemon=True)
         ]
@@ -86,7 +88,8 @@
         self._replica.broadcast(report_packing.pack(self._reports.take_unrelayed(now).reports))
         self._report_metrics()
         status = self._replica.status()
-        if not (status.is_leader and status.is_caught_up):
+        # After a pause all entries seem silent, and another replica may lead by now.
+        if not (status.is_leader and status.is_caught_up) or self.lag_s():
             self._leading_since_s, self.held_back = None, ()
             return
         if self._leading_since_s is None:
--- a/oriolelock/control/peer_link.py
+++ b/oriolelock/control/peer_link.py
@@ -96,6 +96,8 @@
             backoff_s, limit_s = BACKOFF_MIN_S, CONNECT_MIN_S
             self._last_error = ""
             log.info("Connected to {}.", self._peer.name)
+            # What was queued for the connection before may be outdated.
+            self._queue.clear()
             self._channel = conn
             self._receive_heartbeats(conn)
             self._channel = None
--- a/oriolelock/control/replica.py
+++ b/oriolelock/control/replica.py
@@ -23,6 +23,7 @@
     peer_links,
     preferences,
     state_machines,
+    unavailable,
 )
 from oriolelock.distribution import messages as distribution_messages
 from oriolelock.distribution import report_packing
@@ -65,6 +66,8 @@
         self._links = peer_links.PeerLinks(cfg, make_hello)
         self._call_router = call_router.CallRouter(cfg.name, self._hosts, self.send)
         self.take_reports: collections.abc.Callable = lambda batch: None
+        # See ``pauses.PauseDetector.lag_s``.
+        self.lag_s: collections.abc.Callable[[], float] = lambda: 0.0
 
     def _make_host(self, group):
         cfg = self.cfg
@@ -152,6 +155,10 @@
         """See ``state.ConfigState.changes_since``."""
         return self._hosts["config"].state_machine.changes_since(index)
 
+    def last_order(self, subject: str) -> int:
+        """See ``config_state.ConfigState.last_order``."""
+        return self._hosts["config"].state_machine.last_order(subject)
+
     def status(self, group: str = "config") -> host_status.HostStatus:
         """Return the state of a group as this replica sees it."""
         return self._hosts[group].status()
@@ -231,6 +238,12 @@
         def reply(fut):
             self.send(sender, messages.ForwardReply(msg.call_id, fut.result()))
 
+        lag_s = self.lag_s()
+        if lag_s and not isinstance(msg.payload, call_router.RESENDABLE):
+            log.warning("A call by {} may have waited for {:.1f} s and is refused.", sender, lag_s)
+            result = unavailable.Unavailable("the call may be outdated", retry=True)
+            self.send(sender, messages.ForwardReply(msg.call_id, result))
+            return
         self._call_router.serve(msg.group, msg.payload).add_done_callback(reply)
 
 
--- a/oriolelock/control/route_operations.py
+++ b/oriolelock/control/route_operations.py
@@ -5,11 +5,12 @@
     Operators' calls on routes and failure domains; each returns a future of its result.
 """
 
+import collections.abc
 import concurrent.futures
 
 import xxhash
 
-from oriolelock.control import commands, messages, replica
+from oriolelock.control import commands, messages, numbered_order, replica, unavailable
 from oriolelock.model import changes, drain, errors, route_table
 from oriolelock.wire import codec
 
@@ -34,10 +35,18 @@
 
 
 class RouteOperations:
-    """Proposes changes of routes and evacuations and reads the route table. Thread-safe."""
+    """Proposes changes of routes and evacuations and reads the route table. Thread-safe.
 
-    def __init__(self, rep: replica.Replica):
+    ``run_soon``: see ``numbered_order.NumberedOrder``.
+    """
+
+    def __init__(
+        self,
+        rep: replica.Replica,
+        run_soon: collections.abc.Callable[[collections.abc.Callable[[], None]], None],
+    ):
         self._replica = rep
+        self._run_soon = run_soon
 
     def change(self, change: changes.RouteChange) -> concurrent.futures.Future:
         """Return a future of ``Applied``, ``Conflict``, ``Refused`` or ``Unavailable``.
@@ -61,14 +70,32 @@
         fut.add_done_callback(set_table)
         return table_fut
 
-    def evacuate(self, domain: str) -> concurrent.futures.Future:
-        """Drain a failure domain at once; the future has the same results as that of ``change``."""
+    def evacuate(
+        self, domain: str, is_wanted: collections.abc.Callable[[], bool]
+    ) -> concurrent.futures.Future:
+        """Drain a failure domain at once; the future has the same results as that of ``change``.
+
+        ``is_wanted()``: whether the caller still waits for the answer.
+        """
         evacuation = drain.Drain(
             f"evacuation-{domain}", "failure_domain", domain, EPOCH_S, EPOCH_S, forced=True
         )
-        return self._replica.call("config", changes.AddDrain(evacuation), CHANGE_TIMEOUT_S)
+        return self._order(domain, changes.AddDrain(evacuation), is_wanted)
 
-    def restore(self, domain: str) -> concurrent.futures.Future:
+    def restore(
+        self, domain: str, is_wanted: collections.abc.Callable[[], bool]
+    ) -> concurrent.futures.Future:
         """End the evacuation of a failure domain; ``Refused`` if it is not evacuated."""
-        change = changes.CancelDrain(f"evacuation-{domain}")
-        return self._replica.call("config", change, CHANGE_TIMEOUT_S)
+        return self._order(domain, changes.CancelDrain(f"evacuation-{domain}"), is_wanted)
+
+    def _order(self, domain, change, is_wanted):
+        if self._replica.lag_s():
+            # Operators turn to another replica after a second, and send the order there.
+            fut: concurrent.futures.Future = concurrent.futures.Future()
+            fut.set_result(unavailable.Unavailable("the order may be outdated", retry=True))
+            return fut
+        order = numbered_order.NumberedOrder(
+            self._replica, f"evacuation-{domain}", change, is_wanted, self._run_soon
+        )
+        order.start()
+        return order.fut
--- a/oriolelock/distribution/publisher.py
+++ b/oriolelock/distribution/publisher.py
@@ -11,8 +11,8 @@
 import dataclasses
 import threading
 
-from oriolelock import clock, logs
-from oriolelock.distribution import messages, report_packing, subscriber
+from oriolelock import clock, logs, pauses
+from oriolelock.distribution import messages, report_packing, reports, subscriber
 from oriolelock.wire import channel, codec, errors
 
 __all__ = ["Publisher", "Source"]
@@ -59,6 +59,7 @@
         self._lock = threading.Lock()
         self._subscribers: set[subscriber.Subscriber] = set()
         self._wakeup = threading.Event()
+        self.pauses = pauses.PauseDetector(clock.monotonic_s())
         self._stopping = False
         self._confirmed_s: float | None = None
         self._confirming = False
@@ -117,14 +118,17 @@
         if isinstance(msg, messages.Subscribe):
             self._subscribe(sub, msg)
         elif isinstance(msg, messages.StatusReport):
-            self._source.take_reports(messages.StatusBatch((msg,)))
+            self._take_reports(messages.StatusBatch((msg,)))
         elif isinstance(msg, messages.StatusBatch):
-            self._source.take_reports(msg)
+            self._take_reports(msg)
         elif isinstance(msg, report_packing.PackedReports):
-            self._source.take_reports(report_packing.unpack(msg))
+            self._take_reports(report_packing.unpack(msg))
         elif isinstance(msg, messages.UplinkCall):
             self._forward(sub, msg)
 
+    def _take_reports(self, batch):
+        self._source.take_reports(reports.aged(batch, self.pauses.lag_s(clock.monotonic_s())))
+
     def _subscribe(self, sub, msg):
         sub.name = msg.name
 
@@ -158,10 +162,18 @@
         self._source.confirm(CONFIRM_TIMEOUT_S).add_done_callback(answered)
 
     def _forward(self, sub, msg):
-        def answered(fut):
-            payload, error = fut.result()
+        def reply(payload, error):
             sub.enqueue(codec.encode(messages.UplinkReply(msg.call_id, payload, error)))
 
+        def answered(fut):
+            reply(*fut.result())
+
+        lag_s = self.pauses.lag_s(clock.monotonic_s())
+        if lag_s:
+            # Its caller has given up or will soon, and may have sent it elsewhere.
+            log.warning("A call of {} may have waited {:.1f} s and is refused.", sub.name, lag_s)
+            reply(None, "the call may be outdated")
+            return
         self._source.call(msg.payload).add_done_callback(answered)
 
     def _run(self):
@@ -170,6 +182,7 @@
             self._wakeup.wait(max(0.0, next_confirm_s - clock.monotonic_s()))
             self._wakeup.clear()
             now = clock.monotonic_s()
+            self.pauses.tick(now)
             if now >= next_confirm_s:
                 next_confirm_s = now + CONFIRM_INTERVAL_S
                 self._start_confirm(now)
--- a/oriolelock/distribution/reports.py
+++ b/oriolelock/distribution/reports.py
@@ -10,7 +10,7 @@
 
 from oriolelock.distribution import messages
 
-__all__ = ["SEEN_LIMIT_S", "Reports"]
+__all__ = ["SEEN_LIMIT_S", "Reports", "aged"]
 
 # An instance counts as seen if its latest report is not older than this.
 SEEN_LIMIT_S = 3.0
@@ -26,6 +26,14 @@
     measured_s: float
 
 
+def aged(batch: messages.StatusBatch, lag_s: float) -> messages.StatusBatch:
+    """Return the reports ``lag_s`` older, as they may have waited for so long to be read."""
+    if not lag_s:
+        return batch
+    older = (dataclasses.replace(item, age_s=item.age_s + lag_s) for item in batch.reports)
+    return messages.StatusBatch(tuple(older))
+
+
 class Reports:
     """The latest report of each instance; thread-safe. ``now`` is monotonic time in seconds."""
 
--- a/oriolelock/platform/calls.py
+++ b/oriolelock/platform/calls.py
@@ -97,11 +97,11 @@
             change(exchange, routes.patch_from, "patch")
         elif path.startswith(EVACUATE):
             zone = urllib.parse.unquote(path[len(EVACUATE) :].decode("latin-1"))
-            fut = replica.operations.evacuate(zone)
+            fut = replica.operations.evacuate(zone, lambda: not exchange.is_over)
             finish(exchange, fut, _change_answer, "evacuate", domain=zone)
         elif path.startswith(RESTORE):
             zone = urllib.parse.unquote(path[len(RESTORE) :].decode("latin-1"))
-            fut = replica.operations.restore(zone)
+            fut = replica.operations.restore(zone, lambda: not exchange.is_over)
             finish(exchange, fut, _restore_answer, "restore", domain=zone)
         else:
             exchange.reply(_error(404, "no such call"))
--- a/tests/control/test_seeds.py
+++ b/tests/control/test_seeds.py
@@ -98,6 +98,10 @@
         group.stop_all()
 
 
+def is_wanted():
+    return True
+
+
 def put(base, revision, **overrides):
     route = builders.make_route(**overrides)
     table = route_table.RouteTable(revision, {"r": route}, builders.configure([]).table.services)
@@ -155,16 +159,20 @@
     group.wait_for_voters(3)
     for _ in range(2):
         for _ in range(2):
-            evacuated = group.running[0].operations.evacuate("a1").result(5)
+            evacuated = group.running[0].operations.evacuate("a1", is_wanted).result(5)
             assert isinstance(evacuated, results.Applied)
         cluster.wait_for(
             lambda: group.running[1].replica.configuration().drains, "the drain on another replica"
         )
-        assert isinstance(group.running[2].operations.restore("a1").result(5), results.Applied)
+        assert isinstance(
+            group.running[2].operations.restore("a1", is_wanted).result(5), results.Applied
+        )
         cluster.wait_for(
             lambda: not group.running[2].replica.configuration().drains, "the end of the drain"
         )
-    assert isinstance(group.running[1].operations.restore("a1").result(5), results.Refused)
+    assert isinstance(
+        group.running[1].operations.restore("a1", is_wanted).result(5), results.Refused
+    )
 
 
 def make_leader(voters, silent, learners=()):
