--- a/oriolelock/admission/quarantine.py
+++ b/oriolelock/admission/quarantine.py
@@ -63,7 +63,7 @@
 
         Returns whether the request is suspect and must be reported to control.
         """
-        if self._completed_recently(request_fingerprint, now):
+        if self.completed_recently(request_fingerprint, now):
             if (
                 now - self._first_ignored_death.setdefault(request_fingerprint, now)
                 <= IGNORED_DEATHS_WINDOW_S
@@ -79,16 +79,22 @@
             deaths.append((endpoint, now))
         self._deaths[request_fingerprint] = deaths[-crash_record.QUARANTINE_DEATHS :]
         if len(deaths) >= crash_record.QUARANTINE_DEATHS:
-            self._blocked_until.pop(request_fingerprint, None)
-            self._blocked_until[request_fingerprint] = now + crash_record.QUARANTINE_S
-        for table in (self._deaths, self._blocked_until, self._first_ignored_death):
+            self.block(request_fingerprint, now)
+        for table in (self._deaths, self._first_ignored_death):
             while len(table) > MAX_SUSPECTS:
                 table.popitem(last=False)
         return True
 
+    def block(self, request_fingerprint: str, now: float) -> None:
+        """Reject the request from now on, for ``QUARANTINE_S``."""
+        self._blocked_until.pop(request_fingerprint, None)
+        self._blocked_until[request_fingerprint] = now + crash_record.QUARANTINE_S
+        while len(self._blocked_until) > MAX_SUSPECTS:
+            self._blocked_until.popitem(last=False)
+
     def may_retry(self, request_fingerprint: str, now: float, wall_s: float) -> bool:
         """Return whether the entry may retry the request."""
-        if self._completed_recently(request_fingerprint, now):
+        if self.completed_recently(request_fingerprint, now):
             return True
         deaths = self._deaths.get(request_fingerprint)
         if deaths and now - deaths[-1][1] < crash_record.WINDOW_S:
@@ -104,13 +110,14 @@
         crash = self._crashes.get(request_fingerprint)
         if blocked_until is None and crash is None:
             return False
-        if self._completed_recently(request_fingerprint, now):
+        if self.completed_recently(request_fingerprint, now):
             return False
         return (blocked_until is not None and now < blocked_until) or (
             crash is not None and wall_s < crash.until_s
         )
 
-    def _completed_recently(self, request_fingerprint, now):
+    def completed_recently(self, request_fingerprint: str, now: float) -> bool:
+        """Return whether a request with this fingerprint got a complete response lately."""
         completed_at = self._completed.get(request_fingerprint)
         return completed_at is not None and now - completed_at < COMPLETED_TRUST_S
 
--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -23,6 +23,7 @@
 )
 from oriolelock.gateway import (
     connectivity,
+    crash_blame,
     gossip,
     health_checks,
     limit_gossip,
@@ -50,8 +51,7 @@
 class Core:
     """Not thread-safe: used in the loop's thread.
 
-    ``report_crash(fingerprint, endpoint)`` reports to control that an endpoint died while it ran
-    the request with this fingerprint.
+    ``report_crash(key, endpoint)`` adds a death to the crash record of ``key`` in control.
     """
 
     def __init__(
@@ -65,7 +65,6 @@
         self._settings = cfg
         self._rng = rng
         self._started_s = clock.monotonic_s()
-        self._report_crash = report_crash
         self.loop = loop
         self.words = words
         self.metrics = request_metrics.RequestMetrics()
@@ -85,9 +84,16 @@
         )
         self.connectivity = connectivity.Connectivity(cfg.name, loop, self.chooser, self.gossip)
         self._health_checks = health_checks.HealthChecks(
-            loop, words, self.chooser, self.connectivity, budget, self.metrics, rng
+            loop,
+            words,
+            self.chooser,
+            self.connectivity,
+            budget,
+            self.metrics,
+            rng,
+            self._check_death,
         )
-        self._quarantine = quarantine.Quarantine()
+        self._blame = crash_blame.CrashBlame(report_crash)
         # By number of a request in progress: answers it when the process ends.
         self.in_progress: dict[int, collections.abc.Callable[[], None]] = {}
         # Until when requests must end; None unless the process is stopping.
@@ -149,7 +155,7 @@
         all_peers = list(self._gossip_peers(cfg, None))
         self._limit_gossip.use_peers(all_peers)
         self._notices.use_peers(all_peers)
-        self._quarantine.configure(cfg.crashes)
+        self._blame.configure(cfg.crashes)
         self.chooser.configure(cfg, now, clock.wall_s())
         self.connectivity.configure(cfg.table.services)
         self._health_checks.configure(cfg.table.services)
@@ -207,11 +213,11 @@
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Return whether a request has crashed endpoints and must not be forwarded."""
-        return self._quarantine.is_blocked(fingerprint, clock.monotonic_s(), clock.wall_s())
+        return self._blame.is_blocked(fingerprint, clock.monotonic_s(), clock.wall_s())
 
     def may_retry(self, fingerprint: str) -> bool:
         """Return whether a request that may have crashed an endpoint may be retried."""
-        return self._quarantine.may_retry(fingerprint, clock.monotonic_s(), clock.wall_s())
+        return self._blame.may_retry(fingerprint, clock.monotonic_s(), clock.wall_s())
 
     def record_rate_limit(
         self, view: endpoint_view.EndpointView, rate: float | None, now: float
@@ -233,7 +239,7 @@
 
     def record_success(self, fingerprint: str, now: float) -> None:
         """Record that a request completed without an error."""
-        self._quarantine.record_completion(fingerprint, now)
+        self._blame.record_completion(fingerprint, now)
 
     def needs_peer(
         self,
@@ -277,6 +283,8 @@
         """Eject an endpoint to which no connection could be opened, unless the entry is cut off."""
         self.connectivity.record_failure(view, result.refused, now)
         is_cut_off = self.connectivity.is_cut_off(view.endpoint.service)
+        if result.refused and not is_cut_off:
+            self._record_death(view, now)
         if not is_cut_off and not view.needs_health_check:
             log.notable("endpoint-out", endpoint=view.endpoint.name, reason=result.reason)
             self._notices.report_unreachable(view)
@@ -319,18 +327,23 @@
         """Record a connection lost during a request; a health check shows if the endpoint died."""
         self.metrics.count("answers_lost")
         view.record_disconnect(now)
+        if not self.connectivity.is_cut_off(view.endpoint.service):
+            self._blame.record_loss(view.endpoint.name, fingerprint, now, clock.wall_s())
         is_due = not view.health_check_pending and not view.needs_health_check
         if is_due and not view.is_paused(now):
-            self._health_checks.check(
-                view, lambda is_reachable: is_reachable or self._report_death(view, fingerprint)
-            )
+            self._health_checks.check(view)
 
-    def _report_death(self, view, fingerprint):
-        now = clock.monotonic_s()
+    def _check_death(self, view, outcome):
+        # An endpoint that accepts connections and is too busy to answer has not died.
+        if outcome is health_checks.Outcome.REFUSED:
+            self._record_death(view, clock.monotonic_s())
+
+    def _record_death(self, view, now):
+        if view.is_leaving or view.endpoint.state != "live":
+            # It has ended as planned.
+            return
         view.clear_objects()
-        if self._quarantine.record_death(fingerprint, view.endpoint.name, now):
-            log.notable("endpoint-died", endpoint=view.endpoint.name, mark=fingerprint)
-            self._report_crash(fingerprint, view.endpoint.name)
+        self._blame.record_death(view.endpoint.name, now, clock.wall_s())
 
     def cut_off_entries(self, now: float) -> set[str]:
         """Return the names of the other entries that reach no endpoint."""
--- a/oriolelock/gateway/daemon.py
+++ b/oriolelock/gateway/daemon.py
@@ -28,6 +28,9 @@
 REGISTER_INTERVAL_S = 0.3
 REGISTER_TIMEOUT_S = 2.0
 CRASH_REPORT_TIMEOUT_S = 0.9
+CRASH_REPORT_WORKERS = 4
+# More reports at once are dropped.
+MAX_CRASH_REPORTS = 64
 # Shutdown phases relative to the grace period after SIGTERM. Until the first, requests are accepted
 # while callers refresh their lists of entries; until the second, requests in flight are finished.
 ACCEPT_RATIO = 0.25
@@ -55,6 +58,10 @@
         self._refuses_requests = False
         self.loop = loops.Loop()
         self._control_calls = concurrent.futures.ThreadPoolExecutor(1, "control-call")
+        self._crash_reports = concurrent.futures.ThreadPoolExecutor(
+            CRASH_REPORT_WORKERS, "crash-report"
+        )
+        self._pending_crash_reports = 0
         self._registering = False
         self.core = core.Core(cfg, self.loop, dialect, self._report_crash, random.Random())
         self._control = cfg.control
@@ -132,9 +139,22 @@
         self._relay.on_config(cfg)
         self.loop.call_soon(lambda: self.core.configure(cfg))
 
-    def _report_crash(self, fingerprint, endpoint):
-        change = changes.ReportCrash(fingerprint, endpoint)
-        self._control_calls.submit(self._call_control, change, CRASH_REPORT_TIMEOUT_S)
+    def _report_crash(self, key, endpoint):
+        if self._pending_crash_reports >= MAX_CRASH_REPORTS:
+            log.notable("crash-report-dropped", mark=key, endpoint=endpoint)
+            return
+        self._pending_crash_reports += 1
+
+        def report():
+            try:
+                self._call_control(changes.ReportCrash(key, endpoint), CRASH_REPORT_TIMEOUT_S)
+            finally:
+                self.loop.call_soon(self._end_crash_report)
+
+        self._crash_reports.submit(report)
+
+    def _end_crash_report(self):
+        self._pending_crash_reports -= 1
 
     def _call_control(self, change, timeout_s):
         try:
--- a/oriolelock/gateway/health_checks.py
+++ b/oriolelock/gateway/health_checks.py
@@ -7,6 +7,7 @@
 """
 
 import collections.abc
+import enum
 import random
 
 from oriolelock import clock, events
@@ -17,7 +18,7 @@
 from oriolelock.http1 import loop as loops
 from oriolelock.model import service
 
-__all__ = ["HealthChecks"]
+__all__ = ["HealthChecks", "Outcome"]
 
 TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.35
@@ -28,8 +29,20 @@
 log = events.Events("gateway")
 
 
+class Outcome(enum.Enum):
+    """What a health check shows."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"  # nothing listens at the address
+    SILENT = "silent"  # no response in time
+
+
 class HealthChecks:
-    """Not thread-safe: used in the loop's thread. ``budget``: of buffered bytes."""
+    """Not thread-safe: used in the loop's thread. ``budget``: of buffered bytes.
+
+    ``on_checked(view, outcome)`` is called after each check, unless the entry is cut off, which
+    tells nothing of the endpoint.
+    """
 
     def __init__(
         self,
@@ -40,6 +53,7 @@
         budget: buffer_budget.BufferBudget,
         metrics: request_metrics.RequestMetrics,
         rng: random.Random,
+        on_checked: collections.abc.Callable[[endpoint_view.EndpointView, Outcome], None],
     ):
         self._loop = loop
         self._words = words
@@ -48,6 +62,7 @@
         self._budget = budget
         self._metrics = metrics
         self._rng = rng
+        self._on_checked = on_checked
         self._services: collections.abc.Mapping[str, service.Service] = {}
         loop.call_each(INTERVAL_S, self._check_due_endpoints)
         loop.call_each(PROBE_INTERVAL_S, self._probe_cut_off_services)
@@ -60,7 +75,7 @@
         now = clock.monotonic_s()
         for view in self._chooser.views.values():
             if self._is_check_due(view, now):
-                self.check(view, lambda is_reachable: None)
+                self.check(view)
 
     def _probe_cut_off_services(self):
         """Check one endpoint of each service that is cut off, to learn when the cut has ended."""
@@ -75,7 +90,7 @@
                 and self._hold_s(view, now) <= 0.0
             ]
             if views:
-                self.check(self._rng.choice(views), lambda is_reachable: None)
+                self.check(self._rng.choice(views))
 
     def _hold_s(self, view, now):
         # A health check is a request like any other to an endpoint that has announced a rate or
@@ -90,15 +105,8 @@
         is_wanted = view.endpoint.state == "live" and not view.is_leaving
         return is_wanted and self._hold_s(view, now) <= 0.0
 
-    def check(
-        self,
-        view: endpoint_view.EndpointView,
-        on_checked: collections.abc.Callable[[bool], None],
-    ) -> None:
-        """Check an endpoint's health, then call ``on_checked(is_reachable)``.
-
-        It is not called if the entry is cut off, which tells nothing of the endpoint.
-        """
+    def check(self, view: endpoint_view.EndpointView) -> None:
+        """Check an endpoint's health."""
         view.health_check_pending = True
         config = self._services.get(view.endpoint.service)
         if config is None:
@@ -116,7 +124,7 @@
 
         def finished(result):
             timer.cancel()
-            self._apply(view, result, on_checked)
+            self._apply(view, result)
 
         def expired():
             conn.abort()
@@ -124,7 +132,7 @@
 
         conn.send(req, CONNECT_TIMEOUT_S, finished, outbound.MAX_HEALTH_BODY_BYTES)
 
-    def _apply(self, view, result, on_checked):
+    def _apply(self, view, result):
         now = clock.monotonic_s()
         health = None
         if isinstance(result, transfers.Answered):
@@ -140,4 +148,11 @@
             log.notable("endpoint-back", endpoint=view.endpoint.name, cold_ms=health.cold_ms)
         elif view.needs_health_check and not was_ejected:
             log.notable("endpoint-out", endpoint=view.endpoint.name, reason="health check")
-        on_checked(health is not None)
+        self._on_checked(view, _outcome(health, result))
+
+
+def _outcome(health, result):
+    if health is not None:
+        return Outcome.ANSWERED
+    is_refused = isinstance(result, transfers.NotSent) and result.refused
+    return Outcome.REFUSED if is_refused else Outcome.SILENT
--- /dev/null
+++ b/tests/gateway/test_crash_blame.py
@@ -0,0 +1,196 @@
+"""A request that crashes endpoints must be recognised among the others that they run.
+
+The first request that was lost with an endpoint was blamed for its death, whichever it was: with
+busy endpoints the one that crashed them went on, and sound ones were suspected.
+"""
+
+import random
+import threading
+
+import pytest
+
+from oriolelock.admission import quarantine
+from oriolelock.gateway import crash_blame
+from oriolelock.model import changes, configuration, crash_record
+from tests import waiting
+from tests.gateway import conftest
+
+CRASHER = "crasher"
+WALL_S = 1_000_000.0
+
+
+class Fleet:
+    """The crash records of control, and the blame of each entry. Monotonic time starts at 0."""
+
+    def __init__(self, entries):
+        self.cfg = configuration.EMPTY
+        self.now = 0.0
+        self.reports = 0
+        self.entries = [crash_blame.CrashBlame(self.report) for _ in range(entries)]
+
+    def report(self, key, endpoint):
+        self.reports += 1
+        change = changes.ReportCrash(key, endpoint)
+        self.cfg = configuration.apply(self.cfg, change, self.reports, WALL_S + self.now)
+
+    def pass_time(self, duration_s):
+        self.now += duration_s
+        for entry in self.entries:
+            entry.configure(self.cfg.crashes)
+
+    def crash(self, endpoint, lost, health_check_s=0.05):
+        """End an endpoint; ``lost``: fingerprints of its requests, by entry."""
+        for entry, fingerprints in zip(self.entries, lost, strict=True):
+            for fingerprint in fingerprints:
+                entry.record_loss(endpoint, fingerprint, self.now, WALL_S + self.now)
+        self.pass_time(health_check_s)
+        for entry, fingerprints in zip(self.entries, lost, strict=True):
+            if fingerprints:
+                entry.record_death(endpoint, self.now, WALL_S + self.now)
+        self.pass_time(0.3)
+
+    def is_blocked(self, fingerprint):
+        """Return at how many entries a request is quarantined."""
+        return sum(e.is_blocked(fingerprint, self.now, WALL_S + self.now) for e in self.entries)
+
+
+@pytest.mark.parametrize("seed", range(20))
+@pytest.mark.parametrize(("entries", "busy"), [(2, 9), (10, 27), (1, 3), (3, 0)])
+def test_a_crashing_request_is_found_at_the_third_crash(seed, entries, busy):
+    """It comes to any entry; each endpoint runs ``busy`` other requests, which are sound."""
+    rng = random.Random(seed)
+    fleet = Fleet(entries)
+    sound = 0
+    for crash in range(3):
+        assert not fleet.is_blocked(CRASHER)
+        lost = [[] for _ in range(entries)]
+        for _ in range(busy):
+            sound += 1
+            rng.choice(lost).append(f"sound-{sound}")
+        rng.choice(lost).append(CRASHER)
+        for fingerprints in lost:
+            rng.shuffle(fingerprints)
+        fleet.crash(f"x{crash if rng.random() < 0.8 else 0}", lost)
+        fleet.pass_time(rng.uniform(2.0, 20.0))
+    if len({name for name, _ in fleet.cfg.crashes[crash_blame.suspicion_key(CRASHER)].deaths}) > 1:
+        assert fleet.is_blocked(CRASHER) == entries
+    assert not any(fleet.is_blocked(f"sound-{n}") for n in range(1, sound + 1))
+
+
+def test_a_sound_request_that_another_took_down_twice_is_not_quarantined():
+    """Its caller sent it again, and it met the crashing request a second time."""
+    fleet = Fleet(2)
+    fleet.crash("x1", [["sound", CRASHER], []])
+    fleet.pass_time(2.0)
+    fleet.crash("x2", [[], [CRASHER, "sound"]])
+    fleet.pass_time(2.0)
+    assert fleet.is_blocked("sound") == 0
+    fleet.crash("x3", [[CRASHER], []])
+    assert fleet.is_blocked("sound") == 0
+    assert fleet.is_blocked(CRASHER) == 2
+
+
+def test_a_request_is_not_blamed_for_an_endpoint_that_goes_down_again_and_again():
+    """Requests for one object come to the same endpoint."""
+    fleet = Fleet(2)
+    for _ in range(5):
+        fleet.crash("x1", [["popular"], ["popular"]])
+        fleet.pass_time(5.0)
+    assert fleet.is_blocked("popular") == 0
+
+
+def test_a_request_that_completes_is_not_suspect():
+    fleet = Fleet(1)
+    for number in range(4):
+        fleet.crash(f"x{number}", [["popular"]])
+        fleet.entries[0].record_completion("popular", fleet.now)
+        fleet.pass_time(5.0)
+    assert fleet.is_blocked("popular") == 0
+    assert fleet.reports == 1
+
+
+def test_endpoints_that_die_together_are_nobodys_fault():
+    """A failure domain loses power: every popular request runs on some of its endpoints."""
+    fleet = Fleet(1)
+    entry = fleet.entries[0]
+    for number in range(20):
+        entry.record_loss(f"x{number}", "popular", 0.0, WALL_S)
+    for number in range(20):
+        entry.record_death(f"x{number}", 0.1, WALL_S)
+    fleet.pass_time(1.0)
+    assert fleet.reports <= crash_blame.MAX_RELATED_DEATHS + 2
+    for number in range(crash_blame.MAX_RELATED_DEATHS + 1, 20):
+        assert not any(f"x{number}" in dict(c.deaths) for c in fleet.cfg.crashes.values())
+
+
+def test_losses_that_are_noticed_after_the_death_are_suspects_too():
+    fleet = Fleet(1)
+    entry = fleet.entries[0]
+    entry.record_loss("x1", "sound", 0.0, WALL_S)
+    entry.record_death("x1", 0.1, WALL_S)
+    entry.record_loss("x1", CRASHER, 0.5, WALL_S)
+    assert set(fleet.cfg.crashes) == {crash_blame.suspicion_key(f) for f in ("sound", CRASHER)}
+
+
+def test_a_lost_connection_to_an_endpoint_that_lives_is_nobodys_fault():
+    fleet = Fleet(1)
+    fleet.entries[0].record_loss("x1", "sound", 0.0, WALL_S)
+    # The endpoint dies later, by itself.
+    fleet.entries[0].record_death("x1", crash_blame.LOSS_WINDOW_S + 0.1, WALL_S)
+    assert fleet.reports == 0
+
+
+def test_a_suspect_is_not_retried_by_the_entry():
+    fleet = Fleet(2)
+    fleet.crash("x1", [[CRASHER], []])
+    for entry in fleet.entries:
+        assert not entry.may_retry(CRASHER, fleet.now, WALL_S + fleet.now)
+        assert entry.may_retry("other", fleet.now, WALL_S + fleet.now)
+    fleet.entries[1].record_completion(CRASHER, fleet.now)
+    assert fleet.entries[1].may_retry(CRASHER, fleet.now, WALL_S + fleet.now)
+
+
+def test_reports_of_one_death_are_bounded_and_begin_with_known_suspects():
+    fleet = Fleet(1)
+    fleet.crash("x1", [[CRASHER]])
+    fleet.pass_time(3.0)
+    before = fleet.reports
+    fleet.crash("x2", [[*(f"sound-{n}" for n in range(100)), CRASHER]])
+    assert fleet.reports - before == crash_blame.MAX_SUSPECTS
+    assert len(fleet.cfg.crashes[crash_blame.suspicion_key(CRASHER)].deaths) == 2
+
+
+def test_older_builds_see_no_quarantine_in_suspicions():
+    """They look up the fingerprint itself."""
+    fleet = Fleet(1)
+    for number in range(2):
+        fleet.crash(f"x{number}", [["sound"]])
+        fleet.pass_time(3.0)
+    older = quarantine.Quarantine()
+    older.configure(fleet.cfg.crashes)
+    assert not older.is_blocked("sound", fleet.now, WALL_S + fleet.now)
+    assert crash_record.QUARANTINE_DEATHS == 2
+
+
+def test_all_requests_of_an_endpoint_that_crashes_are_suspects(gateway):
+    """Over real connections: one of them crashes it while it runs the others."""
+    crashed = threading.Event()
+
+    def respond(conn, head, body):
+        crashed.wait(10)
+        return False
+
+    raw = gateway.add_endpoint("x1", respond)
+    gateway.configure(timeout_ms=8000.0, attempts=1)
+    socks = []
+    for number in range(4):
+        socks.append(gateway.connect())
+        request = conftest.make_request(b"/once/%d" % number, 6000, b"", b"id%d" % number)
+        socks[-1].sendall(request)
+    waiting.until(lambda: gateway.forwarded_requests() == 4)
+    raw.close()
+    crashed.set()
+    waiting.until(lambda: len(gateway.crashes) == 4)
+    assert gateway.crashes == ["x1"] * 4
+    for sock in socks:
+        sock.close()
