--- a/oriolelock/control/hosted.py
+++ b/oriolelock/control/hosted.py
@@ -10,17 +10,19 @@
 
 from oriolelock import clock, events, metrics
 from oriolelock.control import components, replica, route_operations
+from oriolelock.http1 import body_budget, messages, server, server_rules, shutdown
 from oriolelock.http1 import loop as loops
-from oriolelock.http1 import messages, server, server_rules, shutdown
 from oriolelock.model import request_limits
 from oriolelock.settings import control as settings
 from oriolelock.storage import store
 
 __all__ = ["Hosted", "form_if_first"]
 
+# A configuration of 20,000 routes has 8 MB, and takes some ten times as much while it is read.
 LIMITS = request_limits.RequestLimits(
-    head_bytes=32 * 1024, body_bytes=32 * 1024 * 1024, head_ms=5000.0, idle_ms=30_000.0
+    head_bytes=32 * 1024, body_bytes=8 * 1024 * 1024, head_ms=5000.0, idle_ms=30_000.0
 )
+MAX_BODIES_BYTES = 12 * 1024 * 1024
 STOP_TIMEOUT_S = 1.0
 # Leaves the loop time to end within STOP_TIMEOUT_S.
 ANSWER_TIMEOUT_S = 0.8
@@ -48,12 +50,14 @@
         self.operations = route_operations.RouteOperations(
             self._components.replica, self.loop.call_soon
         )
-        handle = make_handler(self)
+        handle, bodies = make_handler(self), body_budget.BodyBudget(MAX_BODIES_BYTES)
         self._servers = [
             server.Server(
                 self.loop,
                 address,
-                server_rules.ServerRules(handle, lambda: LIMITS, is_leaving=self._is_leaving),
+                server_rules.ServerRules(
+                    handle, lambda: LIMITS, is_leaving=self._is_leaving, bodies=bodies
+                ),
             )
             for address in dict.fromkeys(listens)
         ]
--- a/oriolelock/gateway/daemon.py
+++ b/oriolelock/gateway/daemon.py
@@ -16,8 +16,8 @@
 from oriolelock.distribution import messages as distribution
 from oriolelock.gateway import core, delegated_flow, delegation, flow
 from oriolelock.gateway import dialect as dialects
+from oriolelock.http1 import body_budget, messages, server, server_rules, shutdown
 from oriolelock.http1 import loop as loops
-from oriolelock.http1 import messages, server, server_rules, shutdown
 from oriolelock.lookup import entry_choice
 from oriolelock.model import changes, member, request_limits
 from oriolelock.settings import gateway as settings
@@ -81,6 +81,7 @@
             descendant_reports=lambda: self._relay.take_new_reports(),
         )
         self._relay = relay.Relay(cfg.name, cfg.cluster, cfg.cluster_token, self._uplink)
+        self._bodies = body_budget.BodyBudget()
         self._servers = [
             self._serve(cfg.listen, self._handle_request, lambda: self.core.limits),
             self._serve(cfg.peer_listen, self._handle_delegated, self._peer_limits),
@@ -95,7 +96,9 @@
         self.loop.call_each(REGISTER_INTERVAL_S, self._register_if_needed)
 
     def _serve(self, address, handler, limits):
-        rules = server_rules.ServerRules(handler, limits, self._on_malformed, self._is_leaving)
+        rules = server_rules.ServerRules(
+            handler, limits, self._on_malformed, self._is_leaving, bodies=self._bodies
+        )
         return server.Server(self.loop, address, rules)
 
     def _own_member(self, state):
--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -96,9 +96,7 @@
         shared, req = self._core, self._req
         self._service = service
         self._deadline_at_s, self._objective_s = deadline_at_s, objective_at_s
-        key = req.header(shared.words.object_key)
-        # Affinity keys are scoped to their route.
-        self._key = f"{self._route.prefix}{key.decode('latin-1')}" if key else ""
+        self._key = forwarded.object_key(self._route.prefix, req.header(shared.words.object_key))
         self._fingerprint = shared.fingerprint(self._service, self._route.name, req)
         if shared.is_quarantined(self._fingerprint):
             self._refuse(503, "quarantined", 1.0)
--- a/oriolelock/gateway/forwarded.py
+++ b/oriolelock/gateway/forwarded.py
@@ -7,10 +7,15 @@
 
 import collections.abc
 
+import xxhash
+
 from oriolelock.gateway import dialect as dialects
 from oriolelock.http1 import messages
 
-__all__ = ["to_caller", "to_endpoint", "with_headers"]
+__all__ = ["object_key", "to_caller", "to_endpoint", "with_headers"]
+
+# Tables of objects are bounded by number, so their keys must be short.
+MAX_KEY_BYTES = 64
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1) and framing headers, which are regenerated.
 HOP_BY_HOP = frozenset(
@@ -28,6 +33,19 @@
 )
 
 
+def object_key(route_prefix: str, value: bytes | None) -> str:
+    """Return the key of the object that a request concerns, empty if it names none.
+
+    Objects of different routes have different keys. Long names are replaced by a digest.
+    """
+    if not value:
+        return ""
+    key = f"{route_prefix}{value.decode('latin-1')}"
+    if len(key) <= MAX_KEY_BYTES:
+        return key
+    return xxhash.xxh3_128_hexdigest(key.encode())
+
+
 def _end_to_end(headers, dropped):
     connection_header = messages.find(headers, b"connection") or b""
     connection_specific = {option.strip().lower() for option in connection_header.split(b",")}
--- a/oriolelock/http1/inbound.py
+++ b/oriolelock/http1/inbound.py
@@ -13,11 +13,10 @@
 
 from oriolelock import clock, events
 from oriolelock.http1 import loop as loops
-from oriolelock.http1 import messages, server_rules, sockets
+from oriolelock.http1 import messages, read_pacer, send_buffer, server_rules, sockets
 
 __all__ = ["Exchange", "Inbound"]
 
-RECV_BYTES = 64 * 1024
 # Pipelined bytes that are buffered while a request is in progress.
 MAX_PIPELINED_BYTES = 256 * 1024
 # Callers count the time for which they are idle from the end of the response, which may reach them
@@ -32,7 +31,10 @@
     408: b"Request Timeout",
     413: b"Content Too Large",
     431: b"Request Header Fields Too Large",
+    503: b"Service Unavailable",
 }
+# Suggested delay to callers whose body finds no room: the bodies held are sent on meanwhile.
+NO_ROOM_RETRY_AFTER_S = 0.5
 
 log = events.Events("http1")
 
@@ -69,10 +71,16 @@
         self._rules = rules
         self._limits = rules.limits()
         self._protocol = self._new_protocol()
-        self._send_buffer = bytearray()
+        self._send_buffer = send_buffer.SendBuffer()
+        self._reads = read_pacer.PacedReads(loop.read_pacer)
+        # While reading is suspended, because the data came in many small pieces.
+        self._is_paused = False
+        self._new_pieces = 0
         self._exchange: Exchange | None = None
         self._head: h11.Request | None = None
-        self._body: list[bytes] = []
+        self._body = bytearray()
+        # Of the request's head, and the larger of its body and the announced length.
+        self._head_bytes = 0
         self._body_bytes = 0
         self._closing = False
         self._lingering = False
@@ -109,6 +117,8 @@
         self._loop.watch(self._sock, 0, self._on_event)
         self._sock.close()
         self._rules.closed(self)
+        self._rules.bodies.release(self)
+        self._rules.bodies.release_unsent(self)
         if self._exchange:
             exchange, self._exchange = self._exchange, None
             exchange.gone()
@@ -165,7 +175,7 @@
 
     def _on_readable(self):
         try:
-            received = self._sock.recv(RECV_BYTES)
+            received = self._sock.recv(self._reads.size)
         except BlockingIOError:
             return
         except OSError as exc:
@@ -178,7 +188,7 @@
             return
         if self._exchange is not None:
             self._pipelined_bytes += len(received)
-            if self._pipelined_bytes > MAX_PIPELINED_BYTES:
+            if self._pipelined_bytes > MAX_PIPELINED_BYTES or not self._has_room():
                 self.close()
                 return
         try:
@@ -187,7 +197,27 @@
             self._refuse(exc.error_status_hint, str(exc).encode())
             return
         if self._exchange is None and not self._closing:
+            self._new_pieces = 0
             self._read_request()
+            self._pace_reads()
+
+    def _pace_reads(self):
+        """Suspend reading if the data came in many small pieces."""
+        delay_s = self._reads.record(self._new_pieces, clock.monotonic_s())
+        if delay_s > 0.0 and self.is_open:
+            self._is_paused = True
+            self._watch()
+            self._loop.call_later(delay_s, self._resume_reads)
+
+    def _resume_reads(self):
+        if self._is_paused and self.is_open:
+            self._is_paused = False
+            self._watch()
+
+    def _watch(self):
+        mask = 0 if self._is_paused else selectors.EVENT_READ
+        mask |= selectors.EVENT_WRITE if self._send_buffer else 0
+        self._loop.watch(self._sock, mask, self._on_event)
 
     def _read_request(self):
         if self._request_started_s is None:
@@ -200,12 +230,14 @@
                 event = self._protocol.next_event()
                 if event is h11.NEED_DATA:
                     if self._protocol.they_are_waiting_for_100_continue:
-                        self._write(self._protocol.send(h11.InformationalResponse(status_code=100)))
+                        proceed = h11.InformationalResponse(status_code=100, headers=[])
+                        self._write(self._protocol.send(proceed))
                     if not self._head and not self._protocol.trailing_data[0]:
                         self._wait_for_next_request()
                     return
                 if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                     return
+                self._new_pieces += 1
                 self._handle_event(event)
         except h11.RemoteProtocolError as exc:
             self._refuse(exc.error_status_hint, str(exc).encode())
@@ -218,11 +250,12 @@
         if isinstance(event, h11.Request):
             self._handle_head(event)
         elif isinstance(event, h11.Data):
-            self._body_bytes += len(event.data)
-            if self._body_bytes > self._limits.body_bytes:
+            self._body += event.data
+            if len(self._body) > self._limits.body_bytes:
                 self._refuse(413, b"the body is too large")
-                return
-            self._body.append(bytes(event.data))
+            elif len(self._body) > self._body_bytes:
+                self._body_bytes = len(self._body)
+                self._refuse_without_room()
         elif isinstance(event, h11.EndOfMessage):
             self._dispatch()
 
@@ -232,23 +265,36 @@
             # Two body lengths make the start of the next request ambiguous (request smuggling).
             self._refuse(400, b"both a length and a transfer encoding")
             return
-        head_bytes = len(event.target) + sum(
+        self._head_bytes = len(event.target) + sum(
             len(name) + len(value) + 4 for name, value in event.headers
         )
-        if head_bytes > self._limits.head_bytes:
+        if self._head_bytes > self._limits.head_bytes:
             # h11 only limits the size of an incomplete head.
             self._refuse(431, b"the head is too large")
             return
         content_length = next(
             (value for name, value in event.headers if name == b"content-length"), b"0"
         )
-        if int(content_length) > self._limits.body_bytes:
+        self._body_bytes = int(content_length)
+        if self._body_bytes > self._limits.body_bytes:
             self._refuse(413, b"the body is too large")
             return
-        self._head, self._body, self._body_bytes = event, [], 0
+        self._head, self._body = event, bytearray()
+        self._refuse_without_room()
+        if self._closing:
+            return
         # A body may take longer than a head, but its time is limited too.
         self._set_timer(self._limits.idle_ms / 1000.0, self._request_expired)
 
+    def _has_room(self):
+        """Reserve memory for the request; returns False if there is none."""
+        size = self._head_bytes + self._body_bytes + self._pipelined_bytes
+        return self._rules.bodies.hold(self, size)
+
+    def _refuse_without_room(self):
+        if not self._has_room():
+            self._refuse(503, b"no room for the body now", NO_ROOM_RETRY_AFTER_S)
+
     def _dispatch(self):
         self._cancel_timer()
         head, self._head = self._head, None
@@ -257,9 +303,13 @@
         if not target.startswith(b"/") and b"://" in target:
             target = b"/" + target.partition(b"://")[2].partition(b"/")[2]
         req = messages.Request(
-            bytes(head.method), target, headers, b"".join(self._body), clock.monotonic_s()
+            bytes(head.method),
+            target,
+            headers,
+            messages.make_body(self._body),
+            clock.monotonic_s(),
         )
-        self._body, self._request_started_s, self._pipelined_bytes = [], None, 0
+        self._body, self._request_started_s, self._pipelined_bytes = bytearray(), None, 0
         self._method = req.method
         self._exchange = Exchange(self, req)
         self._rules.handle(self._exchange)
@@ -279,12 +329,14 @@
             headers = [pair for pair in headers if pair[0] != b"content-length"]
             headers.append((b"content-length", str(len(response.body)).encode()))
         head = h11.Response(status_code=response.status, headers=headers)
-        data = self._protocol.send(head)
+        parts = [self._protocol.send(head)]
         if not bodiless and response.body:
-            data += self._protocol.send(h11.Data(data=response.body))
-        data += self._protocol.send(h11.EndOfMessage())
+            data = h11.Data(data=response.body)
+            parts.extend(self._protocol.send_with_data_passthrough(data))
+        parts.append(self._protocol.send(h11.EndOfMessage()))
         self._exchange = None
-        self._write(data)
+        self._rules.bodies.release(self)
+        self._write(*parts)
         if not self.is_open:
             return
         if self._protocol.our_state is not h11.DONE or self._protocol.their_state is not h11.DONE:
@@ -298,40 +350,51 @@
         if self.is_open and self._exchange is None and not self._closing:
             self._read_request()
 
-    def _refuse(self, status, text):
-        """Answer an invalid request with an error and close the connection."""
+    def _refuse(self, status, text, retry_after_s=None):
+        """Answer a request that can't be processed with an error and close the connection."""
         self._cancel_timer()
         self._closing = True
+        self._body = bytearray()
+        self._rules.bodies.release(self)
         body = text[:200] + b"\n"
         reason = REASON_PHRASES.get(status, b"Error")
         head = (
             b"HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n"
-            b"Connection: close\r\n\r\n" % (status, reason, len(body))
+            b"Connection: close\r\n" % (status, reason, len(body))
         )
+        if retry_after_s is not None:
+            head += b"Retry-After: %.2f\r\n" % retry_after_s
         self._rules.refused(status, text.decode("latin-1"))
         self._request_started_s = None
-        self._write(head + body)
+        self._write(head + b"\r\n" + body)
         self._linger_after_flush()
 
-    def _write(self, data):
-        self._send_buffer.extend(data)
+    def _write(self, *parts):
+        self._send_buffer.append(*parts)
         self._flush()
+        if self.is_open and self._send_buffer:
+            size = min(len(self._send_buffer), sum(map(len, parts)))
+            self._rules.bodies.add_unsent(self, size, self._give_up)
+
+    def _give_up(self):
+        """Close a connection whose caller takes too little of too large responses."""
+        log.notable("caller-too-slow", unsent_bytes=len(self._send_buffer))
+        self.close()
 
     def _flush(self):
         try:
-            while self._send_buffer:
-                count = self._sock.send(self._send_buffer)
-                del self._send_buffer[:count]
+            self._send_buffer.send_to(self._sock)
         except BlockingIOError:
             pass
         except OSError as exc:
             self._lose(exc)
             return
+        if not self._send_buffer:
+            self._rules.bodies.release_unsent(self)
         if self._closing and not self._send_buffer:
             self._linger()
             return
-        mask = selectors.EVENT_READ | (selectors.EVENT_WRITE if self._send_buffer else 0)
-        self._loop.watch(self._sock, mask, self._on_event)
+        self._watch()
 
     def _linger_after_flush(self):
         self._closing = True
--- a/oriolelock/http1/messages.py
+++ b/oriolelock/http1/messages.py
@@ -7,11 +7,17 @@
 
 import dataclasses
 
-__all__ = ["BODILESS_STATUSES", "Headers", "Request", "Response", "find"]
+__all__ = ["BODILESS_STATUSES", "Body", "Headers", "Request", "Response", "find", "make_body"]
 
 # Responses with these statuses have no body, whatever length they announce.
 BODILESS_STATUSES = (204, 304)
 
+# Larger bodies are not copied once they are complete.
+MAX_COPIED_BYTES = 64 * 1024
+
+# Not changed once it is part of a message.
+Body = bytes | bytearray
+
 # Names in lower case, values without surrounding whitespace.
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -24,6 +30,11 @@
     return None
 
 
+def make_body(received: bytearray) -> Body:
+    """Return a complete body; ``received`` must not be changed afterwards."""
+    return bytes(received) if len(received) <= MAX_COPIED_BYTES else received
+
+
 @dataclasses.dataclass(frozen=True)
 class Request:
     """``target``: in origin form; ``received_s``: time of receipt, monotonic seconds."""
@@ -31,7 +42,7 @@
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes = b""
+    body: Body = b""
     received_s: float = 0.0
 
     def header(self, name: bytes) -> bytes | None:
@@ -50,7 +61,7 @@
 
     status: int
     headers: Headers = ()
-    body: bytes = b""
+    body: Body = b""
     closes: bool = False
 
     def header(self, name: bytes) -> bytes | None:
--- a/oriolelock/http1/outbound.py
+++ b/oriolelock/http1/outbound.py
@@ -15,6 +15,7 @@
 import socket
 
 import h11
+import xxhash
 
 from oriolelock import clock
 from oriolelock.http1 import (
@@ -84,9 +85,9 @@
         self._timer: loops.Timer | None = None
         self._protocol: h11.Connection | None = None
         self._request: messages.Request | None = None
-        # Ids of the latest requests. A copy of an earlier response can't be told from the response
+        # Digests of the ids of the latest requests. A copy of an earlier response can't be told from the response
         # to a request with the same id.
-        self._carried_ids: collections.deque[bytes] = collections.deque(maxlen=MAX_CARRIED_IDS)
+        self._carried_ids: collections.deque[int] = collections.deque(maxlen=MAX_CARRIED_IDS)
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sockets.set_options(self._sock, sockets.ENDPOINT_TIMEOUT_MS)
 
@@ -105,7 +106,7 @@
         self._on_result, self._request = on_result, req
         request_id = req.header(self._id_header)
         if request_id:
-            self._carried_ids.append(request_id)
+            self._carried_ids.append(xxhash.xxh3_64_intdigest(request_id))
         self._max_body_bytes = max_body_bytes
         self.has_sent_bytes = False
         self._is_reused = self._connected
@@ -127,7 +128,7 @@
 
     def has_carried(self, request_id: bytes) -> bool:
         """Return whether one of the latest requests had this id."""
-        return request_id in self._carried_ids
+        return xxhash.xxh3_64_intdigest(request_id) in self._carried_ids
 
     def _start_exchange(self):
         """Reset the parser for one response; the request is only queued on the first call."""
@@ -142,7 +143,7 @@
         head = h11.Request(method=req.method, target=req.target, headers=list(req.headers))
         parts = [self._protocol.send(head)]
         if req.body:
-            parts.append(self._protocol.send(h11.Data(data=req.body)))
+            parts.extend(self._protocol.send_with_data_passthrough(h11.Data(data=req.body)))
         parts.append(self._protocol.send(h11.EndOfMessage()))
         if not self.has_sent_bytes:
             self._send_buffer.append(*parts)
@@ -319,7 +320,8 @@
         if response_id is None and expected_id is not None and self._is_reused:
             self._finish(transfers.Lost("response without a request id"))
             return
-        response = messages.Response(self._head.status_code, headers, bytes(self._body))
+        body = messages.make_body(self._body)
+        response = messages.Response(self._head.status_code, headers, body)
         reusable = reusable and not trailing_bytes and not self._send_buffer
         self._finish(transfers.Answered(response), reusable, headers)
 
--- a/oriolelock/http1/server_rules.py
+++ b/oriolelock/http1/server_rules.py
@@ -8,6 +8,7 @@
 import collections.abc
 import dataclasses
 
+from oriolelock.http1 import body_budget
 from oriolelock.model import request_limits
 
 __all__ = ["ServerRules"]
@@ -18,6 +19,7 @@
     """``handle(exchange)`` must eventually reply; ``limits()`` returns the request limits;
     ``refused(status, text)`` is called for invalid requests; while ``is_leaving()`` is true,
     connections close after their next response; ``closed(conn)`` is called for closed connections.
+    ``bodies``: of what connections hold, to be shared by the servers of a process.
     """
 
     handle: collections.abc.Callable
@@ -25,3 +27,4 @@
     refused: collections.abc.Callable[[int, str], None] = lambda status, text: None
     is_leaving: collections.abc.Callable[[], bool] = lambda: False
     closed: collections.abc.Callable = lambda conn: None
+    bodies: body_budget.BodyBudget = dataclasses.field(default_factory=body_budget.BodyBudget)
