--- a/oriolelock/http1/outbound.py
+++ b/oriolelock/http1/outbound.py
@@ -85,8 +85,8 @@
         self._timer: loops.Timer | None = None
         self._protocol: h11.Connection | None = None
         self._request: messages.Request | None = None
-        # Digests of the ids of the latest requests. A copy of an earlier response can't be told from the response
-        # to a request with the same id.
+        # Digests of the ids of the latest requests. A copy of an earlier response can't be told
+        # from the response to a request with the same id.
         self._carried_ids: collections.deque[int] = collections.deque(maxlen=MAX_CARRIED_IDS)
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sockets.set_options(self._sock, sockets.ENDPOINT_TIMEOUT_MS)
