Name changes without a version for what they are; drop status reports that are outdated

Renamed, since an order is what one entry sends another with a delegated request: order_numbers -> change_numbers, NumberedOrder -> NumberedChange; ids and log events follow. An exchange has a module of its own. Test that a leader that was paused judges no entries.

--- a/oriolelock/control/config_state.py
+++ b/oriolelock/control/config_state.py
@@ -13,7 +13,7 @@
 import xxhash
 
 from oriolelock import logs
-from oriolelock.control import commands, order_numbers
+from oriolelock.control import change_numbers, commands
 from oriolelock.distribution import recent_changes
 from oriolelock.model import changes, configuration, delta, errors, results
 from oriolelock.wire import codec
@@ -55,13 +55,13 @@
 class ConfigState:
     """Changed only by its group's thread.
 
-    ``view``, ``changes_since`` and ``last_order`` are thread-safe.
+    ``view``, ``changes_since`` and ``last_number`` are thread-safe.
     """
 
     def __init__(self) -> None:
         self._recent_changes = recent_changes.RecentChanges()
         self._stored_results: dict[str, StoredResult] = {}
-        self._orders = order_numbers.OrderNumbers()
+        self._numbers = change_numbers.ChangeNumbers()
         self.wall_s = 0.0
 
     def view(self) -> configuration.Configuration:
@@ -122,18 +122,18 @@
 
     def _store_result(self, change_id, stored):
         self._stored_results[change_id] = stored
-        self._orders.record(change_id)
+        self._numbers.record(change_id)
         while self._stored_results:
             oldest_id, oldest = next(iter(self._stored_results.items()))
             expired = self.wall_s - oldest.wall_s > RESULT_RETENTION_S
             if not expired and len(self._stored_results) <= MAX_RESULTS:
                 break
             del self._stored_results[oldest_id]
-            self._orders.forget(oldest_id)
+            self._numbers.forget(oldest_id)
 
-    def last_order(self, subject: str) -> int:
-        """Return the number of the latest numbered order on ``subject``, 0 if there is none."""
-        return self._orders.last(subject)
+    def last_number(self, subject: str) -> int:
+        """Return the number of the latest numbered change of ``subject``, 0 if there is none."""
+        return self._numbers.last(subject)
 
     def changes_since(
         self, index: int
@@ -158,7 +158,7 @@
         self._stored_results = {
             key: StoredResult(*fields) for key, fields in cbor2.loads(snapshot.kept)
         }
-        self._orders = order_numbers.OrderNumbers()
+        self._numbers = change_numbers.ChangeNumbers()
         for change_id in self._stored_results:
-            self._orders.record(change_id)
+            self._numbers.record(change_id)
         self.wall_s = snapshot.wall_s
--- a/oriolelock/control/numbered_order.py
+++ b/oriolelock/control/numbered_change.py
@@ -1,8 +1,8 @@
 """
-oriolelock.control.numbered_order
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+oriolelock.control.numbered_change
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-    One order of an operator that carries no version of what it changes.
+    One change by an operator that doesn't say which state it refers to.
 """
 
 import collections.abc
@@ -10,16 +10,16 @@
 
 from oriolelock import clock, events
 from oriolelock.control import (
+    change_numbers,
     commands,
     config_state,
     messages,
-    order_numbers,
     replica,
     unavailable,
 )
 from oriolelock.model import changes
 
-__all__ = ["NumberedOrder"]
+__all__ = ["NumberedChange"]
 
 # A commit across distant regions takes 0.1 s. Operators try another replica after 1 s.
 COMMIT_TIMEOUT_S = 2.5
@@ -28,10 +28,10 @@
 log = events.Events("operator")
 
 
-class NumberedOrder:
+class NumberedChange:
     """Reads the latest number on the subject from the leader, then proposes with the next one.
 
-    A copy of the order may have waited anywhere while its caller went to another replica. It is
+    A copy of the change may have waited anywhere while its caller went to another replica. It is
     dropped if the caller has left when the number is known; if it is delayed after that, the number
     has been used by then. ``run_soon(callback)`` runs a callback after the events that the process
     has received, among them the end of the caller's connection.
@@ -66,13 +66,13 @@
 
     def _propose(self):
         if not self._is_wanted():
-            log.notable("order-dropped", subject=self._subject, reason="its caller has left")
+            log.notable("change-dropped", subject=self._subject, reason="its caller has left")
             self.fut.set_result(unavailable.Unavailable("the caller has left", retry=True))
             return
-        number = self._replica.last_order(self._subject) + 1
-        change_id = order_numbers.change_id(self._subject, number)
+        number = self._replica.last_number(self._subject) + 1
+        change_id = change_numbers.change_id(self._subject, number)
         command = commands.OperatorChange(change_id, None, "", self._change)
-        log.notable("order", subject=self._subject, number=number)
+        log.notable("numbered-change", subject=self._subject, number=number)
         fut = self._replica.call("config", command, COMMIT_TIMEOUT_S)
         fut.add_done_callback(self._on_result)
 
@@ -81,7 +81,7 @@
         if result != config_state.ID_REUSED:
             self.fut.set_result(result)
         elif clock.monotonic_s() < self._deadline_s:
-            # Another order took the number first.
+            # Another change took the number first.
             self.start()
         else:
-            self.fut.set_result(unavailable.Unavailable("other orders came first", retry=True))
+            self.fut.set_result(unavailable.Unavailable("other changes came first", retry=True))
--- a/oriolelock/control/replica.py
+++ b/oriolelock/control/replica.py
@@ -155,9 +155,9 @@
         """See ``state.ConfigState.changes_since``."""
         return self._hosts["config"].state_machine.changes_since(index)
 
-    def last_order(self, subject: str) -> int:
-        """See ``config_state.ConfigState.last_order``."""
-        return self._hosts["config"].state_machine.last_order(subject)
+    def last_number(self, subject: str) -> int:
+        """See ``config_state.ConfigState.last_number``."""
+        return self._hosts["config"].state_machine.last_number(subject)
 
     def status(self, group: str = "config") -> host_status.HostStatus:
         """Return the state of a group as this replica sees it."""
--- a/oriolelock/control/route_operations.py
+++ b/oriolelock/control/route_operations.py
@@ -10,7 +10,7 @@
 
 import xxhash
 
-from oriolelock.control import commands, messages, numbered_order, replica, unavailable
+from oriolelock.control import commands, messages, numbered_change, replica, unavailable
 from oriolelock.model import changes, drain, errors, route_table
 from oriolelock.wire import codec
 
@@ -37,7 +37,7 @@
 class RouteOperations:
     """Proposes changes of routes and evacuations and reads the route table. Thread-safe.
 
-    ``run_soon``: see ``numbered_order.NumberedOrder``.
+    ``run_soon``: see ``numbered_change.NumberedChange``.
     """
 
     def __init__(
@@ -80,22 +80,22 @@
         evacuation = drain.Drain(
             f"evacuation-{domain}", "failure_domain", domain, EPOCH_S, EPOCH_S, forced=True
         )
-        return self._order(domain, changes.AddDrain(evacuation), is_wanted)
+        return self._change_numbered(domain, changes.AddDrain(evacuation), is_wanted)
 
     def restore(
         self, domain: str, is_wanted: collections.abc.Callable[[], bool]
     ) -> concurrent.futures.Future:
         """End the evacuation of a failure domain; ``Refused`` if it is not evacuated."""
-        return self._order(domain, changes.CancelDrain(f"evacuation-{domain}"), is_wanted)
+        return self._change_numbered(domain, changes.CancelDrain(f"evacuation-{domain}"), is_wanted)
 
-    def _order(self, domain, change, is_wanted):
+    def _change_numbered(self, domain, change, is_wanted):
         if self._replica.lag_s():
-            # Operators turn to another replica after a second, and send the order there.
+            # Operators turn to another replica after a second, and send the change there.
             fut: concurrent.futures.Future = concurrent.futures.Future()
-            fut.set_result(unavailable.Unavailable("the order may be outdated", retry=True))
+            fut.set_result(unavailable.Unavailable("the change may be outdated", retry=True))
             return fut
-        order = numbered_order.NumberedOrder(
+        numbered = numbered_change.NumberedChange(
             self._replica, f"evacuation-{domain}", change, is_wanted, self._run_soon
         )
-        order.start()
-        return order.fut
+        numbered.start()
+        return numbered.fut
--- a/oriolelock/distribution/reports.py
+++ b/oriolelock/distribution/reports.py
@@ -53,6 +53,8 @@
                 previous = self._latest.get(report.name)
                 if previous and previous.measured_s >= measured_s:
                     continue
+                if previous and _is_outdated(report, previous.report):
+                    continue
                 self._latest[report.name] = MeasuredReport(report, measured_s)
                 if relay:
                     self._unrelayed.add(report.name)
@@ -85,3 +87,11 @@
     def seen(self, now: float) -> frozenset[str]:
         """Return the names of the instances that reported within ``SEEN_LIMIT_S``."""
         return frozenset(n for n, age_s in self.ages(now).items() if age_s <= SEEN_LIMIT_S)
+
+
+def _is_outdated(report, previous):
+    """Return whether a report was made before another one of the same process.
+
+    Its age leaves out how long it waited in the socket of a process that did not read.
+    """
+    return report.since_s == previous.since_s and report.index < previous.index
--- a/oriolelock/gateway/delegated_flow.py
+++ b/oriolelock/gateway/delegated_flow.py
@@ -8,7 +8,8 @@
 import collections.abc
 
 from oriolelock.gateway import core, delegation, flow
-from oriolelock.http1 import inbound, messages
+from oriolelock.http1 import exchange as exchanges
+from oriolelock.http1 import messages
 
 __all__ = ["DelegatedFlow", "handle"]
 
@@ -16,7 +17,7 @@
 class DelegatedFlow(flow.Flow):
     """A flow that is never delegated again, and tells the delegating entry how it ended."""
 
-    def __init__(self, shared: core.Core, exchange: inbound.Exchange, order: delegation.Order):
+    def __init__(self, shared: core.Core, exchange: exchanges.Exchange, order: delegation.Order):
         super().__init__(shared, exchange)
         self._order = order
 
@@ -53,7 +54,7 @@
 
 def handle(
     shared: core.Core,
-    exchange: inbound.Exchange,
+    exchange: exchanges.Exchange,
     is_leaving: collections.abc.Callable[[], bool],
 ) -> None:
     """Process a request from another entry."""
--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -10,7 +10,8 @@
 from oriolelock import clock, events
 from oriolelock.dispatch import decisions, endpoint_limits
 from oriolelock.gateway import core, facts, forwarded, peer_request
-from oriolelock.http1 import inbound, messages, outbound, transfers
+from oriolelock.http1 import exchange as exchanges
+from oriolelock.http1 import messages, outbound, transfers
 
 __all__ = ["STOPPING_RETRY_AFTER_S", "Flow"]
 
@@ -43,7 +44,7 @@
 class Flow:
     """One request of a caller; not thread-safe."""
 
-    def __init__(self, shared: core.Core, exchange: inbound.Exchange):
+    def __init__(self, shared: core.Core, exchange: exchanges.Exchange):
         self._core = shared
         self._exchange = exchange
         self._req = exchange.request
--- a/oriolelock/http1/inbound.py
+++ b/oriolelock/http1/inbound.py
@@ -5,17 +5,17 @@
     Server side of a caller's connection: requests are read and answered one at a time.
 """
 
-import collections.abc
 import selectors
 import socket
 
 import h11
 
 from oriolelock import clock, events
+from oriolelock.http1 import exchange as exchanges
 from oriolelock.http1 import loop as loops
 from oriolelock.http1 import messages, read_pacer, send_buffer, server_rules, sockets
 
-__all__ = ["Exchange", "Inbound"]
+__all__ = ["Inbound"]
 
 # Pipelined bytes that are buffered while a request is in progress.
 MAX_PIPELINED_BYTES = 256 * 1024
@@ -39,29 +39,6 @@
 log = events.Events("http1")
 
 
-class Exchange:
-    """One request and its response; ``on_gone`` is called if the caller disconnects first."""
-
-    def __init__(self, conn: "Inbound", req: messages.Request):
-        self._conn = conn
-        self.request = req
-        self.is_over = False
-        self.on_gone: collections.abc.Callable[[], None] | None = None
-
-    def reply(self, response: messages.Response) -> None:
-        """Send the response; ignored if the caller disconnected or was already answered."""
-        if not self.is_over:
-            self.is_over = True
-            self._conn.answer(self, response)
-
-    def gone(self) -> None:
-        """Record that the caller disconnected."""
-        if not self.is_over:
-            self.is_over = True
-            if self.on_gone:
-                self.on_gone()
-
-
 class Inbound:
     """One caller's connection. Not thread-safe; ``rules``: limits and the request handler."""
 
@@ -76,7 +53,7 @@
         # While reading is suspended, because the data came in many small pieces.
         self._is_paused = False
         self._new_pieces = 0
-        self._exchange: Exchange | None = None
+        self._exchange: exchanges.Exchange | None = None
         self._head: h11.Request | None = None
         self._body = bytearray()
         # Of the request's head, and the larger of its body and the announced length.
@@ -311,10 +288,10 @@
         )
         self._body, self._request_started_s, self._pipelined_bytes = bytearray(), None, 0
         self._method = req.method
-        self._exchange = Exchange(self, req)
+        self._exchange = exchanges.Exchange(self, req)
         self._rules.handle(self._exchange)
 
-    def answer(self, exchange: Exchange, response: messages.Response) -> None:
+    def answer(self, exchange: exchanges.Exchange, response: messages.Response) -> None:
         """Send the response to the request of ``exchange``."""
         if not self.is_open or exchange is not self._exchange:
             return
--- a/oriolelock/platform/calls.py
+++ b/oriolelock/platform/calls.py
@@ -10,7 +10,7 @@
 
 from oriolelock import events
 from oriolelock.control import hosted, route_operations, unavailable
-from oriolelock.http1 import inbound
+from oriolelock.http1 import exchange as exchanges
 from oriolelock.http1 import messages as http
 from oriolelock.model import errors, results
 from oriolelock.platform import headers, quantities, routes
@@ -106,7 +106,7 @@
         else:
             exchange.reply(_error(404, "no such call"))
 
-    def handle(exchange: inbound.Exchange) -> None:
+    def handle(exchange: exchanges.Exchange) -> None:
         req = exchange.request
         if req.method == b"POST":
             post(exchange, req.path)
--- a/tests/control/test_list_readings.py
+++ b/tests/control/test_list_readings.py
@@ -6,7 +6,7 @@
 import pytest
 
 from oriolelock.control import instance_list, instance_monitor
-from oriolelock.distribution import reports
+from oriolelock.distribution import messages, reports
 from oriolelock.model import configuration
 from tests import waiting
 from tests.dispatch import builders
@@ -101,3 +101,24 @@
     replica.is_caught_up = True
     waiting.until(lambda: readings)
     monitor.stop()
+
+
+@pytest.mark.parametrize("lag_s", [0.0, 6.0])
+def test_a_leader_that_was_paused_judges_no_entries(lag_s):
+    """To it, entries that went on reporting are silent."""
+    replica = FakeReplica()
+    names = ("silent", "a", "b", "c")
+    replica.configuration = lambda: builders.configure([], entries=names)
+    replica.broadcast = lambda msg: None
+    known = reports.Reports()
+    for name in names:
+        at_s = 90.0 if name == "silent" else 100.0
+        report = messages.StatusReport(name, 1, 1, "live", 0.0, 0)
+        known.take(messages.StatusBatch((report,)), at_s, relay=False)
+    cfg = types.SimpleNamespace(instance_list="", instance_poll_s=POLL_S, name="c1")
+    monitor = instance_monitor.InstanceMonitor(cfg, replica, known, lambda: None, dict)
+    monitor.lag_s = lambda: lag_s
+    monitor._leading_since_s = 50.0
+    monitor._run_status_round(100.0)
+    judged = [change.member.name for change in replica.proposed]
+    assert judged == ([] if lag_s else ["silent"])
--- a/tests/control/test_orders.py
+++ b/tests/control/test_numbered_changes.py
@@ -12,12 +12,12 @@
 import pytest
 
 from oriolelock.control import (
+    change_numbers,
     commands,
     config_state,
     hosted,
     messages,
-    numbered_order,
-    order_numbers,
+    numbered_change,
     peer_link,
     unavailable,
 )
@@ -176,7 +176,7 @@
         self.answers, self.number = list(answers), number
         self.proposed = []
 
-    def last_order(self, subject):
+    def last_number(self, subject):
         return self.number
 
     def call(self, group, payload, timeout_s):
@@ -188,7 +188,7 @@
 
 
 def give(fake, wanted=True):
-    order = numbered_order.NumberedOrder(fake, "s", end(), lambda: wanted, lambda call: call())
+    order = numbered_change.NumberedChange(fake, "s", end(), lambda: wanted, lambda call: call())
     order.start()
     return order.fut.result(0)
 
@@ -197,7 +197,7 @@
     applied = results.Applied(1, 1)
     fake = FakeReplica(config_state.ID_REUSED, applied, number=4)
     assert give(fake) == applied
-    assert fake.proposed == [order_numbers.change_id("s", n) for n in (5, 6)]
+    assert fake.proposed == [change_numbers.change_id("s", n) for n in (5, 6)]
 
 
 def test_nothing_is_proposed_for_a_caller_that_has_left_or_without_a_leader():
@@ -209,7 +209,7 @@
 
 
 def apply_order(machine, number, change, index):
-    change_id = order_numbers.change_id(DOMAIN, number)
+    change_id = change_numbers.change_id(DOMAIN, number)
     return machine.apply(
         index, commands.Command(1.0, commands.OperatorChange(change_id, None, "", change))
     )
@@ -226,29 +226,29 @@
     apply_order(machine, 2, end(), 6)
     assert apply_order(machine, 1, end(), 7) == config_state.ID_REUSED
     assert machine.view().drains
-    assert machine.last_order(DOMAIN) == 3
+    assert machine.last_number(DOMAIN) == 3
     restored = config_state.ConfigState()
     restored.restore(machine.encode())
-    assert restored.last_order(DOMAIN) == 3
+    assert restored.last_number(DOMAIN) == 3
 
 
 def test_an_order_without_effect_takes_a_number_too():
     """A copy of an order before it may still be on its way."""
     machine = config_state.ConfigState()
     assert isinstance(apply_order(machine, 1, end(), 1), results.Refused)
-    assert machine.last_order(DOMAIN) == 1
+    assert machine.last_number(DOMAIN) == 1
     apply_order(machine, 1, evacuation(), 2)
     assert not machine.view().drains
 
 
 def test_numbers_of_results_that_expired_are_forgotten():
-    numbers = order_numbers.OrderNumbers()
-    for text in ("order/a/b/7", "order/a/b/8", "routes-77", "order/a/x", "order//٣"):
+    numbers = change_numbers.ChangeNumbers()
+    for text in ("numbered/a/b/7", "numbered/a/b/8", "routes-77", "numbered/a/x", "numbered//٣"):
         numbers.record(text)
     assert numbers.last("a/b") == 8
-    numbers.forget("order/a/b/7")
+    numbers.forget("numbered/a/b/7")
     assert numbers.last("a/b") == 8
-    numbers.forget("order/a/b/8")
+    numbers.forget("numbered/a/b/8")
     assert (numbers.last("a/b"), numbers.last("a")) == (0, 0)
 
 
--- a/tests/distribution/test_reports.py
+++ b/tests/distribution/test_reports.py
@@ -28,3 +28,16 @@
     latest.take(messages.StatusBatch((make_report("a", 2),)), 100.0, relay=False)
     latest.take_unrelayed(101.0 + reports.FORGET_AFTER_S)
     assert latest.find("a") is None
+
+
+def test_status_of_a_process_never_goes_back():
+    """A report that waited in the socket of a frozen replica looks new when it is read."""
+    known = reports.Reports()
+    for index, version, at_s in ((40, 19, 100.0), (38, 18, 101.0)):
+        report = messages.StatusReport("a", version, index, "live", 5.0, 0)
+        known.take(messages.StatusBatch((report,)), at_s, relay=False)
+    assert known.find("a").report.index == 40
+    # The process started again, without a configuration so far.
+    restarted = messages.StatusReport("a", 0, 0, "live", 7.0, 0)
+    known.take(messages.StatusBatch((restarted,)), 102.0, relay=False)
+    assert known.find("a").report == restarted
