--- a/oriolelock/control/numbered_change.py
+++ b/oriolelock/control/numbered_change.py
@@ -21,10 +21,6 @@
 
 __all__ = ["NumberedChange"]
 
-# A commit across distant regions takes 0.1 s. Operators try another replica after 1 s.
-COMMIT_TIMEOUT_S = 2.5
-READ_TIMEOUT_S = 1.5
-
 log = events.Events("operator")
 
 
@@ -44,18 +40,22 @@
         change: changes.Change,
         is_wanted: collections.abc.Callable[[], bool],
         run_soon: collections.abc.Callable[[collections.abc.Callable[[], None]], None],
+        read_timeout_s: float,
+        change_timeout_s: float,
     ):
         self._replica = rep
         self._subject = subject
         self._change = change
         self._is_wanted = is_wanted
         self._run_soon = run_soon
-        self._deadline_s = clock.monotonic_s() + COMMIT_TIMEOUT_S
+        self._read_timeout_s = read_timeout_s
+        self._change_timeout_s = change_timeout_s
+        self._deadline_s = clock.monotonic_s() + change_timeout_s
         self.fut: concurrent.futures.Future = concurrent.futures.Future()
 
     def start(self) -> None:
         """Begin; ``fut`` completes with ``Applied``, ``Refused`` or ``Unavailable``."""
-        read = self._replica.call("config", messages.ConfirmRead(), READ_TIMEOUT_S)
+        read = self._replica.call("config", messages.ConfirmRead(), self._read_timeout_s)
         read.add_done_callback(self._on_read)
 
     def _on_read(self, done):
@@ -73,7 +73,7 @@
         change_id = change_numbers.change_id(self._subject, number)
         command = commands.OperatorChange(change_id, None, "", self._change)
         log.notable("numbered-change", subject=self._subject, number=number)
-        fut = self._replica.call("config", command, COMMIT_TIMEOUT_S)
+        fut = self._replica.call("config", command, self._change_timeout_s)
         fut.add_done_callback(self._on_result)
 
     def _on_result(self, done):
--- a/oriolelock/control/route_operations.py
+++ b/oriolelock/control/route_operations.py
@@ -95,7 +95,13 @@
             fut.set_result(unavailable.Unavailable("the change may be outdated", retry=True))
             return fut
         numbered = numbered_change.NumberedChange(
-            self._replica, f"evacuation-{domain}", change, is_wanted, self._run_soon
+            self._replica,
+            f"evacuation-{domain}",
+            change,
+            is_wanted,
+            self._run_soon,
+            READ_TIMEOUT_S,
+            CHANGE_TIMEOUT_S,
         )
         numbered.start()
         return numbered.fut
--- a/oriolelock/http1/inbound.py
+++ b/oriolelock/http1/inbound.py
@@ -49,9 +49,7 @@
         self._limits = rules.limits()
         self._protocol = self._new_protocol()
         self._send_buffer = send_buffer.SendBuffer()
-        self._reads = read_pacer.PacedReads(loop.read_pacer)
-        # While reading is suspended, because the data came in many small pieces.
-        self._is_paused = False
+        self._reads = read_pacer.PacedReads(loop, self._watch)
         self._new_pieces = 0
         self._exchange: exchanges.Exchange | None = None
         self._head: h11.Request | None = None
@@ -176,25 +174,13 @@
         if self._exchange is None and not self._closing:
             self._new_pieces = 0
             self._read_request()
-            self._pace_reads()
-
-    def _pace_reads(self):
-        """Suspend reading if the data came in many small pieces."""
-        delay_s = self._reads.record(self._new_pieces, clock.monotonic_s())
-        if delay_s > 0.0 and self.is_open:
-            self._is_paused = True
-            self._watch()
-            self._loop.call_later(delay_s, self._resume_reads)
-
-    def _resume_reads(self):
-        if self._is_paused and self.is_open:
-            self._is_paused = False
-            self._watch()
+            self._reads.record(self._new_pieces, clock.monotonic_s())
 
     def _watch(self):
-        mask = 0 if self._is_paused else selectors.EVENT_READ
-        mask |= selectors.EVENT_WRITE if self._send_buffer else 0
-        self._loop.watch(self._sock, mask, self._on_event)
+        if self.is_open:
+            mask = 0 if self._reads.is_paused else selectors.EVENT_READ
+            mask |= selectors.EVENT_WRITE if self._send_buffer else 0
+            self._loop.watch(self._sock, mask, self._on_event)
 
     def _read_request(self):
         if self._request_started_s is None:
--- a/oriolelock/http1/outbound.py
+++ b/oriolelock/http1/outbound.py
@@ -75,9 +75,7 @@
         self.on_connected: collections.abc.Callable[[], None] = lambda: None
         self._connected = False
         self._send_buffer = send_buffer.SendBuffer()
-        self._reads = read_pacer.PacedReads(loop.read_pacer)
-        # While reading is suspended, because the data came in many small pieces.
-        self._is_paused = False
+        self._reads = read_pacer.PacedReads(loop, self._watch)
         self._new_pieces = 0
         # Whether a part of the latest request was written.
         self.has_sent_bytes = False
@@ -194,22 +192,10 @@
         self._watch()
 
     def _watch(self):
-        events = 0 if self._is_paused else selectors.EVENT_READ
-        events |= selectors.EVENT_WRITE if self._send_buffer else 0
-        self._loop.watch(self._sock, events, self._on_event)
-
-    def _pace_reads(self):
-        """Suspend reading if the data came in many small pieces."""
-        delay_s = self._reads.record(self._new_pieces, clock.monotonic_s())
-        if delay_s > 0.0 and self._on_result is not None:
-            self._is_paused = True
-            self._watch()
-            self._loop.call_later(delay_s, self._resume_reads)
-
-    def _resume_reads(self):
-        if self._is_paused and self.is_open:
-            self._is_paused = False
-            self._watch()
+        if self.is_open:
+            events = 0 if self._reads.is_paused else selectors.EVENT_READ
+            events |= selectors.EVENT_WRITE if self._send_buffer else 0
+            self._loop.watch(self._sock, events, self._on_event)
 
     def _on_socket_error(self, exc):
         if self.has_sent_bytes:
@@ -247,7 +233,8 @@
             self._protocol.receive_data(data)
             self._read_events()
             self._check_head_size(len(data))
-            self._pace_reads()
+            if self._on_result is not None:
+                self._reads.record(self._new_pieces, clock.monotonic_s())
         except h11.RemoteProtocolError as exc:
             if not data and self._head is None and not self.has_sent_bytes:
                 self._finish(transfers.NotSent("connection-ended"))
@@ -343,7 +330,7 @@
             self._timer.cancel()
         self._body = bytearray()
         self._budget.release(self)
-        self._is_paused = False
+        self._reads.end_pause()
         if reusable and self.is_open:
             now = clock.monotonic_s()
             self.idle_since_s = now
--- a/oriolelock/http1/read_pacer.py
+++ b/oriolelock/http1/read_pacer.py
@@ -8,6 +8,8 @@
     few bytes could take all the time of the loop.
 """
 
+import collections.abc
+
 __all__ = ["PacedReads", "ReadPacer"]
 
 MIN_READ_BYTES = 2 * 1024
@@ -36,16 +38,35 @@
 
 
 class PacedReads:
-    """The reads of one connection; ``size``: of the next one in bytes."""
+    """The reads of one connection; ``size``: of the next one in bytes.
+
+    ``on_change()`` is called when ``is_paused`` has changed: while it is set, nothing may be read.
+    ``loop``: an ``http1.loop.Loop``.
+    """
 
-    def __init__(self, pacer: ReadPacer):
-        self._pacer = pacer
+    def __init__(self, loop, on_change: collections.abc.Callable[[], None]):
+        self._loop = loop
+        self._on_change = on_change
         self.size = FIRST_READ_BYTES
+        self.is_paused = False
 
-    def record(self, pieces: int, now: float) -> float:
-        """Record a read; return the seconds until the next one, 0 unless the pieces were small."""
+    def record(self, pieces: int, now: float) -> None:
+        """Record a read, and pause if it was of many small pieces."""
         if pieces > MANY_PIECES:
             self.size = max(MIN_READ_BYTES, self.size // 2)
         else:
             self.size = min(MAX_READ_BYTES, self.size * 2)
-        return self._pacer.delay_s(pieces, now)
+        delay_s = self._loop.read_pacer.delay_s(pieces, now)
+        if delay_s > 0.0:
+            self.is_paused = True
+            self._on_change()
+            self._loop.call_later(delay_s, self._resume)
+
+    def _resume(self):
+        if self.is_paused:
+            self.is_paused = False
+            self._on_change()
+
+    def end_pause(self) -> None:
+        """End a pause without a call of ``on_change``."""
+        self.is_paused = False
--- a/tests/control/test_numbered_changes.py
+++ b/tests/control/test_numbered_changes.py
@@ -188,7 +188,9 @@
 
 
 def give(fake, wanted=True):
-    order = numbered_change.NumberedChange(fake, "s", end(), lambda: wanted, lambda call: call())
+    order = numbered_change.NumberedChange(
+        fake, "s", end(), lambda: wanted, lambda call: call(), 1.0, 1.0
+    )
     order.start()
     return order.fut.result(0)
 
