Log readings of the instance list, changes of endpoints with their index, and what a request's decision was based on

Now: - control: list-read (entries, duration, time since the previous one), endpoint-listed (state, index, time from the proposal to the result); - entries: configuration (index, parent, age of the newest change), endpoint-state (index); - requests: index and time of the decision, and the time until the first write. No decision is changed.

--- a/oriolelock/control/instance_monitor.py
+++ b/oriolelock/control/instance_monitor.py
@@ -10,10 +10,10 @@
 import dataclasses
 import threading
 
-from oriolelock import clock, logs
+from oriolelock import clock, events, logs
 from oriolelock.control import failure_detector, instance_list, replica, unavailable
 from oriolelock.distribution import messages, report_packing, reports
-from oriolelock.model import member, results
+from oriolelock.model import changes, member, results
 from oriolelock.settings import control as settings
 
 __all__ = ["InstanceMonitor"]
@@ -25,7 +25,11 @@
 # A reading that took longer may list instances that have left since.
 MAX_READING_AGE_S = 3.0
 
+# Readings that changed nothing are logged only if they took longer.
+SLOW_READING_S = 1.0
+
 log = logs.get_logger("control.overseer")
+list_events = events.Events("instances")
 
 
 class InstanceMonitor:
@@ -48,6 +52,8 @@
         self._leading_since_s: float | None = None
         self._started_s = clock.wall_s()
         self._last_read_error = ""
+        # When the latest reading of the list began, which changes may have followed.
+        self._reading_started_s: float | None = None
         self.held_back: tuple[str, ...] = ()
         # See ``pauses.PauseDetector.lag_s``.
         self.lag_s: collections.abc.Callable[[], float] = lambda: 0.0
@@ -132,8 +138,10 @@
                     continue
                 cfg = self._replica.configuration()
                 leaving = self._reports.leaving()
-                seen = self._reports.seen(clock.monotonic_s())
-                self._commit(diff.find_changes(cfg, listed, leaving, seen))
+                read_s = clock.monotonic_s()
+                proposed = diff.find_changes(cfg, listed, leaving, self._reports.seen(read_s))
+                self._log_reading(len(listed), proposed, started_s, read_s, status.term)
+                self._commit(proposed)
                 self._last_read_error = ""
             except instance_list.ListUnreadable as exc:
                 self._log_read_error(str(exc))
@@ -161,6 +169,19 @@
         host, port = peer.link_address
         return dataclasses.replace(instance, link_address=f"{host}:{port}")
 
+    def _log_reading(self, entries, proposed, started_s, read_s, term):
+        previous_s, self._reading_started_s = self._reading_started_s, started_s
+        if not proposed and read_s - started_s < SLOW_READING_S:
+            return
+        list_events.notable(
+            "list-read",
+            entries=entries,
+            changes=len(proposed),
+            took_s=read_s - started_s,
+            since_previous_s=None if previous_s is None else started_s - previous_s,
+            term=term,
+        )
+
     def _log_read_error(self, text):
         if text != self._last_read_error:
             log.warning("Cannot read the instance list, the previous one stays in use: {}.", text)
@@ -168,8 +189,24 @@
 
     def _commit(self, proposed):
         """Propose changes and wait for their results, lest the next round propose them again."""
+        started_s = clock.monotonic_s()
         futs = [self._replica.call("config", change, COMMIT_TIMEOUT_S) for change in proposed]
         for change, fut in zip(proposed, futs, strict=True):
             result = fut.result()
+            if isinstance(change, changes.SetEndpoint | changes.RemoveEndpoint):
+                _log_endpoint_change(change, result, clock.monotonic_s() - started_s)
             if isinstance(result, (results.Refused, unavailable.Unavailable)):
                 log.warning("{} was not applied: {}.", type(change).__name__, result.reason)
+
+
+def _log_endpoint_change(change, result, after_s):
+    """Log what became of a change; entries name the same index."""
+    instance = getattr(change, "endpoint", None)
+    list_events.notable(
+        "endpoint-listed",
+        endpoint=instance.name if instance else change.name,
+        state=instance.state if instance else "gone",
+        cold=instance.cold if instance else False,
+        index=getattr(result, "index", None),
+        after_s=after_s,
+    )
--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -9,7 +9,7 @@
 import random
 import threading
 
-from oriolelock import clock, logs
+from oriolelock import clock, events, logs
 from oriolelock.distribution import (
     errors,
     held_configuration,
@@ -53,6 +53,7 @@
 Address = tuple[str, int]
 Parents = collections.abc.Callable[[configuration.Configuration], collections.abc.Sequence[Address]]
 log = logs.get_logger("uplink")
+config_events = events.Events("uplink")
 
 
 class Uplink:
@@ -326,6 +327,7 @@
             self._store.save(cfg)
         if is_changed:
             self._hold(cfg, msg)
+            self._log_received(cfg, msg)
         if msg.confirmed:
             self._confirmed_s = clock.monotonic_s()
         if is_new:
@@ -340,6 +342,18 @@
         else:
             self.recent.reset(cfg)
 
+    def _log_received(self, cfg, msg):
+        committed = msg.changes if isinstance(msg, messages.Delta) else ()
+        config_events.notable(
+            "configuration",
+            index=cfg.index,
+            parent=":".join(map(str, self._parent)) if self._parent else "",
+            changes=len(committed),
+            # By the leader's clock, which may differ.
+            age_s=clock.wall_s() - committed[-1].wall_s if committed else None,
+            confirmed=msg.confirmed,
+        )
+
     def _resync(self, verdict, msg):
         log.warning("{} {} at index {}", verdict.value, msg.wire_name, self._holder.cfg.index)
         if verdict is held_configuration.Verdict.BROKEN:
--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -120,6 +120,11 @@
         """The revision of the routes in force."""
         return self._cfg.table.revision
 
+    @property
+    def config_index(self) -> int:
+        """The index of the configuration in force."""
+        return self._cfg.index
+
     def route_named(self, name: str) -> route.Route | None:
         """Return the route in force with this name."""
         return self._cfg.table.routes.get(name)
@@ -151,6 +156,7 @@
             )
         if cfg.drains != previous.drains:
             log.notable("drains", targets=sorted(d.target for d in cfg.drains.values()))
+        _log_endpoint_states(previous, cfg)
         self.gossip.use_peers(self._gossip_peers(cfg, (self._settings.region,)))
         all_peers = list(self._gossip_peers(cfg, None))
         self._limit_gossip.use_peers(all_peers)
@@ -353,3 +359,12 @@
         now = clock.monotonic_s()
         self.pool.close_expired(self.chooser.views, now)
         self._peer_pool.close_expired(self._peers, now)
+
+
+def _log_endpoint_states(previous, cfg):
+    """Log endpoints whose state has changed, and those that are gone, with the change's index."""
+    for name, old in previous.endpoints.items():
+        new = cfg.endpoints.get(name)
+        state = new.state if new else "gone"
+        if state != old.state:
+            log.notable("endpoint-state", endpoint=name, state=state, index=cfg.index)
--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -60,7 +60,11 @@
         self._context: decisions.RequestContext | None = None
         self._conn: outbound.Outbound | None = None
         self._peer_request: peer_request.PeerRequest | None = None
+        # Of the latest decision: when it was made, from which configuration, and the time until the
+        # first write to the endpoint.
         self._sent_s = 0.0
+        self._config_index = 0
+        self._write_delay_s: float | None = None
         self._timer = None
         self._may_have_run = False
         # Whether the request counts among those that retries are a share of.
@@ -172,6 +176,7 @@
     def _send(self, decision, now):
         shared, view = self._core, decision.view
         self._decision, self._sent_s = decision, now
+        self._config_index, self._write_delay_s = shared.config_index, None
         instance = view.endpoint
         shared.chooser.started(decision, self._number, now)
         if shared.chooser.limits.rate(instance.name, now) != endpoint_limits.UNLIMITED:
@@ -190,6 +195,7 @@
         view = self._decision.view
         view.ended(self._number)
         conn, self._conn = self._conn, None
+        self._record_write(conn)
         if isinstance(result, transfers.Answered):
             self._core.pool.release(view.endpoint.name, conn)
             self._core.connectivity.record_response(view)
@@ -199,6 +205,10 @@
         else:
             self._handle_lost(result, now)
 
+    def _record_write(self, conn):
+        if conn.first_write_s is not None:
+            self._write_delay_s = conn.first_write_s - self._sent_s
+
     def _handle_not_sent(self, result, now):
         view = self._decision.view
         self._core.chooser.not_sent(self._decision, now)
@@ -330,6 +340,7 @@
     def _abort(self, now):
         if self._conn is not None:
             self._conn.abort()
+            self._record_write(self._conn)
             self._decision.view.ended(self._number)
             self._conn = None
         if self._peer_request is not None:
@@ -387,6 +398,9 @@
         if decision is not None:
             fields.update(
                 endpoint=decision.view.endpoint.name,
+                index=self._config_index,
+                decided_s=self._sent_s - self._req.received_s,
+                write_delay_s=self._write_delay_s,
                 expected_s=decision.wait_s + decision.service_s,
                 expected_wait_s=decision.wait_s,
                 warm=decision.warm,
--- a/oriolelock/http1/outbound.py
+++ b/oriolelock/http1/outbound.py
@@ -77,8 +77,9 @@
         self._send_buffer = send_buffer.SendBuffer()
         self._reads = read_pacer.PacedReads(loop, self._watch)
         self._new_pieces = 0
-        # Whether a part of the latest request was written.
+        # Whether a part of the latest request was written, and when it was first tried.
         self.has_sent_bytes = False
+        self.first_write_s: float | None = None
         self._on_result: collections.abc.Callable[[transfers.Transfer], None] | None = None
         self._timer: loops.Timer | None = None
         self._protocol: h11.Connection | None = None
@@ -107,6 +108,7 @@
             self._carried_ids.append(xxhash.xxh3_64_intdigest(request_id))
         self._max_body_bytes = max_body_bytes
         self.has_sent_bytes = False
+        self.first_write_s = None
         self._is_reused = self._connected
         self._stale_responses = 0
         self._start_exchange()
@@ -180,6 +182,8 @@
         if not self.is_open or self._on_result is None:
             return
         size = len(self._send_buffer)
+        if self.first_write_s is None:
+            self.first_write_s = clock.monotonic_s()
         try:
             self._send_buffer.send_to(self._sock)
         except BlockingIOError:
