--- a/oriolelock/control/components.py
+++ b/oriolelock/control/components.py
@@ -11,7 +11,14 @@
 import threading
 
 from oriolelock import clock, metrics
-from oriolelock.control import instance_monitor, joiner, messages, replica, uplink_calls
+from oriolelock.control import (
+    instance_monitor,
+    instance_poller,
+    joiner,
+    messages,
+    replica,
+    uplink_calls,
+)
 from oriolelock.distribution import publisher, reports
 from oriolelock.settings import control as settings
 from oriolelock.wire import channel
@@ -22,8 +29,8 @@
 class Components:
     """Creates the components and starts and stops them together.
 
-    ``fail(text)`` ends the process. ``read_instances()`` returns the platform's list of instances
-    by name; with None the URL in the settings is read.
+    ``fail(text)`` ends the process. ``read_instances()`` yields the pages of the platform's list of
+    instances; with None the URL in the settings is read.
     """
 
     def __init__(
@@ -31,7 +38,7 @@
         cfg: settings.ControlSettings,
         fail: collections.abc.Callable,
         counters: metrics.Metrics,
-        read_instances: collections.abc.Callable[[], dict] | None = None,
+        read_instances: instance_poller.Reader | None = None,
     ):
         self._cfg = cfg
         self.counters = counters
--- a/oriolelock/control/hosted.py
+++ b/oriolelock/control/hosted.py
@@ -9,7 +9,7 @@
 import threading
 
 from oriolelock import clock, events, metrics
-from oriolelock.control import components, replica, route_operations
+from oriolelock.control import components, instance_poller, replica, route_operations
 from oriolelock.http1 import body_budget, messages, server, server_rules, shutdown
 from oriolelock.http1 import loop as loops
 from oriolelock.model import request_limits
@@ -41,7 +41,7 @@
         cfg: settings.ControlSettings,
         listens: collections.abc.Iterable[tuple[str, int]],
         fail: collections.abc.Callable,
-        read_instances: collections.abc.Callable[[], dict],
+        read_instances: instance_poller.Reader,
         make_handler: collections.abc.Callable[["Hosted"], collections.abc.Callable],
     ):
         self.cfg = cfg
--- a/oriolelock/control/instance_list.py
+++ b/oriolelock/control/instance_list.py
@@ -13,7 +13,7 @@
 from oriolelock.model import changes, configuration, endpoint, member
 from oriolelock.wire import tolerant_json
 
-__all__ = ["InstanceDiff", "ListUnreadable", "fetch", "parse"]
+__all__ = ["InstanceDiff", "ListUnreadable", "Page", "fetch", "merge", "parse"]
 
 CONNECT_TIMEOUT_MS = 1000
 TIMEOUT_MS = 3000
@@ -35,6 +35,22 @@
     """One entry is malformed; the others hold."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Page:
+    """A part of the list. ``instances``: by name; ``asked_s``: monotonic time of the request."""
+
+    instances: dict
+    asked_s: float
+    is_last: bool = True
+
+
+def merge(listed: dict, page: Page) -> None:
+    """Add the instances of a page to ``listed``; of two states ``leaving`` is the later one."""
+    for name, instance in page.instances.items():
+        if name not in listed or instance.state == "leaving":
+            listed[name] = instance
+
+
 def fetch(url: str) -> bytes:
     """Return the body of the list; raises ListUnreadable."""
     import pycurl
@@ -149,23 +165,41 @@
         ``leaving``: names of instances that report a planned stop. ``seen``: names of instances
         that reported recently; they are kept even if the list, which may lag, omits them.
         """
+        if not listed:
+            return []
+        updates = self.find_updates(cfg, listed, leaving)
+        return updates + self.find_removals(cfg, listed, seen)
+
+    def find_updates(
+        self,
+        cfg: configuration.Configuration,
+        listed: dict,
+        leaving: collections.abc.Set[str] = frozenset(),
+    ) -> list[changes.Change]:
+        """Return the changes for the instances in ``listed``, a part of the list or all of it."""
+        return [
+            change for instance in listed.values() for change in _changes_of(cfg, instance, leaving)
+        ]
+
+    def find_removals(
+        self,
+        cfg: configuration.Configuration,
+        listed: dict,
+        seen: collections.abc.Set[str] = frozenset(),
+    ) -> list[changes.Change]:
+        """Return the removals that follow from ``listed``, the whole list; none if it is empty."""
         if not listed:
             return []
         configured: dict = dict(cfg.endpoints)
         if self._names_members:
             configured |= cfg.members
-        updates = [
-            change for instance in listed.values() for change in _changes_of(cfg, instance, leaving)
-        ]
         missing = [name for name in configured if name not in listed and name not in seen]
         self._missed_readings = {name: self._missed_readings.get(name, 0) + 1 for name in missing}
-        for name in missing:
-            if self._missed_readings[name] >= READINGS_UNTIL_REMOVED:
-                is_member = name in cfg.members
-                updates.append(
-                    changes.RemoveMember(name) if is_member else changes.RemoveEndpoint(name)
-                )
-        return updates
+        return [
+            changes.RemoveMember(name) if name in cfg.members else changes.RemoveEndpoint(name)
+            for name in missing
+            if self._missed_readings[name] >= READINGS_UNTIL_REMOVED
+        ]
 
 
 def _changes_of(cfg, instance, leaving):
--- a/oriolelock/control/instance_monitor.py
+++ b/oriolelock/control/instance_monitor.py
@@ -3,17 +3,16 @@
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
     Periodic tasks of a replica: relays status reports to the other replicas and, on the leader of
-    ``config``, runs the failure detector and reads the instance list.
+    ``config``, runs the failure detector; starts the reading of the instance list.
 """
 
 import collections.abc
-import dataclasses
 import threading
 
-from oriolelock import clock, events, logs
-from oriolelock.control import failure_detector, instance_list, replica, unavailable
+from oriolelock import clock, logs
+from oriolelock.control import failure_detector, instance_poller, replica, unavailable
 from oriolelock.distribution import messages, report_packing, reports
-from oriolelock.model import changes, member, results
+from oriolelock.model import results
 from oriolelock.settings import control as settings
 
 __all__ = ["InstanceMonitor"]
@@ -29,7 +28,6 @@
 SLOW_READING_S = 1.0
 
 log = logs.get_logger("control.overseer")
-list_events = events.Events("instances")
 
 
 class InstanceMonitor:
@@ -41,9 +39,8 @@
         rep: replica.Replica,
         status_reports: reports.Reports,
         report_metrics: collections.abc.Callable[[], None],
-        read_instances: collections.abc.Callable[[], dict] | None = None,
+        read_instances: instance_poller.Reader | None = None,
     ):
-        self._read_instances = read_instances or self._fetch_instance_list
         self._report_metrics = report_metrics
         self._cfg = cfg
         self._replica = rep
@@ -51,9 +48,6 @@
         self._stopping = threading.Event()
         self._leading_since_s: float | None = None
         self._started_s = clock.wall_s()
-        self._last_read_error = ""
-        # When the latest reading of the list began, which changes may have followed.
-        self._reading_started_s: float | None = None
         self.held_back: tuple[str, ...] = ()
         # See ``pauses.PauseDetector.lag_s``.
         self.lag_s: collections.abc.Callable[[], float] = lambda: 0.0
@@ -61,8 +55,11 @@
             threading.Thread(target=self._run_status_rounds, name="watch", daemon=True)
         ]
         if cfg.instance_list or read_instances:
+            poller = instance_poller.InstancePoller(
+                cfg, rep, status_reports, self._stopping, read_instances
+            )
             self._threads.append(
-                threading.Thread(target=self._poll_instance_list, name="instance-list", daemon=True)
+                threading.Thread(target=poller.run, name="instance-list", daemon=True)
             )
 
     def start(self) -> None:
@@ -121,92 +118,10 @@
             self._cfg.name, cfg.version, cfg.index, state, self._started_s, 0
         )
 
-    def _poll_instance_list(self):
-        names_members = bool(self._cfg.instance_list)
-        diff = instance_list.InstanceDiff(names_members)
-        while not self._stopping.wait(self._cfg.instance_poll_s):
-            status, started_s = self._replica.status(), clock.monotonic_s()
-            # A new leader whose state is behind would propose what has been done or undone since.
-            if not (status.is_leader and status.is_caught_up):
-                diff = instance_list.InstanceDiff(names_members)
-                continue
-            try:
-                listed = self._read_instances()
-                if not self._is_current(status.term, started_s, clock.monotonic_s()):
-                    log.warning("A reading of the instance list is outdated and discarded.")
-                    diff = instance_list.InstanceDiff(names_members)
-                    continue
-                cfg = self._replica.configuration()
-                leaving = self._reports.leaving()
-                read_s = clock.monotonic_s()
-                proposed = diff.find_changes(cfg, listed, leaving, self._reports.seen(read_s))
-                self._log_reading(len(listed), proposed, started_s, read_s, status.term)
-                self._commit(proposed)
-                self._last_read_error = ""
-            except instance_list.ListUnreadable as exc:
-                self._log_read_error(str(exc))
-            except Exception:
-                log.exception("Reading the instance list failed.")
-
-    def _is_current(self, term, started_s, now):
-        """Return whether a reading begun as leader of ``term`` may be applied.
-
-        Calls go to whoever leads, so a replica that was paused could undo what its successor did.
-        """
-        status = self._replica.status()
-        is_recent = now - started_s <= MAX_READING_AGE_S
-        return status.is_leader and status.term == term and is_recent
-
-    def _fetch_instance_list(self):
-        listed = instance_list.parse(instance_list.fetch(self._cfg.instance_list))
-        return {name: self._add_link_address(instance) for name, instance in listed.items()}
-
-    def _add_link_address(self, instance):
-        """Fill in the link address of a control replica from the settings if the list has none."""
-        peer = next((peer for peer in self._cfg.peers if peer.name == instance.name), None)
-        if peer is None or not isinstance(instance, member.Member) or instance.link_address:
-            return instance
-        host, port = peer.link_address
-        return dataclasses.replace(instance, link_address=f"{host}:{port}")
-
-    def _log_reading(self, entries, proposed, started_s, read_s, term):
-        previous_s, self._reading_started_s = self._reading_started_s, started_s
-        if not proposed and read_s - started_s < SLOW_READING_S:
-            return
-        list_events.notable(
-            "list-read",
-            entries=entries,
-            changes=len(proposed),
-            took_s=read_s - started_s,
-            since_previous_s=None if previous_s is None else started_s - previous_s,
-            term=term,
-        )
-
-    def _log_read_error(self, text):
-        if text != self._last_read_error:
-            log.warning("Cannot read the instance list, the previous one stays in use: {}.", text)
-        self._last_read_error = text
-
     def _commit(self, proposed):
         """Propose changes and wait for their results, lest the next round propose them again."""
-        started_s = clock.monotonic_s()
         futs = [self._replica.call("config", change, COMMIT_TIMEOUT_S) for change in proposed]
         for change, fut in zip(proposed, futs, strict=True):
             result = fut.result()
-            if isinstance(change, changes.SetEndpoint | changes.RemoveEndpoint):
-                _log_endpoint_change(change, result, clock.monotonic_s() - started_s)
             if isinstance(result, (results.Refused, unavailable.Unavailable)):
                 log.warning("{} was not applied: {}.", type(change).__name__, result.reason)
-
-
-def _log_endpoint_change(change, result, after_s):
-    """Log what became of a change; entries name the same index."""
-    instance = getattr(change, "endpoint", None)
-    list_events.notable(
-        "endpoint-listed",
-        endpoint=instance.name if instance else change.name,
-        state=instance.state if instance else "gone",
-        cold=instance.cold if instance else False,
-        index=getattr(result, "index", None),
-        after_s=after_s,
-    )
--- a/oriolelock/platform/programs.py
+++ b/oriolelock/platform/programs.py
@@ -82,7 +82,11 @@
 
     cfg = found.control()
     hosted.form_if_first(cfg, found.text("firstStart", "false") == "true")
-    reader = instances.make_reader(found.address("cloud.address"), found.regions())
+    reader = instances.make_reader(
+        found.address("cloud.address"),
+        found.regions(),
+        found.number("cloud.ratePerS", instances.CALLS_PER_S),
+    )
     listens = [found.address("listen.control"), (found.text("ip"), fields.METRICS_PORT)]
     stopping = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stopping.set())
--- a/tests/control/test_list_readings.py
+++ b/tests/control/test_list_readings.py
@@ -1,11 +1,12 @@
 """A reading of the instance list counts only for the leader that made it, and only while new."""
 
+import concurrent.futures
 import threading
 import types
 
 import pytest
 
-from oriolelock.control import instance_list, instance_monitor
+from oriolelock.control import instance_list, instance_monitor, instance_poller
 from oriolelock.distribution import messages, reports
 from oriolelock.model import configuration
 from tests import waiting
@@ -31,7 +32,9 @@
 
     def call(self, group, change, timeout_s):
         self.proposed.append(change)
-        return types.SimpleNamespace(result=lambda: None)
+        fut = concurrent.futures.Future()
+        fut.set_result(None)
+        return fut
 
 
 def play(replica, during_reading, clock_s, monkeypatch):
@@ -41,9 +44,12 @@
 
     def read():
         readings.append(None)
+        # The next reading is due.
+        clock_s[0] += 2 * POLL_S
         if len(readings) == 1:
+            asked_s = clock_s[0]
             during_reading(replica)
-            return {"gone": builders.make_endpoint("gone")}
+            return [instance_list.Page({"gone": builders.make_endpoint("gone")}, asked_s)]
         done.set()
         raise instance_list.ListUnreadable("no more readings")
 
@@ -74,7 +80,7 @@
     replica, clock_s = FakeReplica(), [100.0]
 
     def pause(_):
-        clock_s[0] += instance_monitor.MAX_READING_AGE_S + 1.0
+        clock_s[0] += instance_poller.MAX_PAGE_AGE_S + 1.0
 
     play(replica, pause, clock_s, monkeypatch)
     assert replica.proposed == []
@@ -93,7 +99,7 @@
     readings = []
     cfg = types.SimpleNamespace(instance_list="", instance_poll_s=POLL_S, name="c1")
     monitor = instance_monitor.InstanceMonitor(
-        cfg, replica, reports.Reports(), lambda: None, lambda: readings.append(None) or {}
+        cfg, replica, reports.Reports(), lambda: None, lambda: readings.append(None) or ()
     )
     monitor._threads[-1].start()
     threading.Event().wait(10 * POLL_S)
--- a/tests/http1/test_endless_responses.py
+++ b/tests/http1/test_endless_responses.py
@@ -217,7 +217,7 @@
     endpoint = EndlessEndpoint(kind)
     started_s = time.monotonic()
     with pytest.raises(blocking.RequestFailed):
-        blocking.get(endpoint.address, "/", 0.5)
+        blocking.Client(endpoint.address).get("/", 0.5)
     assert time.monotonic() - started_s < 2.0
     assert endpoint.ended.wait(LIMIT_S)
 
--- a/tests/platform/test_edge.py
+++ b/tests/platform/test_edge.py
@@ -112,7 +112,11 @@
 
 
 def list_of(*pages):
-    return instances.make_reader(Pages(*pages).address, {"z1": "a", "z2": "b"})()
+    """Return the endpoints in all pages."""
+    listed = {}
+    for page in instances.make_reader(Pages(*pages).address, {"z1": "a", "z2": "b"})():
+        instance_list.merge(listed, page)
+    return listed
 
 
 def test_all_pages_are_read():
