--- a/oriolelock/control/components.py
+++ b/oriolelock/control/components.py
@@ -10,11 +10,12 @@
 import concurrent.futures
 import threading
 
-from oriolelock import clock, metrics
+from oriolelock import clock, events, metrics
 from oriolelock.control import (
     instance_monitor,
     instance_poller,
     joiner,
+    list_news,
     messages,
     replica,
     uplink_calls,
@@ -25,6 +26,8 @@
 
 __all__ = ["Components"]
 
+log = events.Events("control")
+
 
 class Components:
     """Creates the components and starts and stops them together.
@@ -51,6 +54,7 @@
         self.replica.lag_s = self.instance_monitor.lag_s = self._lag_s
         self.replica.take_reports = self._take_relayed
         self.replica.listen(self._on_change)
+        self._news = self._make_news()
         self._joiner = joiner.Joiner(cfg, self.replica) if cfg.seeds else None
         self._links = channel.serve(cfg.link_listen, self._serve_link)
 
@@ -61,8 +65,21 @@
         self.instance_monitor.start()
         if self._joiner:
             self._joiner.start()
+        if self._news:
+            self._news.start()
         threading.Thread(target=self._links.serve_forever, name="links", daemon=True).start()
 
+    def _make_news(self):
+        """Return the datagrams on the instance list, None if the port is taken."""
+        cfg, poller = self._cfg, self.instance_monitor.poller
+        try:
+            news = list_news.ListNews(cfg.link_listen, cfg.cluster_token, poller.record_heard)
+        except OSError as exc:
+            log.notable("no-list-news", address=cfg.link_listen[0], reason=str(exc))
+            return None
+        poller.use_news(news)
+        return news
+
     def use_seeds(self, seeds: tuple[tuple[str, int], ...]) -> None:
         """Replace the addresses of the replicas that are asked for admission."""
         if self._joiner:
@@ -78,6 +95,8 @@
     def stop(self) -> None:
         """Stop the components that still run after ``hand_over``."""
         self.publisher.stop()
+        if self._news:
+            self._news.stop()
         self._links.shutdown()
         self.replica.stop()
 
--- a/oriolelock/control/instance_monitor.py
+++ b/oriolelock/control/instance_monitor.py
@@ -54,12 +54,12 @@
         self._threads = [
             threading.Thread(target=self._run_status_rounds, name="watch", daemon=True)
         ]
+        self.poller = instance_poller.InstancePoller(
+            cfg, rep, status_reports, self._stopping, read_instances
+        )
         if cfg.instance_list or read_instances:
-            poller = instance_poller.InstancePoller(
-                cfg, rep, status_reports, self._stopping, read_instances
-            )
             self._threads.append(
-                threading.Thread(target=poller.run, name="instance-list", daemon=True)
+                threading.Thread(target=self.poller.run, name="instance-list", daemon=True)
             )
 
     def start(self) -> None:
--- a/oriolelock/control/instance_poller.py
+++ b/oriolelock/control/instance_poller.py
@@ -3,7 +3,7 @@
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
     Reads the instance list periodically, on the leader of ``config``, and proposes the changes that
-    follow from it.
+    follow from it. On other replicas, while no reading is heard of, it tells which endpoints leave.
 
     Each page is applied when it arrives. Only what a whole reading does not list is removed.
 """
@@ -13,9 +13,10 @@
 import threading
 
 from oriolelock import clock, events, logs
-from oriolelock.control import instance_list, proposals, replica
+from oriolelock.control import instance_list, list_news, proposals, reading_turn, replica
+from oriolelock.dispatch import peer_reports
 from oriolelock.distribution import reports
-from oriolelock.model import member
+from oriolelock.model import changes, member
 from oriolelock.settings import control as settings
 
 __all__ = ["InstancePoller", "Reader"]
@@ -37,7 +38,8 @@
 class InstancePoller:
     """``run`` reads the list until ``stopping`` is set.
 
-    ``read``: see ``Reader``; with None the URL in the settings is read.
+    ``read``: see ``Reader``; with None the URL in the settings is read. ``use_news`` must have been
+    called for other replicas to read.
     """
 
     def __init__(
@@ -58,27 +60,45 @@
             lambda change, timeout_s: self._replica.call("config", change, timeout_s)
         )
         self._last_error = ""
+        self._turn = reading_turn.ReadingTurn(cfg.instance_poll_s, clock.monotonic_s())
+        self._news: list_news.ListNews | None = None
         # When the latest reading began.
         self._started_s: float | None = None
 
+    def use_news(self, news: list_news.ListNews) -> None:
+        """Tell entries and other replicas what is read."""
+        self._news = news
+
+    def record_heard(self) -> None:
+        """Record that another replica has read the whole list."""
+        self._turn.record_heard(clock.monotonic_s())
+
     def _make_diff(self):
         return instance_list.InstanceDiff(names_members=bool(self._cfg.instance_list))
 
     def run(self) -> None:
-        """Read the list periodically while this replica leads."""
+        """Read the list when it is this replica's turn."""
         wait_s = min(MAX_WAIT_S, self._cfg.instance_poll_s)
         while not self._stopping.wait(wait_s):
             status, now = self._replica.status(), clock.monotonic_s()
             # A new leader whose state is behind would propose what has been done or undone since.
-            if not (status.is_leader and status.is_caught_up):
-                self._diff, self._started_s = self._make_diff(), None
-            elif self._started_s is None or now - self._started_s >= self._cfg.instance_poll_s:
-                self._poll(status.term, now)
+            is_leader = status.is_leader and status.is_caught_up
+            if not is_leader:
+                self._diff = self._make_diff()
+            if self._turn.is_due(is_leader, self._standby_rank(status), now):
+                self._poll(status, is_leader, now)
 
-    def _poll(self, term, now):
+    def _standby_rank(self, status):
+        if status.is_leader or self._news is None:
+            return None
+        return reading_turn.rank(self._cfg.name, status.leader, self._replica.member_names())
+
+    def _poll(self, status, is_leader, now):
         previous_s, self._started_s = self._started_s, now
         try:
-            count, changed = self._apply_reading(term)
+            count, changed = (
+                self._apply_reading(status.term) if is_leader else self._read_for_leader()
+            )
         except instance_list.ListUnreadable as exc:
             self._log_error(str(exc))
             return
@@ -94,7 +114,8 @@
                 changes=changed,
                 took_s=took_s,
                 since_previous_s=None if previous_s is None else now - previous_s,
-                term=term,
+                term=status.term,
+                is_leader=is_leader,
             )
 
     def _apply_reading(self, term):
@@ -109,8 +130,10 @@
             instance_list.merge(listed, page)
             cfg, leaving = self._replica.configuration(), self._reports.leaving()
             updates = self._diff.find_updates(cfg, page.instances, leaving)
+            self._tell_entries(cfg, updates)
             self._proposals.propose(updates, now)
             changed += len(updates)
+        self._tell_replicas()
         now = clock.monotonic_s()
         removals = self._diff.find_removals(
             self._replica.configuration(), listed, self._reports.seen(now)
@@ -118,6 +141,47 @@
         self._proposals.propose(removals, now)
         return len(listed), changed + len(removals)
 
+    def _read_for_leader(self):
+        """Return the numbers of instances listed and of endpoints that are found to leave.
+
+        All else can wait for the leader. It gets these as well, as it may lead without reading.
+        """
+        count, leaving_count = 0, 0
+        for page in self._read():
+            now = clock.monotonic_s()
+            count += len(page.instances)
+            if now - page.asked_s > MAX_PAGE_AGE_S:
+                log.warning("A reading of the instance list is outdated and discarded.")
+                return count, leaving_count
+            cfg = self._replica.configuration()
+            leaving = [
+                change
+                for change in self._diff.find_updates(cfg, page.instances)
+                if _is_leaving(change) and change.endpoint.name in cfg.endpoints
+            ]
+            self._tell_entries(cfg, leaving)
+            self._proposals.propose(leaving, now)
+            leaving_count += len(leaving)
+        self._tell_replicas()
+        return count, leaving_count
+
+    def _tell_entries(self, cfg, updates):
+        leaving = [change.endpoint for change in updates if _is_leaving(change)]
+        if not leaving or self._news is None:
+            return
+        links = [m.link_address for m in cfg.members.values() if m.role == "entry"]
+        digests = [peer_reports.endpoint_digest(instance) for instance in leaving]
+        self._news.tell_leaving(digests, _addresses(links))
+        list_events.notable(
+            "leaving-told", endpoints=[instance.name for instance in leaving], entries=len(links)
+        )
+
+    def _tell_replicas(self):
+        if self._news is not None:
+            links = {peer.name: "{}:{}".format(*peer.link_address) for peer in self._cfg.peers}
+            names = [name for name in self._replica.member_names() if name != self._cfg.name]
+            self._news.tell_reading(_addresses([links.get(name, name) for name in names]))
+
     def _is_current(self, term, asked_s, now):
         """Return whether a page asked for by the leader of ``term`` may be applied.
 
@@ -144,3 +208,13 @@
         if text != self._last_error:
             log.warning("Cannot read the instance list, the previous one stays in use: {}.", text)
         self._last_error = text
+
+
+def _is_leaving(change):
+    return isinstance(change, changes.SetEndpoint) and change.endpoint.state == "leaving"
+
+
+def _addresses(links):
+    """Return the socket addresses in ``links`` (``host:port``), without malformed ones."""
+    pairs = (link.rpartition(":") for link in links)
+    return [(host, int(port)) for host, _, port in pairs if host and port.isdigit()]
--- a/oriolelock/dispatch/endpoint_view.py
+++ b/oriolelock/dispatch/endpoint_view.py
@@ -39,6 +39,9 @@
 # How long an endpoint is not used that other entries report to be replaced. The instance list shows
 # it by then; no entry needs to check by itself.
 REPLACED_HOLD_S = 10.0
+# How long an endpoint is not used that the instance list shows as leaving, according to a replica.
+# The configuration says so by then; else the replica repeats it.
+LISTED_HOLD_S = 10.0
 # Longest time for which an endpoint may turn requests away.
 MAX_PAUSE_S = 60.0
 # Until the next request to an endpoint that took none, while the first one is under way.
@@ -48,11 +51,13 @@
 class Fact(enum.Enum):
     """What is certain of an endpoint until it starts again; the values are sent to other entries.
 
-    ``LEAVING``: it has said so in a response; ``REPLACED``: another one answers at its address.
+    ``LEAVING``: it has said so in a response; ``REPLACED``: another one answers at its address;
+    ``LISTED_LEAVING``: the instance list says that it leaves.
     """
 
     LEAVING = 1
     REPLACED = 2
+    LISTED_LEAVING = 3
 
 
 @dataclasses.dataclass(frozen=True)
@@ -120,6 +125,7 @@
         self.health_check_pending = False
         self.is_leaving = False
         self._replaced_until_s = 0.0
+        self._listed_leaving_until_s = 0.0
         self._paused_until_s = 0.0
         # Requests are sent one by one after a pause, until one of them is answered.
         self._is_resuming = False
@@ -158,11 +164,18 @@
         """Return whether the endpoint started recently and tolerates only few requests."""
         return self.endpoint.cold or now < self.cold_until_s
 
-    def is_usable(self, now: float) -> bool:
-        """Return whether the endpoint may receive requests."""
+    def is_staying(self, now: float) -> bool:
+        """Return whether nothing says that the endpoint leaves."""
         return (
             self.endpoint.state == "live"
             and not self.is_leaving
+            and now >= self._listed_leaving_until_s
+        )
+
+    def is_usable(self, now: float) -> bool:
+        """Return whether the endpoint may receive requests."""
+        return (
+            self.is_staying(now)
             and not self.needs_health_check
             and now >= self.ejected_until_s
             and now >= self._replaced_until_s
@@ -192,6 +205,12 @@
             case Fact.REPLACED:
                 is_new = now >= max(self._replaced_until_s, self.ejected_until_s)
                 self._replaced_until_s = now + REPLACED_HOLD_S
+            case Fact.LISTED_LEAVING:
+                # New again after half of the hold, so that all entries extend it.
+                is_extended = now >= self._listed_leaving_until_s - LISTED_HOLD_S / 2
+                is_new = is_extended and self.endpoint.state == "live"
+                if is_extended:
+                    self._listed_leaving_until_s = now + LISTED_HOLD_S
         return is_new
 
     def _reported(self):
--- a/oriolelock/dispatch/peer_reports.py
+++ b/oriolelock/dispatch/peer_reports.py
@@ -8,8 +8,9 @@
 import collections.abc
 
 from oriolelock.dispatch import endpoint_view, observation, ranking
+from oriolelock.model import endpoint
 
-__all__ = ["PeerReports", "view_digest"]
+__all__ = ["PeerReports", "endpoint_digest", "view_digest"]
 
 # A request at an endpoint for this many times the expected time is reported.
 SLOW_RATIO = 2.0
@@ -24,7 +25,11 @@
 
     The start time may be unknown, so that the address tells some incarnations apart.
     """
-    instance = view.endpoint
+    return endpoint_digest(view.endpoint)
+
+
+def endpoint_digest(instance: endpoint.Endpoint) -> int:
+    """Return the digest of the incarnation that the instance list describes."""
     return ranking.digest(f"{instance.name}\n{instance.started_ms}\n{instance.address}")
 
 
--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -121,9 +121,9 @@
         return self._cfg.table.revision
 
     @property
-    def config_index(self) -> int:
-        """The index of the configuration in force."""
-        return self._cfg.index
+    def cfg_in_force(self) -> configuration.Configuration:
+        """The configuration in force."""
+        return self._cfg
 
     def route_named(self, name: str) -> route.Route | None:
         """Return the route in force with this name."""
--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -176,7 +176,7 @@
     def _send(self, decision, now):
         shared, view = self._core, decision.view
         self._decision, self._sent_s = decision, now
-        self._config_index, self._write_delay_s = shared.config_index, None
+        self._config_index, self._write_delay_s = shared.cfg_in_force.index, None
         instance = view.endpoint
         shared.chooser.started(decision, self._number, now)
         if shared.chooser.limits.rate(instance.name, now) != endpoint_limits.UNLIMITED:
--- a/oriolelock/gateway/gossip.py
+++ b/oriolelock/gateway/gossip.py
@@ -28,6 +28,7 @@
     "encode",
     "encode_cut_off",
     "encode_limits",
+    "encode_listed",
     "encode_notices",
     "encode_symptoms",
 ]
@@ -49,14 +50,15 @@
 MAX_READS_PER_EVENT = 32
 MAX_LIMITS_PER_DATAGRAM = 50
 MAX_REPORTS_PER_DATAGRAM = 50
-# Datagrams of observations, of limits, of entries that are cut off, of facts about endpoints, and
-# of their symptoms. A changed format gets a new number, so that entries of an older version ignore
-# it and go on.
+# Datagrams of observations, of limits, of entries that are cut off, of facts about endpoints, of
+# their symptoms, and of endpoints that the instance list shows as leaving. A changed format gets a
+# new number, so that entries of an older version ignore it and go on.
 FORMAT_VERSION = 1
 LIMITS_FORMAT_VERSION = 2
 CUT_OFF_FORMAT_VERSION = 3
 NOTICES_FORMAT_VERSION = 4
 SYMPTOMS_FORMAT_VERSION = 5
+LISTED_FORMAT_VERSION = 6
 # Ratios of response times are sent as whole hundredths; 0 stands for an endpoint not reached.
 RATIO_UNIT = 100
 MAX_RATIO = 1000 * RATIO_UNIT
@@ -118,6 +120,14 @@
     return _authenticated((NOTICES_FORMAT_VERSION, rows), token)
 
 
+def encode_listed(digests: collections.abc.Iterable[int], token: str) -> bytes:
+    """Encode a datagram of endpoints that the list shows as leaving, authenticated as the others.
+
+    ``digests``: see ``peer_reports.endpoint_digest``.
+    """
+    return _authenticated((LISTED_FORMAT_VERSION, [(digest,) for digest in digests]), token)
+
+
 def encode_symptoms(symptoms: collections.abc.Iterable[Symptom], token: str) -> bytes:
     """Encode a datagram of symptoms of endpoints, authenticated as the others."""
     rows = []
@@ -181,6 +191,10 @@
     return observation.EndpointNotice(endpoint, endpoint_view.Fact(fact))
 
 
+def _parse_listed(endpoint):
+    return _parse_notice(endpoint, endpoint_view.Fact.LISTED_LEAVING)
+
+
 def _parse_symptom(endpoint, domain, ratio):
     if not all(type(value) is int and value >= 0 for value in (endpoint, domain, ratio)):
         raise ValueError("field is not a non-negative integer")
@@ -195,9 +209,16 @@
     CUT_OFF_FORMAT_VERSION: _parse_cut_off,
     NOTICES_FORMAT_VERSION: _parse_notice,
     SYMPTOMS_FORMAT_VERSION: _parse_symptom,
+    LISTED_FORMAT_VERSION: _parse_listed,
 }
 
 
+def _parts(reports):
+    """Yield parts of a sequence that fit into a datagram each."""
+    for start in range(0, len(reports), MAX_REPORTS_PER_DATAGRAM):
+        yield reports[start : start + MAX_REPORTS_PER_DATAGRAM]
+
+
 class Gossip:
     """Not thread-safe: used in the loop's thread.
 
@@ -250,18 +271,22 @@
         peers: collections.abc.Iterable[Address],
     ) -> None:
         """Send facts about endpoints to ``peers``, which may be in other regions."""
-        for start in range(0, len(notices), MAX_REPORTS_PER_DATAGRAM):
-            data = encode_notices(notices[start : start + MAX_REPORTS_PER_DATAGRAM], self._token)
-            for peer in peers:
-                self._send(data, peer)
+        listed = [item for item in notices if item.fact is endpoint_view.Fact.LISTED_LEAVING]
+        others = [item for item in notices if item.fact is not endpoint_view.Fact.LISTED_LEAVING]
+        for part in _parts(others):
+            self._send_to_all(encode_notices(part, self._token), peers)
+        for part in _parts([item.endpoint_digest for item in listed]):
+            self._send_to_all(encode_listed(part, self._token), peers)
+
+    def _send_to_all(self, data, peers):
+        for peer in peers:
+            self._send(data, peer)
 
     def send_symptoms(self, symptoms: collections.abc.Sequence[Symptom]) -> None:
         """Send symptoms of endpoints to entries of the region."""
         peers = self._rng.sample(self._peers, min(SYMPTOM_FAN_OUT, len(self._peers)))
-        for start in range(0, len(symptoms), MAX_REPORTS_PER_DATAGRAM):
-            data = encode_symptoms(symptoms[start : start + MAX_REPORTS_PER_DATAGRAM], self._token)
-            for peer in peers:
-                self._send(data, peer)
+        for part in _parts(symptoms):
+            self._send_to_all(encode_symptoms(part, self._token), peers)
 
     def send_cut_off(self, report: observation.CutOffReport) -> None:
         """Tell entries of the region that this entry reaches no endpoint."""
--- a/oriolelock/gateway/notice_gossip.py
+++ b/oriolelock/gateway/notice_gossip.py
@@ -18,6 +18,9 @@
 
 __all__ = ["NoticeGossip"]
 
+# A replica has told most entries already, and repeats it until the configuration says so.
+LISTED_ROUNDS = 2
+
 log = events.Events("gateway")
 
 
@@ -55,7 +58,8 @@
         """Apply a fact of another entry, and pass it on if it is new."""
         view = self._reports.apply_notice(notice, now)
         if view is not None:
-            self._rounds.add(notice)
+            is_listed = notice.fact is endpoint_view.Fact.LISTED_LEAVING
+            self._rounds.add(notice, LISTED_ROUNDS if is_listed else rumor_rounds.ROUNDS)
             log.usual("endpoint-notice", endpoint=view.endpoint.name, fact=notice.fact.name.lower())
 
     def _send_round(self):
--- a/oriolelock/gateway/rumor_rounds.py
+++ b/oriolelock/gateway/rumor_rounds.py
@@ -10,7 +10,7 @@
 
 import collections.abc
 
-__all__ = ["FAN_OUT", "INTERVAL_S", "RumorRounds"]
+__all__ = ["FAN_OUT", "INTERVAL_S", "ROUNDS", "RumorRounds"]
 
 INTERVAL_S = 0.2
 FAN_OUT = 5
@@ -23,9 +23,9 @@
     def __init__(self) -> None:
         self._rounds_left: dict[collections.abc.Hashable, int] = {}
 
-    def add(self, news: collections.abc.Hashable) -> None:
+    def add(self, news: collections.abc.Hashable, rounds: int = ROUNDS) -> None:
         """Pass on ``news`` in the next rounds."""
-        self._rounds_left[news] = ROUNDS
+        self._rounds_left[news] = rounds
 
     def __bool__(self) -> bool:
         return bool(self._rounds_left)
--- a/tests/platform/listing.py
+++ b/tests/platform/listing.py
@@ -21,6 +21,8 @@
     def __init__(self, count, domains=9, round_trip_s=0.0):
         self.states = {f"i-{n}": "ready" for n in range(count)}
         self.regions = {f"z{n}": "abc"[n % 3] for n in range(domains)}
+        # Fields that differ, by endpoint.
+        self.rows = {}
         self.round_trip_s = round_trip_s
         self.on_page = lambda names: None
         self.fails = lambda query: False
@@ -66,12 +68,25 @@
         start = int(query.get("pageToken", "p-0").removeprefix("p-"))
         page = names[start : start + PAGE_ENTRIES]
         token = f"p-{start + PAGE_ENTRIES}" if start + PAGE_ENTRIES < len(names) else None
-        rows = [
-            ["s", "10.0.0.1:80", self.domain(n), "v1", 3, self.states[n], "0ms", n, 5] for n in page
-        ]
+        rows = [self._row(name) for name in page]
         listed = {"instances": {"columns": COLUMNS, "rows": rows}, "nextPageToken": token}
         return page, json.dumps(listed).encode()
 
+    def _row(self, name):
+        fields = {
+            "service": "s",
+            "address": "10.0.0.1:80",
+            "zone": self.domain(name),
+            "version": "v1",
+            "slots": 4,
+            "state": self.states[name],
+            "coldRemaining": "0ms",
+            "id": name,
+            "born": None,
+        }
+        fields.update(self.rows.get(name, {}))
+        return [fields[column] for column in COLUMNS]
+
     def close(self):
         """Stop listening."""
         self.server.shutdown()
