--- a/oriolelock/dispatch/chooser.py
+++ b/oriolelock/dispatch/chooser.py
@@ -255,6 +255,15 @@
         factor = WAIT_FACTORS[min(context.route.priority, len(WAIT_FACTORS) - 1)]
         return send.wait_s <= factor * context.route.objective_ms / 1000.0
 
+    def is_wanted(self, view: endpoint_view.EndpointView, now: float) -> bool:
+        """Return whether a request that was decided to go to an endpoint may still be sent.
+
+        It may not if the endpoint has since left, started again, or been drained.
+        """
+        name = view.endpoint.name
+        is_current = self.views.get(name) is view
+        return is_current and name not in self._drained and view.is_staying(now)
+
     def started(self, decision: decisions.Send, number: int, now: float) -> None:
         """Record that a request was sent to the selected endpoint."""
         self.limits.record_sent(decision.view.endpoint.name, now)
--- a/oriolelock/gateway/daemon.py
+++ b/oriolelock/gateway/daemon.py
@@ -140,7 +140,13 @@
 
     def _on_config(self, cfg):
         self._relay.on_config(cfg)
-        self.loop.call_soon(lambda: self.core.configure(cfg))
+        self.loop.call_soon(self._configure_latest)
+
+    def _configure_latest(self):
+        """Apply the latest configuration, one for all that arrived while the loop was busy."""
+        cfg = self._uplink.configuration
+        if not self.core.is_confirmed or cfg is not self.core.cfg_in_force:
+            self.core.configure(cfg)
 
     def _report_crash(self, key, endpoint):
         if self._pending_crash_reports >= MAX_CRASH_REPORTS:
--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -185,6 +185,7 @@
             instance.name, view.address, self._route.idempotent, self._id_bytes, now
         )
         self._conn.on_connected = lambda: shared.connectivity.record_connected(view)
+        self._conn.is_wanted = lambda: shared.chooser.is_wanted(view, clock.monotonic_s())
         req = forwarded.to_endpoint(
             self._req, shared.words, instance.name, self._deadline_at_s - now
         )
@@ -212,6 +213,10 @@
     def _handle_not_sent(self, result, now):
         view = self._decision.view
         self._core.chooser.not_sent(self._decision, now)
+        if result.reason == "not-wanted":
+            log.usual("send-withdrawn", id=self._id, endpoint=view.endpoint.name)
+            self._attempt()
+            return
         self._unsent_attempts += 1
         if result.reason != "connection-ended":
             self._core.record_unreachable(view, result, now)
--- a/oriolelock/http1/outbound.py
+++ b/oriolelock/http1/outbound.py
@@ -73,6 +73,9 @@
         self.is_open = True
         # Called once a new connection is established.
         self.on_connected: collections.abc.Callable[[], None] = lambda: None
+        # Asked before the first byte of a request is written, which may be a connect timeout after
+        # the decision to send it.
+        self.is_wanted: collections.abc.Callable[[], bool] = lambda: True
         self._connected = False
         self._send_buffer = send_buffer.SendBuffer()
         self._reads = read_pacer.PacedReads(loop, self._watch)
@@ -181,9 +184,12 @@
     def _flush(self):
         if not self.is_open or self._on_result is None:
             return
-        size = len(self._send_buffer)
         if self.first_write_s is None:
+            if not self.is_wanted():
+                self._finish(transfers.NotSent("not-wanted"))
+                return
             self.first_write_s = clock.monotonic_s()
+        size = len(self._send_buffer)
         try:
             self._send_buffer.send_to(self._sock)
         except BlockingIOError:
