--- a/oriolelock/control/instance_poller.py
+++ b/oriolelock/control/instance_poller.py
@@ -100,11 +100,14 @@
                 self._apply_reading(status.term) if is_leader else self._read_for_leader()
             )
         except instance_list.ListUnreadable as exc:
+            self._turn.record_end(is_complete=False)
             self._log_error(str(exc))
             return
         except Exception:
+            self._turn.record_end(is_complete=False)
             log.exception("Reading the instance list failed.")
             return
+        self._turn.record_end(is_complete=True)
         self._last_error = ""
         took_s = clock.monotonic_s() - now
         if changed or took_s >= SLOW_READING_S:
@@ -144,7 +147,7 @@
     def _read_for_leader(self):
         """Return the numbers of instances listed and of endpoints that are found to leave.
 
-        All else can wait for the leader. It gets these as well, as it may lead without reading.
+        These are proposed to the leader too, which may be unable to read. All else can wait for it.
         """
         count, leaving_count = 0, 0
         for page in self._read():
--- a/oriolelock/control/reading_turn.py
+++ b/oriolelock/control/reading_turn.py
@@ -20,6 +20,8 @@
 # Until the next replica reads as well, which has heard neither of the leader nor of that one.
 RANK_STEP_S = 0.4
 STANDBY_INTERVAL_S = 1.0
+# While readings fail, perhaps as the list refuses calls over its rate.
+MAX_STANDBY_INTERVAL_S = 8.0
 
 
 def rank(name: str, leader: str, members: collections.abc.Iterable[str]) -> int | None:
@@ -43,10 +45,17 @@
         self._heard_s = now
         self._started_s: float | None = None
         self._was_leader = False
+        self._standby_interval_s = STANDBY_INTERVAL_S
 
     def record_heard(self, now: float) -> None:
         """Record that another replica has read the whole list."""
         self._heard_s = now
+        self._standby_interval_s = STANDBY_INTERVAL_S
+
+    def record_end(self, is_complete: bool) -> None:
+        """Record the end of a reading that was due."""
+        doubled_s = min(MAX_STANDBY_INTERVAL_S, 2 * self._standby_interval_s)
+        self._standby_interval_s = STANDBY_INTERVAL_S if is_complete else doubled_s
 
     def is_due(self, is_leader: bool, own_rank: int | None, now: float) -> bool:
         """Return whether this replica must read now, and record that it does."""
@@ -57,7 +66,7 @@
             is_due = (
                 own_rank is not None
                 and silence_s >= SILENCE_S + own_rank * RANK_STEP_S
-                and self._is_over(STANDBY_INTERVAL_S, now)
+                and self._is_over(self._standby_interval_s, now)
             )
         self._was_leader = is_leader
         if is_due:
--- a/tests/control/test_standby_reading.py
+++ b/tests/control/test_standby_reading.py
@@ -150,6 +150,23 @@
     assert first_s[-1] <= DRAIN_S / 2 + 2 * reading_turn.RANK_STEP_S
 
 
+def test_readings_that_fail_are_repeated_less_and_less_often():
+    """Replicas that hear nothing of each other must not use up the rate of the list."""
+    turn = reading_turn.ReadingTurn(0.5, 0.0)
+    times = []
+    for n in range(400):
+        if turn.is_due(False, 0, n / 10):
+            times.append(n / 10)
+            turn.record_end(is_complete=False)
+    gaps = [b - a for a, b in itertools.pairwise(times)]
+    assert gaps == sorted(gaps)
+    assert gaps[-1] == pytest.approx(reading_turn.MAX_STANDBY_INTERVAL_S)
+    turn.record_heard(40.0)
+    assert turn.is_due(False, 0, 48.1)
+    turn.record_end(is_complete=True)
+    assert turn.is_due(False, 0, 49.2)
+
+
 def test_new_leader_reads_at_once():
     turn = reading_turn.ReadingTurn(0.5, 0.0)
     assert turn.is_due(False, 0, 1.2)
