--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -15,6 +15,7 @@
     held_configuration,
     messages,
     parent_race,
+    parent_search,
     pending_calls,
     recent_changes,
     report_packing,
@@ -31,6 +32,9 @@
 # own report, they were 3.2 s old after three hops, over control's limit for live entries.
 FORWARD_INTERVAL_S = 0.25
 UNCONFIRMED_LIMIT_S = 1.5
+# Parents confirm every half a second. Another one is searched meanwhile, since a change must be in
+# use 2.5 s after its acknowledgement, however the parent fails.
+SUSPECT_AFTER_S = 0.9
 # A parent that reaches the leader confirms a new subscription within a few round trips.
 FIRST_CONFIRMATION_LIMIT_S = 1.2
 # The limit once a configuration is held. It is shorter, so that parents that can't confirm delay
@@ -49,6 +53,8 @@
 # A starting entry connects to control first, and later moves to its parent in the tree.
 REBALANCE_INTERVAL_S = 5.0
 FAILED_PARENT_PENALTY_S = 30.0
+# For a parent that may only have been busy.
+SUSPECT_PENALTY_S = 5.0
 
 Address = tuple[str, int]
 Parents = collections.abc.Callable[[configuration.Configuration], collections.abc.Sequence[Address]]
@@ -194,11 +200,15 @@
         return outbox is not None and outbox.put(codec.encode(msg))
 
     def _run(self):
-        failures = 0
+        failures, connected = 0, None
         while not self._stopping.is_set():
             started_s = clock.monotonic_s()
             try:
-                self._serve_connection(self._find_parent(started_s))
+                connected = connected or self._find_parent(started_s)
+                current, connected = connected, None
+                connected = self._serve_connection(current)
+                if connected is not None:
+                    continue
             except (wire_errors.WireError, errors.DistributionError) as exc:
                 log.warning("disconnected from control: {}", exc)
             except Exception:
@@ -215,17 +225,28 @@
         addresses = list(self._parents(self._holder.cfg))
         return sorted(addresses, key=lambda a: max(now, self._avoid_until_s.get(a, 0.0)))
 
-    def _find_parent(self, now):
-        """Return a connection to a parent that confirms the configuration."""
+    def _search_order(self, now):
+        replicas = set()
+        for peer in self._holder.cfg.members.values():
+            host, _, port = peer.link_address.rpartition(":")
+            if peer.role == "control" and port.isdigit():
+                replicas.add((host, int(port)))
+        return parent_search.interleave(self._order_parents(now), replicas)
+
+    def _make_race(self):
         index = self._holder.cfg.index
         limits = (
             (NEXT_CONFIRMATION_LIMIT_S, NEXT_RACE_INTERVAL_S)
             if index
             else (FIRST_CONFIRMATION_LIMIT_S, FIRST_RACE_INTERVAL_S)
         )
-        race = parent_race.ParentRace(self._hello, index, *limits)
+        return parent_race.ParentRace(self._hello, index, *limits)
+
+    def _find_parent(self, now):
+        """Return a connection to a parent that confirms the configuration."""
+        race = self._make_race()
         try:
-            return race.run(self._order_parents(now), self._stopping)
+            return race.run(self._search_order(now), self._stopping)
         except errors.Disconnected:
             # Changes that a parent holds are committed, whether it can confirm them or not.
             for msg in race.unconfirmed:
@@ -235,10 +256,11 @@
             for address in race.unfit:
                 self._avoid(address)
 
-    def _avoid(self, address):
-        self._avoid_until_s[address] = clock.monotonic_s() + FAILED_PARENT_PENALTY_S
+    def _avoid(self, address, penalty_s=FAILED_PARENT_PENALTY_S):
+        self._avoid_until_s[address] = clock.monotonic_s() + penalty_s
 
     def _serve_connection(self, connected):
+        """Use a connection until it ends. Returns the one to use next if there is one already."""
         address, link = connected.address, connected.link
         self._link = link
         outbox = send_queue.SendQueue(MAX_QUEUED_SENDS, MAX_QUEUED_BYTES)
@@ -251,7 +273,7 @@
             self._parent, self._outbox = address, outbox
             log.info("connected to {}:{}", *address)
             self._is_resyncing = False
-            self._receive_until_disconnected(link, connected.received)
+            return self._receive_until_disconnected(link, connected.received)
         except (wire_errors.WireError, errors.DistributionError):
             self._avoid(address)
             raise
@@ -268,29 +290,53 @@
         self._enqueue(messages.Subscribe(self._hello.name, self._holder.cfg.index))
 
     def _receive_until_disconnected(self, link, received):
+        """Return a connection to another parent, or None if the parent must be chosen again."""
         confirmed_s = clock.monotonic_s()
         for msg in received:
             self._handle(msg)
         rebalance_s = confirmed_s + self._rng.uniform(1.0, 2.0) * REBALANCE_INTERVAL_S
         report_due_s = forward_due_s = 0.0
-        while not self._stopping.is_set():
-            now = clock.monotonic_s()
-            if now >= min(report_due_s, forward_due_s):
-                is_report_due = now >= report_due_s
-                self._queue_reports(is_report_due)
-                forward_due_s = now + FORWARD_INTERVAL_S
-                report_due_s = now + REPORT_INTERVAL_S if is_report_due else report_due_s
-            if now - confirmed_s > UNCONFIRMED_LIMIT_S:
-                raise errors.Disconnected(f"not confirmed for {UNCONFIRMED_LIMIT_S} s")
-            if now >= rebalance_s:
-                rebalance_s = now + REBALANCE_INTERVAL_S
-                if self._order_parents(now)[0] != self._parent:
-                    log.info("moving to a better parent")
-                    return
-            wait_s = min(report_due_s, forward_due_s) - now
-            msg = link.recv(max(0.0, min(RECV_TIMEOUT_S, wait_s)))
-            if msg is not None and self._handle(msg):
-                confirmed_s = clock.monotonic_s()
+        search = None
+        try:
+            while not self._stopping.is_set():
+                now = clock.monotonic_s()
+                if now >= min(report_due_s, forward_due_s):
+                    is_report_due = now >= report_due_s
+                    self._queue_reports(is_report_due)
+                    forward_due_s = now + FORWARD_INTERVAL_S
+                    report_due_s = now + REPORT_INTERVAL_S if is_report_due else report_due_s
+                search = self._search_if_suspect(search, now - confirmed_s)
+                found = search.take() if search else None
+                if found is not None:
+                    log.info("another parent confirms, {}:{} does not", *self._parent)
+                    self._avoid(self._parent, SUSPECT_PENALTY_S)
+                    return found
+                if now - confirmed_s > UNCONFIRMED_LIMIT_S:
+                    raise errors.Disconnected(f"not confirmed for {UNCONFIRMED_LIMIT_S} s")
+                if now >= rebalance_s:
+                    rebalance_s = now + REBALANCE_INTERVAL_S
+                    if self._order_parents(now)[0] != self._parent:
+                        log.info("moving to a better parent")
+                        return None
+                wait_s = min(report_due_s, forward_due_s) - now
+                msg = link.recv(max(0.0, min(RECV_TIMEOUT_S, wait_s)))
+                if msg is not None and self._handle(msg):
+                    confirmed_s = clock.monotonic_s()
+        finally:
+            if search is not None:
+                search.cancel()
+        return None
+
+    def _search_if_suspect(self, search, unconfirmed_s):
+        """Return the search beside the current connection, begun or ended as is necessary."""
+        if unconfirmed_s <= SUSPECT_AFTER_S:
+            if search is not None:
+                search.cancel()
+            return None
+        if search is None:
+            others = [a for a in self._search_order(clock.monotonic_s()) if a != self._parent]
+            search = parent_search.ParentSearch(self._make_race(), others)
+        return search
 
     def _queue_reports(self, include_own):
         own_report = self._make_report() if include_own else None
--- a/tests/distribution/test_uplink.py
+++ b/tests/distribution/test_uplink.py
@@ -1,15 +1,17 @@
 """Tests that the configuration never goes back, gaps are filled, and every call ends."""
 
 import contextlib
+import dataclasses
 import random
 import socket
 import threading
+import time
 import types
 
 import pytest
 
 from oriolelock.distribution import errors, messages, stored_copy, uplink
-from oriolelock.model import changes, delta
+from oriolelock.model import changes, delta, member
 from oriolelock.once import messages as once
 from oriolelock.wire import channel, hello
 from tests import fake_parent, waiting
@@ -280,6 +282,43 @@
         waiting.until(index_is(link, 9), 2.0 + 2.5)
 
 
+def silent_addresses(stack, count):
+    """Return addresses at which connections are accepted and nothing answers."""
+    listeners = [stack.enter_context(socket.socket()) for _ in range(count)]
+    for listener in listeners:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(8)
+    return [types.SimpleNamespace(address=listener.getsockname()) for listener in listeners]
+
+
+def test_a_change_arrives_in_time_when_all_near_entries_are_lost(connect, parent):
+    """Guards against limits that each hold and together exceed 2.5 s, a fifth of which is left for
+    agreement and for what comes before the lost parent."""
+    with contextlib.ExitStack() as stack:
+        replica = fake_parent.FakeParent()
+        stack.callback(replica.close)
+        address = ":".join(map(str, replica.address))
+        control = member.Member("c1", "control", "", address, "perth", "perth-a")
+        cfg = fake_parent.make_config()
+        cfg = dataclasses.replace(cfg, members={**cfg.members, "c1": control})
+        parent.cfg = replica.cfg = cfg
+        link = connect(parent, *silent_addresses(stack, 5), replica)
+        waiting.until(lambda: link.is_ready, 5.0)
+        parent.confirms = False
+        replica.cfg = dataclasses.replace(cfg, index=9)
+        waiting.until(index_is(link, 9), 2.5 * 4 / 5)
+
+
+def test_parent_that_confirms_again_is_kept(connect, parent, other):
+    link = connect(parent, other)
+    waiting.until(lambda: link.is_ready, 5.0)
+    other.confirms = parent.confirms = False
+    waiting.until(lambda: other.subscriptions, 5.0)
+    parent.confirms = True
+    time.sleep(1.0)
+    assert link.parent == parent.address
+
+
 def test_an_old_configuration_is_not_used_while_no_parent_confirms_it(connect, parent):
     """After a start of all processes, parents send the states that they pass through."""
     parent.confirms = False
