--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -136,6 +136,29 @@
     assert gossip.decode(gossip.encode_symptoms(SYMPTOMS, "token"), "token") == SYMPTOMS
 
 
+def test_endpoints_listed_as_leaving_have_a_format_of_their_own():
+    """Guards against older builds that would reject the facts beside them."""
+    listed = [
+        observation.EndpointNotice(digest, endpoint_view.Fact.LISTED_LEAVING)
+        for digest in (7, 2**32 - 1)
+    ]
+    data = gossip.encode_listed([item.endpoint_digest for item in listed], "token")
+    assert gossip.decode(data, "token") == listed
+    assert gossip.LISTED_FORMAT_VERSION not in (
+        gossip.NOTICES_FORMAT_VERSION,
+        gossip.SYMPTOMS_FORMAT_VERSION,
+    )
+
+
+def test_facts_are_sent_in_the_datagrams_of_their_formats(running):
+    peers, received = make_pair(running)
+    address = peers["b"]._sock.getsockname()
+    notices = [observation.EndpointNotice(n, fact) for n, fact in enumerate(endpoint_view.Fact)]
+    running.call(lambda: peers["a"].send_notices(notices, [address]))
+    wait_until(lambda: len(received["b"]) == len(notices))
+    assert sorted(received["b"], key=lambda item: item.endpoint_digest) == notices
+
+
 @pytest.mark.parametrize(
     ("version", "row"),
     [
