Tell when each control replica was last heard

What callers saw: nothing of this directly. After an incident in which control lost its majority, no replica could tell since when another one had been silent: a link knew only whether it was connected, and the time of the last message was lost with the connection.

Channel.last_received_s is the time that the channel already kept for its timeout. PeerLink.last_heard_s reads it from the current connection, heartbeats included, and keeps the last value after the connection; None if there never was one. Replica.last_heard() gives these times by name. Nothing decides by them yet.

--- a/oriolelock/control/peer_link.py
+++ b/oriolelock/control/peer_link.py
@@ -42,6 +42,7 @@
         self._make_hello = make_hello
         self._queue = send_queue.SendQueue(MAX_QUEUED, MAX_QUEUED_BYTES)
         self._channel: channel.Channel | None = None
+        self._last_heard_s: float | None = None
         self._stopping = threading.Event()
         self._last_error = ""
         self._rng = random.Random(peer.name)
@@ -68,6 +69,15 @@
         """True while there is a connection."""
         return self._channel is not None
 
+    @property
+    def last_heard_s(self) -> float | None:
+        """Monotonic time at which the peer last sent anything, heartbeats included.
+
+        Outlives the connection; None if there never was one.
+        """
+        conn = self._channel
+        return conn.last_received_s if conn else self._last_heard_s
+
     def send(self, msg: object) -> bool:
         """Queue a message; returns False if it was dropped."""
         return self._channel is not None and self._queue.put(codec.encode(msg))
@@ -100,6 +110,7 @@
             self._queue.clear()
             self._channel = conn
             self._receive_heartbeats(conn)
+            self._last_heard_s = conn.last_received_s
             self._channel = None
 
     def _receive_heartbeats(self, conn):
--- a/oriolelock/control/replica.py
+++ b/oriolelock/control/replica.py
@@ -147,6 +147,14 @@
         """Close links to replicas that are not in ``kept``."""
         self._links.retain(kept)
 
+    def last_heard(self) -> dict[str, float]:
+        """Return the monotonic times at which the other replicas last sent anything, by name.
+
+        Replicas that were never connected are left out; see ``peer_link.PeerLink.last_heard_s``.
+        """
+        links = self._links.all().items()
+        return {name: heard_s for name, link in links if (heard_s := link.last_heard_s) is not None}
+
     def configuration(self) -> configuration.Configuration:
         """Return the latest configuration applied on this replica."""
         return self._hosts["config"].state_machine.view()
--- a/oriolelock/wire/channel.py
+++ b/oriolelock/wire/channel.py
@@ -45,6 +45,14 @@
         self.messages_sent = 0
         self.messages_received = 0
 
+    @property
+    def last_received_s(self) -> float:
+        """Monotonic time of the last message received, heartbeats included.
+
+        Before the first message it is the time at which the connection was made.
+        """
+        return self._last_received_s
+
     def send(self, msg: object) -> None:
         """Encode and send one message; raises ChannelClosed."""
         self.send_bytes(codec.encode(msg))
