Connect every control replica to all members

What callers saw: nothing by itself. A replica connected to its seeds and to those that it happened to send to, so that after replacements followers had no link to replicas that were admitted later. When such a follower became leader, its first messages to them were dropped, and it could not know since when one of them had been silent.

Cause: links are created at the first message. In calm a follower sends only to the leader.

Each replica now creates the links to the committed members after each commit and each change of leader, as deployments with named peers do from the start. Nothing is decided by it; connections between replicas are as many as between the first seeds.

--- a/oriolelock/control/peer_links.py
+++ b/oriolelock/control/peer_links.py
@@ -58,6 +58,11 @@
         link = self._get_or_create(name)
         return link is not None and link.send(msg)
 
+    def connect(self, names: collections.abc.Iterable[str]) -> None:
+        """Create the links to these replicas that don't exist yet, except to this replica."""
+        for name in names:
+            self._get_or_create(name)
+
     def _get_or_create(self, name):
         with self._lock:
             link = self._links.get(name)
--- a/oriolelock/control/replica.py
+++ b/oriolelock/control/replica.py
@@ -122,6 +122,8 @@
         self._listeners.append(listener)
 
     def _notify_listeners(self, group):
+        # A follower that becomes leader needs the links at once, and knows who has been silent.
+        self._links.connect(self._hosts[group].member_names())
         for listener in self._listeners:
             listener(group)
 
