Log the loss of a group's majority or leader, with who is missing since when

What operators saw: after the fourth loss of the incident control stood still, and no line of any log named the members of the group, how many voters were needed, or who was missing. The last lines were "the leader is nobody in term 4" and connections that timed out.

Each replica now assesses each group twice a second from the latest membership in its log, the times at which it last heard the others, and the incarnations under which they sent messages of the group. It logs majority-lost, majority-regained, no-leader (after 5 s), leader-found, no-member and member on a change, and one reminder per group each 10 s while the lack lasts. Calm and elections of usual length log nothing. The state dump shows the same under groups.G.majority.

A known leader vouches for a majority, because it steps down without one; counting links alone would report a loss where a connection is new. A voter whose name answers from another data folder is gone although it is connected.

Nothing is decided by any of it.

--- a/oriolelock/control/host.py
+++ b/oriolelock/control/host.py
@@ -109,6 +109,10 @@
         """Return the names of the replicas in the latest membership committed here."""
         return tuple(member.name for member in self._applier.membership.replicas)
 
+    def membership(self) -> messages.Membership:
+        """Return the latest membership in the log: it is in effect even if uncommitted."""
+        return self._node.membership
+
     def transfer(self) -> None:
         """Transfer leadership to another replica."""
         self._event_queue.put(events.Transfer())
--- a/oriolelock/control/replica.py
+++ b/oriolelock/control/replica.py
@@ -14,10 +14,12 @@
 from oriolelock.consensus import node_settings
 from oriolelock.control import (
     call_router,
+    group_watch,
     hand_over,
     host,
     host_settings,
     host_status,
+    majority,
     messages,
     peer_link,
     peer_links,
@@ -65,6 +67,11 @@
         make_hello = peer_link.hello_factory(cfg, self._stores["config"].incarnation)
         self._links = peer_links.PeerLinks(cfg, make_hello)
         self._call_router = call_router.CallRouter(cfg.name, self._hosts, self.send)
+        own = {
+            group: consensus_messages.Replica(cfg.name, group_store.incarnation, False)
+            for group, group_store in self._stores.items()
+        }
+        self._watch = group_watch.GroupWatch(self._hosts, own, self.last_heard)
         self.take_reports: collections.abc.Callable = lambda batch: None
         # See ``pauses.PauseDetector.lag_s``.
         self.lag_s: collections.abc.Callable[[], float] = lambda: 0.0
@@ -105,6 +112,7 @@
         self._links.start()
         for group_host in self._hosts.values():
             group_host.start()
+        self._watch.start()
 
     def hand_over(self) -> None:
         """Transfer leadership of all groups to other replicas; gives up after 2 s."""
@@ -112,6 +120,7 @@
 
     def stop(self) -> None:
         """Stop all threads of the replica."""
+        self._watch.stop()
         self._call_router.stop()
         for group_host in self._hosts.values():
             group_host.stop()
@@ -173,11 +182,23 @@
         """Return the state of a group as this replica sees it."""
         return self._hosts[group].status()
 
+    def assess(self, group: str = "config") -> majority.Assessment:
+        """Return what this replica knows of the members and the majority of a group."""
+        return self._watch.assess(group)
+
+    def assess_all(self) -> dict[str, majority.Assessment]:
+        """Return what this replica knows of the members and the majorities of all groups."""
+        return {group: self._watch.assess(group) for group in self._hosts}
+
     def dump(self) -> dict:
         """Return the states of groups and links as JSON data."""
         return {
             "groups": {
-                group: vars(group_host.status()) for group, group_host in self._hosts.items()
+                group: {
+                    **vars(group_host.status()),
+                    "majority": majority.to_json(self.assess(group)),
+                }
+                for group, group_host in self._hosts.items()
             },
             "connected": sorted(name for name, link in self._links.all().items() if link.connected),
         }
@@ -221,6 +242,7 @@
     def _handle_message(self, sender, msg):
         if isinstance(msg, messages.GroupMessage):
             if msg.group in self._hosts and isinstance(msg.msg, CONSENSUS_MESSAGES):
+                self._watch.record_incarnation(msg.group, sender, msg.incarnation)
                 self._hosts[msg.group].receive(sender, msg.incarnation, msg.msg)
         elif isinstance(msg, messages.Join):
             self._handle_join(msg)
