Show members, majority and time without a leader in metrics and status

What operators saw: metrics and status of a replica without a majority differed from those of a calm one only by control_is_leader and "NOT CONFIRMED".

Gauges on the metrics address and by statsd: voters, voters_reachable, voters_needed, learners, has_majority, leaderless_s (prefix oriolelock_control_ and control.).

--- a/oriolelock/control/api.py
+++ b/oriolelock/control/api.py
@@ -18,6 +18,7 @@
 from oriolelock.control import (
     commands,
     drain_check,
+    majority,
     messages,
     replica,
     status_view,
@@ -149,7 +150,8 @@
         api.replica.status().leader,
         clock.monotonic_s(),
     )
-    return _json_response(data)
+    groups = {group: majority.to_json(found) for group, found in api.replica.assess_all().items()}
+    return _json_response({**data, "groups": groups})
 
 
 def _post_change(api, req):
--- a/oriolelock/control/components.py
+++ b/oriolelock/control/components.py
@@ -16,6 +16,7 @@
     instance_poller,
     joiner,
     list_news,
+    majority,
     messages,
     replica,
     uplink_calls,
@@ -126,6 +127,8 @@
     def _report_metrics(self):
         self.counters.gauge("control.index", self.replica.configuration().index)
         self.counters.gauge("control.subscribers", len(self.publisher.subscriber_names()))
+        for name, value in majority.make_gauges(self.replica.assess_all()).items():
+            self.counters.gauge(f"control.{name}", value)
 
     def _on_change(self, group):
         if group == "config":
--- a/oriolelock/control/hosted.py
+++ b/oriolelock/control/hosted.py
@@ -9,7 +9,7 @@
 import threading
 
 from oriolelock import clock, events, metrics
-from oriolelock.control import components, instance_poller, replica, route_operations
+from oriolelock.control import components, instance_poller, majority, replica, route_operations
 from oriolelock.http1 import body_budget, messages, server, server_rules, shutdown
 from oriolelock.http1 import loop as loops
 from oriolelock.model import request_limits
@@ -118,12 +118,14 @@
     def metrics_text(self) -> str:
         """Return the metrics of this replica in the Prometheus text format."""
         status = self.replica.status()
+        found = majority.make_gauges(self.replica.assess_all())
         gauges = {
             "control_is_leader": int(status.is_leader),
             "control_term": status.term,
             "control_applied": status.applied,
             "control_replicas": status.replicas,
             "control_disk_full": int(status.disk_full),
+            **{f"control_{name}": value for name, value in found.items()},
             "routes_revision": self.replica.configuration().table.revision,
         }
         return "".join(f"oriolelock_{name} {value}\n" for name, value in gauges.items())
--- a/oriolelock/metrics.py
+++ b/oriolelock/metrics.py
@@ -31,6 +31,18 @@
     "control.change.latency": ("timer", "time from receipt to result of an operator change"),
     "control.index": ("gauge", "position of the configuration in the log"),
     "control.subscribers": ("gauge", "subscribers of this replica"),
+    "control.voters": ("gauge", "voters of the group config"),
+    "control.voters_reachable": ("gauge", "voters of the group config heard lately, itself too"),
+    "control.voters_needed": ("gauge", "voters of the group config that are a majority"),
+    "control.learners": ("gauge", "members of the group config that are no voters yet"),
+    "control.has_majority": (
+        "gauge",
+        "1 if each group has a majority as far as known here, else 0",
+    ),
+    "control.leaderless_s": (
+        "gauge",
+        "seconds without a leader, of the group that lacks it longest",
+    ),
     "wire.refused": ("counter", "connections between processes refused at their greeting"),
     "wire.bad_message": ("counter", "messages between processes that did not decode"),
 }
--- a/tests/control/test_api.py
+++ b/tests/control/test_api.py
@@ -8,7 +8,8 @@
 import werkzeug.test
 
 from oriolelock import metrics
-from oriolelock.control import api, commands, config_state, messages, unavailable
+from oriolelock.consensus import messages as consensus_messages
+from oriolelock.control import api, commands, config_state, majority, messages, unavailable
 from oriolelock.distribution import messages as distribution_messages
 from oriolelock.distribution import reports
 from oriolelock.settings import control
@@ -52,6 +53,13 @@
     def dump(self):
         return {"groups": {}}
 
+    def assess_all(self):
+        own = consensus_messages.Replica("c1", "i", True)
+        other = consensus_messages.Replica("c2", "i", True)
+        contacts = majority.Contacts({}, {}, 3.0, 100.0)
+        members = consensus_messages.Membership((own, other))
+        return {"config": majority.assess(members, own, contacts, self.status().leader, 7.0)}
+
 
 class Harness:
     """A client of the application over a fake replica."""
@@ -154,6 +162,10 @@
     status, data = harness.get("/oriolelock/status")
     assert (status, data["confirmed"], data["in_force"]) == (200, False, None)
     assert data["last_known_in_force"] == "a"
+    group = data["groups"]["config"]
+    assert (group["voters"], group["reachable"], group["needed"]) == (2, 1, 2)
+    assert (group["has_majority"], group["leaderless_s"]) == (False, 7.0)
+    assert [member["name"] for member in group["members"]] == ["c1", "c2"]
     data = harness.get("/oriolelock/configuration")[1]
     assert (data["confirmed"], data["configuration"]["in_force"]) == (False, None)
     assert harness.get("/oriolelock/ready")[0] == 503
