Simulated cluster: replicas replaced under new names, admission, stricter checks

The driver of the consensus tests could restart a replica with an empty disk, but not replace it by one at a new address, as a control replica is when its machine is removed for good. `replace` removes one and starts an empty one under another name after a pause. `admit` now lets replicas that know no leader ask for admission (oriolelock/control/joiner.py, replica._handle_join) and requests removals as oriolelock/control/host.py does, if `min_voters` is set. Election times are settings. Each replica knows when its links last heard the others (`heard_s`), for judgements that outlive a leader.

It asserts more, in every test: a new leader has durable votes of a majority of its voters and is one itself; the voters that a leader counts for a commit have stored the entry; memberships that follow one another in a log have majorities that overlap; a vote comes from a replica that knows its group and has stored it. Identities contain the incarnation, so that a learner or a replica with an empty disk is never counted.

--- a/tests/consensus/driver.py
+++ b/tests/consensus/driver.py
@@ -9,88 +9,68 @@
 import hashlib
 import random
 
-from oriolelock.consensus import events, messages, node, node_settings, outputs, persistent_state
+from oriolelock.consensus import events, messages, node, outputs
+from tests.consensus import majorities, simulated
 
 STEP_S = 0.1
-
-
-class Replica:
-    """A node, the contents of its disk, and the saves that are not synced yet."""
-
-    def __init__(self, name, incarnation, membership, rng):
-        self.name, self.incarnation, self.rng = name, incarnation, rng
-        self.disk = persistent_state.PersistentState(0, "", 0, 0, membership, (), b"")
-        self.suspended = self.preferred = False
-
-    def start(self, now):
-        cfg = node_settings.NodeSettings(self.name, self.incarnation, preferred=self.preferred)
-        self.node = node.make(cfg, self.disk, now, self.rng)
-        self.pending_saves = []
-        self.applied, self.state = self.disk.snapshot_index, self.disk.snapshot
-
-    def sync(self):
-        save = self.pending_saves.pop(0)
-        entries = [
-            entry for entry in self.disk.entries if not 0 < save.truncate_from <= entry.index
-        ]
-        entries += [entry for entry in save.entries if entry.index > self.disk.snapshot_index]
-        self.disk = dataclasses.replace(
-            self.disk, term=save.term, voted_for=save.voted_for, entries=tuple(entries)
-        )
-        return events.Saved(save.number)
-
-    def store_snapshot(self, index, term, membership, data):
-        kept_entries = ()
-        if any((entry.index, entry.term) == (index, term) for entry in self.disk.entries):
-            kept_entries = tuple(entry for entry in self.disk.entries if entry.index > index)
-        self.disk = dataclasses.replace(
-            self.disk,
-            snapshot_index=index,
-            snapshot_term=term,
-            membership=membership,
-            entries=kept_entries,
-            snapshot=data,
-        )
+LINK_HEARTBEAT_S = 1.0
+# As in ``oriolelock.control.joiner`` and ``replica``.
+JOIN_INTERVAL_S = 0.3
+MAX_JOIN_HOPS = 2
 
 
 class Cluster:
     """Replicas and the messages in transit; asserts safety after each step of a node."""
 
-    def __init__(self, size, seed=0):
+    def __init__(self, size, seed=0, settings=simulated.DEFAULTS):
         self.rng = random.Random(seed)
+        self.settings = settings
         self.now = 0.0
         names = [f"n{number}" for number in range(size)]
         self.membership = messages.Membership(
             tuple(messages.Replica(name, "initial", True) for name in names)
         )
         self.replicas = {
-            name: Replica(name, "initial", self.membership, self.rng) for name in names
+            name: simulated.Replica(name, "initial", self.membership, self.rng, settings)
+            for name in names
         }
         for replica in self.replicas.values():
             replica.start(0.0)
         self.network = []
-        self.partitioned = set()
+        # Replicas that reach nobody, and the side of each one during a split.
+        self.partitioned, self.sides = set(), {}
+        self.next_link_heartbeat_s = 0.0
+        self.starting, self.incarnations = [], 0
+        self.record = majorities.Record()
         self.leaders, self.committed, self.states = {}, {}, {}
         self.reads, self.results = {}, []
         self.requests = 0
 
     def step(self, name, event):
         replica = self.replicas[name]
-        step_outputs = node.step(replica.node, event, self.now)
+        was_leader = node.is_leader(replica.node)
+        step_outputs = node.step(replica.node, event, self.now - replica.slept_s)
         for output in step_outputs:
             self._execute(replica, output)
+        if node.is_leader(replica.node) and not was_leader:
+            self.record.check_leader(replica)
+        self.record.check_memberships(replica)
         return step_outputs
 
     def _execute(self, replica, output):
         if isinstance(output, outputs.Save):
             replica.pending_saves.append(output)
         elif isinstance(output, outputs.Send):
+            self.record.sent(replica, output.target, output.msg)
             self.network.append((replica.name, replica.incarnation, output.target, output.msg))
         elif isinstance(output, outputs.Commit):
+            if node.is_leader(replica.node):
+                self.record.check_commit(replica, output.entries[-1])
             for entry in output.entries:
                 self._apply(replica, entry)
         elif isinstance(output, outputs.RestoreSnapshot):
             replica.store_snapshot(output.index, output.term, output.membership, output.data)
+            self.record.stored_snapshot(replica, output.index)
             replica.applied, replica.state = output.index, output.data
             assert self.states[output.index] == output.data, "snapshot differs from applied state"
         elif isinstance(output, outputs.LeaderChanged) and output.is_self:
@@ -124,26 +104,65 @@
                         first, matching_indexes[-1]
                     )
 
+    def connected(self, left, right):
+        cut = left in self.partitioned or right in self.partitioned
+        return not cut and self.sides.get(left) == self.sides.get(right)
+
     def deliver(self, message):
         sender, incarnation, target, msg = message
         replica = self.replicas.get(target)
-        if (
-            replica
-            and not replica.suspended
-            and sender not in self.partitioned
-            and target not in self.partitioned
-        ):
+        if not replica or not replica.running or not self.connected(sender, target):
+            return
+        replica.heard_s[sender] = self.now - replica.slept_s
+        if isinstance(msg, simulated.Join):
+            self._handle_join(replica, msg)
+        else:
             self.step(target, events.Received(sender, incarnation, msg))
 
+    def _handle_join(self, replica, msg):
+        leader = node.leader(replica.node)
+        if leader == replica.name:
+            learner = messages.Replica(msg.name, msg.incarnation, False)
+            self.step(leader, events.AddLearner(learner))
+        elif leader and msg.hops < MAX_JOIN_HOPS:
+            forwarded = dataclasses.replace(msg, hops=msg.hops + 1)
+            self.network.append((replica.name, replica.incarnation, leader, forwarded))
+
+    def _request_admission(self):
+        """Let each replica that knows no leader ask all others, as the joiner does."""
+        for replica in self.replicas.values():
+            if replica.running and self.now >= replica.next_join_s:
+                replica.next_join_s = self.now + JOIN_INTERVAL_S
+                if not node.leader(replica.node):
+                    msg = simulated.Join(replica.name, replica.incarnation)
+                    for name in self.replicas:
+                        self.network.append((replica.name, replica.incarnation, name, msg))
+
+    def _send_link_heartbeats(self):
+        if self.now < self.next_link_heartbeat_s:
+            return
+        self.next_link_heartbeat_s = self.now + LINK_HEARTBEAT_S
+        running = [replica for replica in self.replicas.values() if replica.running]
+        for replica in running:
+            for other in running:
+                if other is not replica and self.connected(replica.name, other.name):
+                    replica.heard_s[other.name] = self.now - replica.slept_s
+
     def sync_next_save(self, name):
-        self.step(name, self.replicas[name].sync())
+        replica = self.replicas[name]
+        save = replica.pending_saves[0]
+        saved = replica.sync()
+        self.record.stored(replica, save.entries)
+        self.step(name, saved)
 
     def run(self, steps=1, loss=0.0, duplication=0.0, delay=0.0, sync=1.0):
         """Advance time; messages are randomly lost, duplicated or delayed (and so reordered)."""
         for _ in range(steps):
             self.now += STEP_S
+            self._start_due()
+            self._send_link_heartbeats()
             for name, replica in self.replicas.items():
-                if not replica.suspended:
+                if replica.running:
                     self.step(name, events.Tick())
             # Several rounds per step, so that an exchange is shorter than a heartbeat interval.
             for _ in range(4):
@@ -153,7 +172,10 @@
         in_transit, self.network = self.network, []
         self.rng.shuffle(in_transit) if delay else None
         for message in in_transit:
-            if self.rng.random() < delay or self.replicas[message[2]].suspended:
+            target = self.replicas.get(message[2])
+            if target is None:
+                continue
+            if self.rng.random() < delay or target.suspended:
                 self.network.append(message)
                 continue
             if self.rng.random() < duplication:
@@ -161,24 +183,46 @@
             if self.rng.random() >= loss:
                 self.deliver(message)
         for name, replica in self.replicas.items():
-            while replica.pending_saves and not replica.suspended and self.rng.random() < sync:
+            while replica.pending_saves and replica.running and self.rng.random() < sync:
                 self.sync_next_save(name)
 
     def crash(self, name):
         """Restart a process; some of its pending saves may have reached the disk."""
         replica = self.replicas[name]
         for _ in range(self.rng.randint(0, len(replica.pending_saves))):
+            self.record.stored(replica, replica.pending_saves[0].entries)
             replica.sync()
-        replica.suspended = False
+        replica.suspended = replica.down = False
         replica.start(self.now)
 
     def lose_disk(self, name):
         """Restart a process with an empty data folder and a new incarnation."""
-        incarnation = f"lost-{self.rng.getrandbits(64):x}"
-        replica = Replica(name, incarnation, messages.Membership(()), self.rng)
+        self.remove(name)
+        self.add(name)
+
+    def remove(self, name):
+        """Remove a replica for good; what it has sent may still arrive."""
+        del self.replicas[name]
+
+    def add(self, name):
+        """Start a replica with an empty disk, which asks to be admitted."""
+        self.incarnations += 1
+        incarnation = f"disk-{self.incarnations}"
+        replica = simulated.Replica(name, incarnation, simulated.EMPTY, self.rng, self.settings)
         self.replicas[name] = replica
         replica.start(self.now)
 
+    def replace(self, old, new, pause_s):
+        """Remove a replica for good; an empty one starts under a new name after a pause."""
+        self.remove(old)
+        self.starting.append((self.now + pause_s, new))
+
+    def _start_due(self):
+        due = [name for start_s, name in self.starting if self.now >= start_s]
+        self.starting = [item for item in self.starting if item[1] not in due]
+        for name in due:
+            self.add(name)
+
     def snapshot(self, name):
         replica = self.replicas[name]
         if replica.applied > replica.disk.snapshot_index:
@@ -187,15 +231,23 @@
             self.step(name, events.SnapshotTaken(replica.applied, replica.state))
 
     def admit(self):
-        """Add and promote the replicas that leaders report, as the control daemon does."""
-        for name, replica in self.replicas.items():
-            if replica.suspended or not node.is_leader(replica.node):
-                continue
-            for other_name, incarnation in node.non_members(replica.node).items():
-                learner = messages.Replica(other_name, incarnation, False)
-                self.step(name, events.AddLearner(learner))
-            for other_name in node.caught_up_learners(replica.node, self.now):
-                self.step(name, events.Promote(other_name))
+        """Request admission and changes of membership, as the control daemon does."""
+        self._request_admission()
+        for name, replica in list(self.replicas.items()):
+            if replica.running and node.is_leader(replica.node):
+                for event in self._membership_changes(replica):
+                    self.step(name, event)
+
+    def _membership_changes(self, replica):
+        """Return what ``oriolelock.control.host._membership_events`` returns on a leader."""
+        now, min_voters = self.now - replica.slept_s, self.settings.min_voters
+        non_members = node.non_members(replica.node).items()
+        removable = [] if min_voters is None else node.removable(replica.node, min_voters, now)
+        return [
+            *(events.AddLearner(messages.Replica(*item, False)) for item in non_members),
+            *map(events.Promote, node.caught_up_learners(replica.node, now)),
+            *map(events.Remove, removable),
+        ]
 
     def propose(self, name):
         self.requests += 1
@@ -213,7 +265,7 @@
         leaders = [
             replica
             for replica in self.replicas.values()
-            if not replica.suspended
+            if replica.running
             and replica.name not in self.partitioned
             and node.is_leader(replica.node)
         ]
