--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -200,6 +200,11 @@
         status, body = self._call("GET", "/oriolelock/Config.Get", host=host)
         return int(json.loads(body)["version"][1:]) if status == 200 else None
 
+    def metrics(self, host: str) -> str:
+        """Return the metrics of a replica, empty if it doesn't answer."""
+        status, body = self._call("GET", "/metrics", host=host)
+        return body.decode() if status == 200 else ""
+
     def evacuate(self, zone: str, start: bool) -> None:
         """Evacuate a failure domain, or take it back."""
         word = "Start" if start else "Stop"
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -8,6 +8,9 @@
 import sys
 import threading
 
+from oriolelock.storage import store
+from oriolelock.wire import codec
+
 __all__ = ["Fleet"]
 
 PORT_CONTROL = 18649
@@ -16,6 +19,11 @@
 PORT_LOOKUP = 18644
 PORT_INNER = 17620
 STOP_LIMIT_S = 10.0
+SEEDS = 3
+
+
+def _zone(host):
+    return f"z{int(host.rpartition('.')[2]) % 2 + 1}"
 
 
 class Fleet:
@@ -24,27 +32,29 @@
     def __init__(self, folder: pathlib.Path, net: int, entries: int, controls: int, listing: str):
         self._folder = folder
         self._listing = listing
-        self.control_hosts = [f"127.{net}.1.{n + 1}" for n in range(controls)]
+        self._control_net = f"127.{net}.1"
+        self._last_control = controls
+        self.control_hosts = [f"{self._control_net}.{n + 1}" for n in range(controls)]
         self.entry_hosts = [f"127.{net}.2.{n + 1}" for n in range(entries)]
+        self._zones = {host: _zone(host) for host in self.names()}
         self._lock = threading.Lock()
         self._processes: dict[str, subprocess.Popen] = {}
+        self._retired: list[subprocess.Popen] = []
         self._is_first = True
         # By address: the folder of the sources that its process runs next; today's by default.
         self.builds: dict[str, pathlib.Path] = {}
-        for host in (*self.control_hosts, *self.entry_hosts):
-            self._write(host)
+        for host in self.names():
+            self._write(host, self.control_hosts[:SEEDS])
 
     def names(self) -> list[str]:
         """Return the addresses of all processes."""
         return [*self.control_hosts, *self.entry_hosts]
 
-    def _write(self, host):
-        number = int(host.rpartition(".")[2])
-        zone = f"z{number % 2 + 1}"
+    def _write(self, host, seeds):
         lines = [
             f"nodeName=n-{host}",
             f"ip={host}",
-            f"zone={zone}",
+            f"zone={self._zones[host]}",
             "region=r1",
             "zones.z1=r1",
             "zones.z2=r1",
@@ -53,7 +63,7 @@
             f"listen.directory={host}:{PORT_LOOKUP}",
             f"listen.control={host}:{PORT_CONTROL}",
             f"internalPortRange={PORT_INNER},{PORT_INNER + 15}",
-            "seeds=" + ",".join(f"{seed}:{PORT_CONTROL}" for seed in self.control_hosts[:3]),
+            "seeds=" + ",".join(f"{seed}:{PORT_CONTROL}" for seed in seeds),
             f"firstStart={'true' if self._is_first else 'false'}",
             "faultTolerance.machines=1",
             f"dataDir={self._folder / host}",
@@ -73,7 +83,25 @@
     def settle(self) -> None:
         """Say in the settings that this is no first start any more."""
         for host in self.names():
-            self._write(host)
+            self._write(host, self.control_hosts[:SEEDS])
+
+    def add_control(self, zone_of: str, seeds: list[str]) -> str:
+        """Start a control replica with an empty disk at a new address and return the address.
+
+        It is in the failure domain of the process at ``zone_of``.
+        """
+        self._last_control += 1
+        host = f"{self._control_net}.{self._last_control}"
+        self._zones[host] = self._zones[zone_of]
+        self._write(host, seeds)
+        self.control_hosts.append(host)
+        self.start(host)
+        return host
+
+    def retire(self, host: str) -> None:
+        """Leave out of the fleet a process that has ended or is stopped for good."""
+        self.control_hosts.remove(host)
+        self._retired.append(self._processes.pop(host))
 
     def start(self, host: str) -> None:
         """Start the process of an address unless it runs."""
@@ -92,6 +120,20 @@
                     env={**os.environ, "ORIOLELOCK_SETTINGS": str(self._folder / f"{host}.conf")},
                 )
 
+    def voters(self, host: str) -> dict[str, bool]:
+        """Return the members by address, and whether they vote, as a process that ended has them.
+
+        Raises StoreInUse while the process runs.
+        """
+        stored = store.open(self._folder / host, "config")
+        try:
+            loaded = stored.load()
+        finally:
+            stored.close()
+        changes = [codec.decode(e.data) for e in loaded.entries if e.kind == "membership"]
+        membership = changes[-1] if changes else loaded.membership
+        return {item.name.partition(":")[0]: item.voter for item in membership.replicas}
+
     def signal(self, host: str, number: int) -> None:
         """Send a signal to the process of an address."""
         process = self._processes.get(host)
@@ -124,3 +166,6 @@
         for host in list(self._processes):
             self.signal(host, signal.SIGCONT)
             self.kill(host)
+        for process in self._retired:
+            process.kill()
+            process.wait(STOP_LIMIT_S)
