--- a/oriolelock/control/joiner.py
+++ b/oriolelock/control/joiner.py
@@ -2,7 +2,8 @@
 oriolelock.control.joiner
 ~~~~~~~~~~~~~~~~~~~~~~~~~
 
-    Requests admission to the group ``config`` while this replica knows no leader.
+    Requests admission to the group ``config`` while this replica knows no leader, and keeps the
+    replica registered in the configuration.
 
     New replicas, replicas that lost their disk and replicas that were removed while partitioned
     all join this way. The leader adds them as learners and promotes those that have caught up.
@@ -11,7 +12,7 @@
 import threading
 
 from oriolelock import logs
-from oriolelock.control import messages, replica
+from oriolelock.control import messages, registration, replica
 from oriolelock.settings import control as settings
 
 __all__ = ["Joiner"]
@@ -29,6 +30,7 @@
     def __init__(self, cfg: settings.ControlSettings, rep: replica.Replica):
         self._cfg = cfg
         self._replica = rep
+        self._registration = registration.Registration(cfg, rep)
         self.use_seeds(cfg.seeds)
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="joiner", daemon=True)
@@ -51,6 +53,7 @@
             rounds += 1
             try:
                 self._run_round(rounds)
+                self._registration.run_round()
             except Exception:
                 log.exception("Join round failed.")
 
--- a/oriolelock/distribution/tree.py
+++ b/oriolelock/distribution/tree.py
@@ -48,16 +48,18 @@
 
     A parent always precedes its child in the fixed order, so that no cycle can form, even
     while entries disagree on which of them are live. Replicas of the own region come first: the
-    same changes then pass between regions once for each replica, not for each head.
+    same changes then pass between regions once for each replica, not for each head. Replicas that
+    are no members come last, since they may be gone.
     """
     all_members = tuple(all_members)
-    near = {m.link_address for m in all_members if m.role == "control" and m.region == own.region}
+    regions = {m.link_address: m.region for m in all_members if m.role == "control"}
     order = _order_domain(own, all_members)
     position = next(n for n, m in enumerate(order) if m.name == own.name)
     replicas = sorted(
         control,
         key=lambda address: (
-            address not in near,
+            address not in regions,
+            regions.get(address) != own.region,
             xxhash.xxh64_intdigest((address + own.name).encode()),
         ),
     )
--- a/tests/distribution/test_tree.py
+++ b/tests/distribution/test_tree.py
@@ -72,3 +72,11 @@
         assert sorted(candidates) == sorted(addresses)
         firsts.add(candidates[0])
     assert len(firsts) > 1
+
+
+def test_replicas_that_are_no_members_are_tried_last():
+    """A seed that is gone would be tried again, before living replicas, after each penalty."""
+    living = [member.Member(a, "control", "h", a, "other", "other-1") for a in CONTROL[1:]]
+    for name in ("e1", "e2", "e3", "e4"):
+        own = member.Member(name, "entry", "h", "l", "r", "r-1")
+        assert tree.parent_candidates(own, [own, *living], CONTROL)[-1] == CONTROL[0]
