--- a/oriolelock/control/joiner.py
+++ b/oriolelock/control/joiner.py
@@ -2,24 +2,25 @@
 oriolelock.control.joiner
 ~~~~~~~~~~~~~~~~~~~~~~~~~
 
-    Requests admission to the group ``config`` while this replica knows no leader, and keeps the
-    replica registered in the configuration.
+    Requests admission to the group ``config`` while this replica knows no leader or is no voter,
+    and keeps the replica registered in the configuration.
 
     New replicas, replicas that lost their disk and replicas that were removed while partitioned
-    all join this way. The leader adds them as learners and promotes those that have caught up.
+    all join this way. The leader adds them as learners and promotes those that have caught up. A
+    learner may have been removed without hearing of it, so it repeats the request until it votes.
 """
 
 import threading
 
-from oriolelock import logs
+from oriolelock import clock, logs
 from oriolelock.control import messages, registration, replica
 from oriolelock.settings import control as settings
 
 __all__ = ["Joiner"]
 
 ROUND_INTERVAL_S = 0.3
-# Links to replicas that are no longer members are closed once per this many rounds.
-ROUNDS_PER_LINK_CLEANUP = 100
+# Unused links to replicas that are no longer members are closed once per this many rounds.
+ROUNDS_PER_LINK_CLEANUP = 10
 
 log = logs.get_logger("control.join")
 
@@ -59,10 +60,14 @@
 
     def _run_round(self, rounds):
         status = self._replica.status()
-        if not status.leader:
-            location = (self._cfg.region, self._cfg.failure_domain)
-            msg = messages.Join(self._cfg.name, self._replica.incarnation, *location)
-            for name in {*self._seeds, *self._replica.member_names()} - {self._cfg.name}:
-                self._replica.send(name, msg)
-        elif rounds % ROUNDS_PER_LINK_CLEANUP == 0:
-            self._replica.drop_links({*self._seeds, *self._replica.member_names()})
+        if not (status.leader and status.voter):
+            self._request_admission()
+        if rounds % ROUNDS_PER_LINK_CLEANUP == 0:
+            kept = {*self._seeds, *self._replica.member_names()}
+            self._replica.drop_unused_links(kept, clock.monotonic_s())
+
+    def _request_admission(self):
+        location = (self._cfg.region, self._cfg.failure_domain)
+        msg = messages.Join(self._cfg.name, self._replica.incarnation, *location)
+        for name in {*self._seeds, *self._replica.member_names()} - {self._cfg.name}:
+            self._replica.send(name, msg)
--- a/oriolelock/control/peer_links.py
+++ b/oriolelock/control/peer_links.py
@@ -8,10 +8,14 @@
 import collections.abc
 import threading
 
+from oriolelock import clock
 from oriolelock.control import peer_link
 from oriolelock.settings import control as settings
 
-__all__ = ["PeerLinks"]
+__all__ = ["UNUSED_LIMIT_S", "PeerLinks"]
+
+# Several heartbeat intervals, so that a link that the consensus protocol uses is never dropped.
+UNUSED_LIMIT_S = 5.0
 
 
 class PeerLinks:
@@ -27,6 +31,7 @@
         self._accepts_unlisted = bool(cfg.seeds)
         self._lock = threading.Lock()
         self._started = False
+        self._used_s: dict[str, float] = {}
         self._links = {peer.name: peer_link.PeerLink(peer, make_hello) for peer in cfg.others()}
         for host, port in cfg.seeds:
             self._get_or_create(f"{host}:{port}")
@@ -60,6 +65,7 @@
 
     def _get_or_create(self, name):
         with self._lock:
+            self._used_s[name] = clock.monotonic_s()
             link = self._links.get(name)
             if link is not None or not self._accepts_unlisted or name == self._own_name:
                 return link
@@ -75,12 +81,16 @@
                 link.start()
             return link
 
-    def retain(self, names: collections.abc.Collection[str]) -> None:
-        """Close links to replicas that are not in ``names``; does nothing without seeds."""
+    def drop_unused(self, kept: collections.abc.Collection[str], now: float) -> None:
+        """Close links to replicas that are not in ``kept`` and were not sent to recently.
+
+        Does nothing without seeds. ``now`` is of the monotonic clock.
+        """
         if not self._accepts_unlisted:
             return
         with self._lock:
-            stale = [name for name in self._links if name not in names]
+            self._used_s = {n: t for n, t in self._used_s.items() if now - t < UNUSED_LIMIT_S}
+            stale = [n for n in self._links if n not in kept and n not in self._used_s]
             closed = [self._links.pop(name) for name in stale]
         for link in closed:
             link.stop()
--- a/oriolelock/control/replica.py
+++ b/oriolelock/control/replica.py
@@ -143,9 +143,9 @@
         """Return the names of the replicas in the group ``config``."""
         return self._hosts["config"].member_names()
 
-    def drop_links(self, kept: collections.abc.Collection[str]) -> None:
-        """Close links to replicas that are not in ``kept``."""
-        self._links.retain(kept)
+    def drop_unused_links(self, kept: collections.abc.Collection[str], now: float) -> None:
+        """See ``peer_links.PeerLinks.drop_unused``."""
+        self._links.drop_unused(kept, now)
 
     def configuration(self) -> configuration.Configuration:
         """Return the latest configuration applied on this replica."""
@@ -224,6 +224,9 @@
             self.take_reports(report_packing.unpack(msg))
 
     def _handle_join(self, msg):
+        if self.lag_s():
+            # The request may be of a process that has ended; others are repeated.
+            return
         config = self._hosts["config"]
         leader = config.status().leader
         if leader == self.cfg.name:
--- a/tests/control/replacements.py
+++ b/tests/control/replacements.py
@@ -19,6 +19,7 @@
         ports = cluster.free_ports(2 * capacity)
         self._ports, self._http = ports[:capacity], ports[capacity:]
         self.running = {}
+        self._sends = {}
         self._next_number = count
         for number in range(count):
             self._start(number, range(min(3, count)), is_first=True)
@@ -30,7 +31,7 @@
     def link_address(self, number):
         return ("127.0.0.1", self._ports[number])
 
-    def _start(self, number, seeds, is_first=False):
+    def _start(self, number, seeds, is_first=False, is_mute=False):
         cfg = test_seeds.make_settings(
             self._folder / str(number),
             self._ports[number],
@@ -46,12 +47,18 @@
             dict,
             lambda replica: lambda exchange: exchange.reply(http.Response(404)),
         )
+        self._sends[number] = self.running[number].replica._links.send
+        if is_mute:
+            self.running[number].replica._links.send = lambda name, msg: False
         self.running[number].start()
 
-    def add(self):
-        """Start an empty replica at a new address and return its number."""
+    def add(self, is_mute=False):
+        """Start an empty replica at a new address and return its number.
+
+        ``is_mute``: it sends nothing until it rejoins after a cut.
+        """
         number, self._next_number = self._next_number, self._next_number + 1
-        self._start(number, sorted(self.running)[:3])
+        self._start(number, sorted(self.running)[:3], is_mute=is_mute)
         return number
 
     def lose(self, number):
@@ -64,7 +71,7 @@
     def cut_off(self, number):
         """Drop all messages of a replica, until the returned function is called."""
         rep = self.running[number].replica
-        send, handle, broadcast = rep._links.send, rep._handle_message, rep.broadcast
+        send, handle, broadcast = self._sends[number], rep._handle_message, rep.broadcast
         rep._links.send = lambda name, msg: False
         rep._handle_message = lambda sender, msg: None
         rep.broadcast = lambda msg: None
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -80,3 +80,19 @@
         rep, "c2", control.Forward("2", "config", control.ConfirmRead())
     )
     assert served == [control.ConfirmRead()]
+
+
+def test_replica_drops_join_requests_that_may_be_outdated():
+    """One of a process that has ended would replace its successor at the same address."""
+    admitted = []
+    leading = types.SimpleNamespace(
+        status=lambda: types.SimpleNamespace(leader="c1"),
+        admit=lambda name, incarnation: admitted.append(incarnation),
+    )
+    rep = types.SimpleNamespace(
+        _hosts={"config": leading}, cfg=types.SimpleNamespace(name="c1"), lag_s=lambda: 4.0
+    )
+    replica.Replica._handle_join(rep, control.Join("c2", "ended", "a", "a1"))
+    rep.lag_s = lambda: 0.0
+    replica.Replica._handle_join(rep, control.Join("c2", "successor", "a", "a1"))
+    assert admitted == ["successor"]
