--- a/oriolelock/control/call_router.py
+++ b/oriolelock/control/call_router.py
@@ -43,6 +43,7 @@
     deadline_s: float
     fut: concurrent.futures.Future
     target: str = ""
+    target_term: int = 0
     retry_at_s: float | None = None
     reason: str = "no leader is known"
     # A leader may have accepted the payload although no result came back.
@@ -112,8 +113,9 @@
             self._handle_result(call, reply.result)
 
     def _dispatch(self, call):
-        leader = self._hosts[call.group].status().leader
-        call.target = leader
+        status = self._hosts[call.group].status()
+        leader = status.leader
+        call.target, call.target_term = leader, status.term
         if not leader:
             call.retry("no leader is known")
             return
@@ -158,9 +160,11 @@
             if now >= call.retry_at_s:
                 self._dispatch(call)
         elif isinstance(call.payload, RESENDABLE) and not call.read_confirmed:
-            leader = self._hosts[call.group].status().leader
-            if leader not in ("", call.target):
-                # The old leader may be partitioned or paused, so its answer may never come.
+            status = self._hosts[call.group].status()
+            sent_to = (call.target, call.target_term)
+            if status.leader and (status.leader, status.term) != sent_to:
+                # The old leader may be partitioned or paused, so its answer may never come. One
+                # that is elected again may have lost the call with a connection.
                 call.maybe_accepted = True
                 self._dispatch(call)
 
--- a/tests/control/test_call_router.py
+++ b/tests/control/test_call_router.py
@@ -17,11 +17,12 @@
 
     def __init__(self):
         self.leader = ""
+        self.term = 1
         self.results = []
         self.proposed = []
 
     def status(self):
-        return types.SimpleNamespace(leader=self.leader)
+        return types.SimpleNamespace(leader=self.leader, term=self.term)
 
     def propose(self, payload):
         self.proposed.append(payload)
@@ -52,7 +53,7 @@
         return self.connected
 
     def wait_sent(self, count):
-        cluster.wait_for(lambda: len(self.sent) >= count, f"{count} forwards")
+        cluster.wait_for(lambda: len(self.sent) >= count, f"{count} forwards", TIMEOUT_S)
 
 
 @pytest.fixture
@@ -94,6 +95,20 @@
     assert len(harness.sent) == 3
 
 
+def test_read_is_resent_to_a_leader_that_is_elected_again(harness):
+    """It was lost with the connection to that leader, which was cut off for a while."""
+    harness.host.leader = "c2"
+    fut = harness.router.call("config", messages.ConfirmRead(), TIMEOUT_S)
+    harness.host.leader = ""
+    harness.host.leader, harness.host.term = "c2", 2
+    harness.wait_sent(2)
+    assert [target for target, _ in harness.sent] == ["c2", "c2"]
+    harness.router.handle_reply(
+        messages.ForwardReply(harness.sent[1][1].call_id, messages.Confirmed(5))
+    )
+    assert fut.result(TIMEOUT_S) == messages.Confirmed(5)
+
+
 def test_resent_change_without_a_result_is_not_reported_as_safe_to_retry(harness):
     change = commands.OperatorChange("1", None, "", changes.UsePreset("a"))
     harness.host.leader = "c2"
