--- a/tests/control/test_replaced_addresses.py
+++ b/tests/control/test_replaced_addresses.py
@@ -13,8 +13,9 @@
 from tests.control import cluster, replacements, test_seeds
 from tests.gateway import conftest
 
-# The bound on a change after its acknowledgement.
+# The bound on a change after its acknowledgement, and on the acknowledgement.
 IN_FORCE_S = 2.5
+ACK_S = 4.0
 
 
 @pytest.fixture
@@ -101,3 +102,24 @@
         group.add()
         group.wait_for_voters()
     wait_for_revision(entry, 2, put(group, 1, 2))
+
+
+def test_each_replica_answers_soon_after_the_leader_was_lost(replicas):
+    """Calls are passed on to a leader that is gone until another is elected."""
+    rounds = 2
+    group = replicas(5, 5 + rounds)
+    group.wait_for_voters()
+    put(group, 0, 1)
+    for number in range(1, rounds + 1):
+        group.lose(group.wait_for_leader())
+        lost_s = time.monotonic()
+        for rep in list(group.running.values()):
+            cluster.wait_for(
+                lambda rep=rep: rep.operations.read().result(5) is not None,
+                "a read",
+                lost_s + ACK_S - time.monotonic(),
+            )
+        put(group, number, number + 1)
+        assert time.monotonic() - lost_s < ACK_S
+        group.add()
+        group.wait_for_voters()
