--- a/oriolelock/control/replica.py
+++ b/oriolelock/control/replica.py
@@ -142,9 +142,10 @@
         return self._links.send(target, msg)
 
     def broadcast(self, msg: object) -> None:
-        """Send a message to all other replicas, whether or not they were sent one before."""
-        for name in {*self._links.all(), *self.member_names()} - {self.cfg.name}:
-            self.send(name, msg)
+        """Send a message to all other replicas."""
+        self._links.connect(self.member_names())
+        for link in self._links.all().values():
+            link.send(msg)
 
     @property
     def incarnation(self) -> str:
