Count the silence of entries on every replica, so that a new leader need not begin anew

Callers saw: an entry that is gone is named in lookups for as long as each leader is lost within seconds; after a single change of leader up to 7 s (bound: contact window and 3 s). Cause: only the leader counted the 3 s of silence, from the moment it began to lead. A leader that leads for 2 to 3 s never sets an entry to `down`. Now each replica counts, from the reports that all replicas get. What it must not count is time in which it could not hear: while no leader confirms reads (entries find no parent then), while this replica is frozen or cut off, and, on a follower, while the replica that relayed the entry's latest report isn't heard, unless that one was removed from the group. Entries that a replica never heard of count once it hears all others. A leader counts in any case, as before: entries leave a replica that it can't reach. Changes are proposed in the leader's own log only, and not waited for: sent on to a later leader they were old judgements, and waiting held up the relaying of reports for up to 3 s. The leader looks for failures every 0.25 s. Ruled out: a shorter limit (after an election a living entry has to find a parent and be heard; the simulated test lets it take up to 1 s and what relaying takes), and counting all time since the last report (elections would set living entries down).

Tests: `leading_s` is gone from find_state_changes, so that test_new_leader_waits is replaced by test_entry_is_live_for_as_long_as_it_could_not_be_heard and test_silence.py; the test of a paused leader now plays ten seconds in place of setting a private field.

--- a/oriolelock/control/components.py
+++ b/oriolelock/control/components.py
@@ -103,16 +103,21 @@
     def _lag_s(self):
         return self.publisher.pauses.lag_s(clock.monotonic_s())
 
-    def _take_relayed(self, batch):
-        self.instance_monitor.take_relayed(reports.aged(batch, self._lag_s()))
+    def _take_relayed(self, batch, sender):
+        self.instance_monitor.take_relayed(reports.aged(batch, self._lag_s()), sender)
 
     def _make_publisher_source(self):
         def confirm(timeout_s):
-            result = concurrent.futures.Future()
+            result, started_s = concurrent.futures.Future(), clock.monotonic_s()
+
+            def answered(read):
+                is_confirmed = isinstance(read.result(), messages.Confirmed)
+                if is_confirmed:
+                    self.instance_monitor.record_confirmed(started_s)
+                result.set_result(is_confirmed)
+
             fut = self.replica.call("config", messages.ConfirmRead(), timeout_s)
-            fut.add_done_callback(
-                lambda read: result.set_result(isinstance(read.result(), messages.Confirmed))
-            )
+            fut.add_done_callback(answered)
             return result
 
         return publisher.Source(
--- a/oriolelock/control/failure_detector.py
+++ b/oriolelock/control/failure_detector.py
@@ -34,21 +34,20 @@
 def find_state_changes(
     cfg: configuration.Configuration,
     ages: collections.abc.Mapping,
-    leading_s: float,
+    silent_s: collections.abc.Mapping,
     leaving: collections.abc.Set[str] = frozenset(),
 ) -> Detection:
     """Return the changes of member states that follow from the latest status reports.
 
-    ``ages``: seconds since the latest report, by entry name. ``leading_s``: seconds since this
-    replica became leader; an entry without a report counts as heard at that moment.
+    ``ages``: seconds since the latest report, by entry name. ``silent_s``: seconds of silence in
+    which the entry could have been heard, see ``silence.Silence``.
     ``leaving``: names of entries whose latest report announces a planned stop; only the instance
     list ends that state.
     """
     entries = [member for member in cfg.members.values() if member.role == "entry"]
     live = [member for member in entries if member.state == "live"]
-    age_s = {m.name: min(ages.get(m.name, leading_s), leading_s) for m in live}
-    silent = [m for m in live if age_s[m.name] > reports.SEEN_LIMIT_S]
-    late = [m for m in live if age_s[m.name] > LATE_AGE_S]
+    silent = [m for m in live if silent_s.get(m.name, 0.0) > reports.SEEN_LIMIT_S]
+    late = [m for m in live if silent_s.get(m.name, 0.0) > LATE_AGE_S]
     recovered = [
         m
         for m in entries
--- a/oriolelock/control/instance_monitor.py
+++ b/oriolelock/control/instance_monitor.py
@@ -7,10 +7,11 @@
 """
 
 import collections.abc
+import concurrent.futures
 import threading
 
 from oriolelock import clock, logs
-from oriolelock.control import failure_detector, instance_poller, replica, unavailable
+from oriolelock.control import failure_detector, instance_poller, replica, silence, unavailable
 from oriolelock.distribution import messages, report_packing, reports
 from oriolelock.model import results
 from oriolelock.settings import control as settings
@@ -20,12 +21,10 @@
 # Upper bound on the delay of a relayed report; well below the 3 s after which an entry counts as
 # silent.
 RELAY_INTERVAL_S = 0.5
+# Between two looks for failures.
+CHECK_INTERVAL_S = 0.25
+# A change without a result is proposed again afterwards, if it still follows from the reports.
 COMMIT_TIMEOUT_S = 3.0
-# A reading that took longer may list instances that have left since.
-MAX_READING_AGE_S = 3.0
-
-# Readings that changed nothing are logged only if they took longer.
-SLOW_READING_S = 1.0
 
 log = logs.get_logger("control.overseer")
 
@@ -46,7 +45,12 @@
         self._replica = rep
         self._reports = status_reports
         self._stopping = threading.Event()
-        self._leading_since_s: float | None = None
+        self._relay_due_s = 0.0
+        self._silence = silence.Silence(cfg.name)
+        # By instance: the replica that relayed its latest report, its own name for subscribers.
+        self._relayed_by: dict[str, str] = {}
+        # The latest change of each entry, its future, and when it was proposed.
+        self._proposed: dict[str, tuple[object, concurrent.futures.Future, float]] = {}
         self._started_s = clock.wall_s()
         self.held_back: tuple[str, ...] = ()
         # See ``pauses.PauseDetector.lag_s``.
@@ -73,42 +77,59 @@
 
     def take_local(self, batch: messages.StatusBatch) -> None:
         """Store reports of this replica's subscribers and relay them to the other replicas."""
-        self._reports.take(batch, clock.monotonic_s(), relay=True)
+        self._take(batch, self._cfg.name, relay=True)
+
+    def take_relayed(self, batch: messages.StatusBatch, sender: str) -> None:
+        """Store reports that the replica ``sender`` has relayed."""
+        self._take(batch, sender, relay=False)
 
-    def take_relayed(self, batch: messages.StatusBatch) -> None:
-        """Store reports that another replica has relayed."""
-        self._reports.take(batch, clock.monotonic_s(), relay=False)
+    def _take(self, batch, relayed_by, relay):
+        before = {report.name: self._reports.find(report.name) for report in batch.reports}
+        self._reports.take(batch, clock.monotonic_s(), relay)
+        for name, previous in before.items():
+            if self._reports.find(name) is not previous:
+                self._relayed_by[name] = relayed_by
+
+    def record_confirmed(self, started_s: float) -> None:
+        """Record that a read that this replica began at ``started_s`` was confirmed."""
+        self._silence.record_confirmed(started_s, clock.monotonic_s())
 
     def _run_status_rounds(self):
-        while not self._stopping.wait(RELAY_INTERVAL_S):
+        while not self._stopping.wait(CHECK_INTERVAL_S):
             try:
                 self._run_status_round(clock.monotonic_s())
             except Exception:
                 log.exception("Relaying reports or detecting failures failed.")
 
     def _run_status_round(self, now):
-        self.take_local(messages.StatusBatch((self._own_report(),)))
-        self._replica.broadcast(report_packing.pack(self._reports.take_unrelayed(now).reports))
-        self._report_metrics()
-        status = self._replica.status()
+        if now >= self._relay_due_s:
+            # A check that is a little early must not delay the reports by another one.
+            self._relay_due_s = now + RELAY_INTERVAL_S - CHECK_INTERVAL_S / 2
+            self.take_local(messages.StatusBatch((self._own_report(),)))
+            self._replica.broadcast(report_packing.pack(self._reports.take_unrelayed(now).reports))
+            self._report_metrics()
+        self._detect_failures(now)
+
+    def _detect_failures(self, now):
+        status, cfg = self._replica.status(), self._replica.configuration()
+        is_leader = status.is_leader and status.is_caught_up
+        entries = [m.name for m in cfg.members.values() if m.role == "entry"]
+        members = self._replica.member_names()
+        self._silence.advance(entries, self._reports, self._relayed_by, members, is_leader, now)
+        for name in set(self._relayed_by).difference(entries, members):
+            self._relayed_by.pop(name, None)
         # After a pause all entries seem silent, and another replica may lead by now.
-        if not (status.is_leader and status.is_caught_up) or self.lag_s():
-            self._leading_since_s, self.held_back = None, ()
+        if not is_leader or self.lag_s():
+            self.held_back = ()
             return
-        if self._leading_since_s is None:
-            self._leading_since_s = now
         detection = failure_detector.find_state_changes(
-            self._replica.configuration(),
-            self._reports.ages(now),
-            now - self._leading_since_s,
-            self._reports.leaving(),
+            cfg, self._reports.ages(now), self._silence.seconds(now), self._reports.leaving()
         )
         if set(detection.held_back) - set(self.held_back):
             log.warning("{} entries are silent at once and stay live.", len(detection.held_back))
         self.held_back = detection.held_back
         for change in detection.changes:
-            log.info("Entry {} changes to state {}.", change.member.name, change.member.state)
-        self._commit(detection.changes)
+            self._propose(change, now)
 
     def _own_report(self):
         status = self._replica.status()
@@ -118,10 +139,22 @@
             self._cfg.name, cfg.version, cfg.index, state, self._started_s, 0
         )
 
-    def _commit(self, proposed):
-        """Propose changes and wait for their results, lest the next round propose them again."""
-        futs = [self._replica.call("config", change, COMMIT_TIMEOUT_S) for change in proposed]
-        for change, fut in zip(proposed, futs, strict=True):
-            result = fut.result()
-            if isinstance(result, (results.Refused, unavailable.Unavailable)):
-                log.warning("{} was not applied: {}.", type(change).__name__, result.reason)
+    def _propose(self, change, now):
+        """Propose a change in this replica's own log.
+
+        Sent to a later leader it would be an old judgement. Its result is not waited for: the other
+        replicas would hear nothing of this one meanwhile.
+        """
+        name, state = change.member.name, change.member.state
+        previous, fut, proposed_s = self._proposed.get(name, (None, None, 0.0))
+        if previous == change and not fut.done() and now - proposed_s < COMMIT_TIMEOUT_S:
+            return
+        log.info("Entry {} changes to state {}.", name, state)
+        fut = self._replica.propose("config", change)
+        self._proposed[name] = change, fut, now
+        fut.add_done_callback(lambda done: _log_refusal(change, done.result()))
+
+
+def _log_refusal(change, result):
+    if isinstance(result, (results.Refused, unavailable.Unavailable)):
+        log.warning("{} was not applied: {}.", type(change).__name__, result.reason)
--- a/oriolelock/control/replica.py
+++ b/oriolelock/control/replica.py
@@ -65,7 +65,8 @@
         make_hello = peer_link.hello_factory(cfg, self._stores["config"].incarnation)
         self._links = peer_links.PeerLinks(cfg, make_hello)
         self._call_router = call_router.CallRouter(cfg.name, self._hosts, self.send)
-        self.take_reports: collections.abc.Callable = lambda batch: None
+        # Called with reports and the name of the replica that relayed them.
+        self.take_reports: collections.abc.Callable = lambda batch, sender: None
         # See ``pauses.PauseDetector.lag_s``.
         self.lag_s: collections.abc.Callable[[], float] = lambda: 0.0
 
@@ -179,6 +180,14 @@
         """
         return self._call_router.call(group, payload, timeout_s)
 
+    def propose(self, group: str, payload: object) -> concurrent.futures.Future:
+        """Propose a command if this replica leads ``group`` and return a future of its result.
+
+        The result is ``Unavailable`` if it does not lead. After a loss of leadership the future may
+        complete late.
+        """
+        return self._hosts[group].propose(payload)
+
     def confirm(self, timeout_s: float) -> concurrent.futures.Future:
         """Return a future of ``Confirmed`` once this replica's configuration is current.
 
@@ -219,9 +228,9 @@
         elif isinstance(msg, messages.ForwardReply):
             self._call_router.handle_reply(msg)
         elif isinstance(msg, distribution_messages.StatusBatch):
-            self.take_reports(msg)
+            self.take_reports(msg, sender)
         elif isinstance(msg, report_packing.PackedReports):
-            self.take_reports(report_packing.unpack(msg))
+            self.take_reports(report_packing.unpack(msg), sender)
 
     def _handle_join(self, msg):
         config = self._hosts["config"]
--- a/tests/control/test_failure_detector.py
+++ b/tests/control/test_failure_detector.py
@@ -18,9 +18,14 @@
     return {change.member.name: change.member.state for change in detection.changes}
 
 
+def detect(cfg, ages, leaving=frozenset()):
+    """Detect failures on a replica that could hear all the while."""
+    return failure_detector.find_state_changes(cfg, ages, ages, leaving)
+
+
 def test_silent_entry_is_set_down_and_live_when_it_reports_again():
     cfg = make_configuration({"a": "live", "b": "live", "c": "down", "d": "leaving"})
-    detection = failure_detector.find_state_changes(cfg, {"a": 3.5, "b": 1.0, "c": 0.5}, 60.0)
+    detection = detect(cfg, {"a": 3.5, "b": 1.0, "c": 0.5})
     assert new_states(detection) == {"a": "down", "c": "live"}
     assert detection.held_back == ()
 
@@ -29,33 +34,37 @@
     # Otherwise other entries would return it to callers until 3 s after it stopped.
     cfg = make_configuration({"a": "live", "b": "live", "c": "down"})
     ages = dict.fromkeys("abc", 0.5)
-    detection = failure_detector.find_state_changes(cfg, ages, 60.0, frozenset(["a", "c"]))
+    detection = detect(cfg, ages, frozenset(["a", "c"]))
     assert new_states(detection) == {"a": "leaving"}
-    assert new_states(failure_detector.find_state_changes(cfg, ages, 60.0)) == {"c": "live"}
+    assert new_states(detect(cfg, ages)) == {"c": "live"}
 
 
 def test_most_entries_silent_at_once_are_held_back():
     cfg = make_configuration({"a": "live", "b": "live", "c": "live"})
-    detection = failure_detector.find_state_changes(cfg, {"a": 9.0, "b": 9.0, "c": 1.0}, 60.0)
+    detection = detect(cfg, {"a": 9.0, "b": 9.0, "c": 1.0})
     assert new_states(detection) == {}
     assert detection.held_back == ("a", "b")
 
 
-def test_new_leader_waits_before_setting_entries_down():
+def test_entry_is_live_for_as_long_as_it_could_not_be_heard():
     cfg = make_configuration({"a": "live", "b": "live", "c": "live"})
-    assert (
-        new_states(failure_detector.find_state_changes(cfg, {"b": 0.1, "c": 0.1, "a": 50.0}, 2.0))
-        == {}
-    )
-    assert new_states(failure_detector.find_state_changes(cfg, {"b": 0.1, "c": 0.1}, 3.5)) == {
-        "a": "down"
-    }
+    ages = {"a": 50.0, "b": 0.1, "c": 0.1}
+    for silent_s, expected in (({"a": 2.0}, {}), ({}, {}), ({"a": 3.5}, {"a": "down"})):
+        detection = failure_detector.find_state_changes(cfg, ages, silent_s)
+        assert new_states(detection) == expected
+
+
+def test_entry_that_is_down_needs_a_new_report_to_be_live():
+    """A new leader has counted little of its silence."""
+    cfg = make_configuration({"a": "down", "b": "live", "c": "live"})
+    ages = {"a": 50.0, "b": 0.1, "c": 0.1}
+    assert new_states(failure_detector.find_state_changes(cfg, ages, {"a": 0.5})) == {}
 
 
 def test_entries_that_fall_silent_within_one_interval_are_held_back():
     # If they were set down one by one, the rest would never be a silent majority.
     cfg = make_configuration({"a": "live", "b": "live", "c": "live"})
-    detection = failure_detector.find_state_changes(cfg, {"a": 3.1, "b": 2.6, "c": 2.2}, 60.0)
+    detection = detect(cfg, {"a": 3.1, "b": 2.6, "c": 2.2})
     assert new_states(detection) == {}
     assert detection.held_back == ("a",)
 
@@ -63,7 +72,5 @@
 def test_entry_that_reports_a_planned_stop_is_leaving():
     # Otherwise lookups would return it until 3 s after it stopped.
     cfg = make_configuration({"a": "live", "b": "live", "c": "live"})
-    detection = failure_detector.find_state_changes(
-        cfg, {"a": 0.5, "b": 0.5, "c": 3.5}, 60.0, {"a", "c"}
-    )
+    detection = detect(cfg, {"a": 0.5, "b": 0.5, "c": 3.5}, {"a", "c"})
     assert new_states(detection) == {"a": "leaving", "c": "down"}
--- a/tests/control/test_list_readings.py
+++ b/tests/control/test_list_readings.py
@@ -30,7 +30,13 @@
     def configuration(self):
         return configuration.EMPTY
 
+    def member_names(self):
+        return ("c1",)
+
     def call(self, group, change, timeout_s):
+        return self.propose(group, change)
+
+    def propose(self, group, change):
         self.proposed.append(change)
         fut = concurrent.futures.Future()
         fut.set_result(None)
@@ -110,21 +116,30 @@
 
 
 @pytest.mark.parametrize("lag_s", [0.0, 6.0])
-def test_a_leader_that_was_paused_judges_no_entries(lag_s):
+def test_a_leader_that_was_paused_judges_no_entries(lag_s, monkeypatch):
     """To it, entries that went on reporting are silent."""
     replica = FakeReplica()
     names = ("silent", "a", "b", "c")
     replica.configuration = lambda: builders.configure([], entries=names)
     replica.broadcast = lambda msg: None
-    known = reports.Reports()
-    for name in names:
-        at_s = 90.0 if name == "silent" else 100.0
-        report = messages.StatusReport(name, 1, 1, "live", 0.0, 0)
-        known.take(messages.StatusBatch((report,)), at_s, relay=False)
+    clock_s = [90.0]
+    monkeypatch.setattr(instance_monitor.clock, "monotonic_s", lambda: clock_s[0])
     cfg = types.SimpleNamespace(instance_list="", instance_poll_s=POLL_S, name="c1")
-    monitor = instance_monitor.InstanceMonitor(cfg, replica, known, lambda: None, dict)
-    monitor.lag_s = lambda: lag_s
-    monitor._leading_since_s = 50.0
-    monitor._run_status_round(100.0)
-    judged = [change.member.name for change in replica.proposed]
-    assert judged == ([] if lag_s else ["silent"])
+    monitor = instance_monitor.InstanceMonitor(cfg, replica, reports.Reports(), lambda: None, dict)
+
+    def report(name):
+        sent = messages.StatusReport(name, 1, 1, "live", 0.0, 0)
+        monitor.take_local(messages.StatusBatch((sent,)))
+
+    report("silent")
+    monitor.record_confirmed(90.0)
+    for at_s in range(91, 101):
+        clock_s[0] = float(at_s)
+        monitor.record_confirmed(float(at_s))
+        for name in names[1:]:
+            report(name)
+        # Pauses begin before the silence is long enough.
+        monitor.lag_s = lambda at_s=at_s: lag_s if at_s > 92 else 0.0
+        monitor._run_status_round(float(at_s))
+    judged = {change.member.name for change in replica.proposed}
+    assert judged == (set() if lag_s else {"silent"})
