Don't count readings that were told while this replica was frozen as new

Callers would see: a replica that was frozen takes readings of a leader that is gone since for a new one, and begins to read the list, and to tell entries what leaves, up to a second later. Cause: datagrams of readings carry no age, and those that waited in the socket counted from when they were received. The other messages between replicas are aged by the pause detector already. Works because the pause is known for as long as such datagrams are read. What is dropped too is a true one that came within 0.3 s of the end of the pause; then this replica may read once beside the leader.

--- a/oriolelock/control/components.py
+++ b/oriolelock/control/components.py
@@ -52,6 +52,7 @@
         )
         self.publisher = publisher.Publisher(self._make_publisher_source())
         self.replica.lag_s = self.instance_monitor.lag_s = self._lag_s
+        self.instance_monitor.poller.lag_s = self._lag_s
         self.replica.take_reports = self._take_relayed
         self.replica.listen(self._on_change)
         self._news = self._make_news()
--- a/oriolelock/control/instance_poller.py
+++ b/oriolelock/control/instance_poller.py
@@ -62,6 +62,8 @@
         self._last_error = ""
         self._turn = reading_turn.ReadingTurn(cfg.instance_poll_s, clock.monotonic_s())
         self._news: list_news.ListNews | None = None
+        # See ``pauses.PauseDetector.lag_s``.
+        self.lag_s: collections.abc.Callable[[], float] = lambda: 0.0
         # When the latest reading began.
         self._started_s: float | None = None
 
@@ -70,8 +72,12 @@
         self._news = news
 
     def record_heard(self) -> None:
-        """Record that another replica has read the whole list."""
-        self._turn.record_heard(clock.monotonic_s())
+        """Record that another replica has read the whole list.
+
+        After a pause that isn't certain: the message may have waited in the socket.
+        """
+        if not self.lag_s():
+            self._turn.record_heard(clock.monotonic_s())
 
     def _make_diff(self):
         return instance_list.InstanceDiff(names_members=bool(self._cfg.instance_list))
--- a/tests/control/test_standby_reading.py
+++ b/tests/control/test_standby_reading.py
@@ -123,6 +123,20 @@
     assert listed.calls == 0
 
 
+@pytest.mark.parametrize("lag_s", [0.0, 6.0])
+def test_readings_told_while_this_replica_was_frozen_are_not_new(lag_s):
+    """They waited in its socket; the leader that told them may be gone since."""
+    cfg = types.SimpleNamespace(instance_list="", instance_poll_s=0.5, name="c2", peers=())
+    poller = instance_poller.InstancePoller(
+        cfg, Replica(None), reports.Reports(), threading.Event(), list
+    )
+    now = time.monotonic()
+    poller._turn = reading_turn.ReadingTurn(0.5, now - 10.0)
+    poller.lag_s = lambda: lag_s
+    poller.record_heard()
+    assert poller._turn.is_due(False, 0, now + reading_turn.SILENCE_S / 2) == bool(lag_s)
+
+
 def test_follower_proposes_to_the_leader_only_what_leaves(make_poller, fleet, listed):
     replica = Replica(fleet[0].core.cfg_in_force)
     make_poller("c2", replica, listed)
