Propose what the leader reads in its own log only

Callers would see: an endpoint that leaves gets requests again until the next reading, after a change of leader. Cause: results are not waited for, and a change of the former leader (an endpoint is live, is cold) was sent on to the next leader for up to 1 s, where it could come after a newer one (it leaves). A leader's own log keeps the order of its changes, and what it could not commit comes before all that the next leader proposes. Replicas that read for a leader go on sending what leaves to whoever leads; that never turns back. Ruled out: a number for each change, which would need a new field in stored records.

--- a/oriolelock/control/instance_poller.py
+++ b/oriolelock/control/instance_poller.py
@@ -56,7 +56,13 @@
         self._stopping = stopping
         self._read = read or self._fetch
         self._diff = self._make_diff()
+        # Into this replica's own log: sent to a later leader, a change could undo what that one has
+        # read since.
         self._proposals = proposals.Proposals(
+            lambda change, timeout_s: self._replica.propose("config", change)
+        )
+        # To whoever leads.
+        self._forwarded = proposals.Proposals(
             lambda change, timeout_s: self._replica.call("config", change, timeout_s)
         )
         self._last_error = ""
@@ -169,7 +175,7 @@
                 if _is_leaving(change) and change.endpoint.name in cfg.endpoints
             ]
             self._tell_entries(cfg, leaving)
-            self._proposals.propose(leaving, now)
+            self._forwarded.propose(leaving, now)
             leaving_count += len(leaving)
         self._tell_replicas()
         return count, leaving_count
--- a/tests/control/test_list_readings.py
+++ b/tests/control/test_list_readings.py
@@ -2,11 +2,18 @@
 
 import concurrent.futures
 import threading
+import time
 import types
 
 import pytest
 
-from oriolelock.control import instance_list, instance_monitor, instance_poller
+from oriolelock.control import (
+    call_router,
+    instance_list,
+    instance_monitor,
+    instance_poller,
+    unavailable,
+)
 from oriolelock.distribution import messages, reports
 from oriolelock.model import configuration
 from tests import waiting
@@ -33,9 +40,6 @@
     def member_names(self):
         return ("c1",)
 
-    def call(self, group, change, timeout_s):
-        return self.propose(group, change)
-
     def propose(self, group, change):
         self.proposed.append(change)
         fut = concurrent.futures.Future()
@@ -143,3 +147,44 @@
         monitor._run_status_round(float(at_s))
     judged = {change.member.name for change in replica.proposed}
     assert judged == (set() if lag_s else {"silent"})
+
+
+class Host:
+    """The group of a replica that loses its leadership: proposals get no result, then a refusal."""
+
+    def __init__(self, replica):
+        self._replica = replica
+        self.unanswered = []
+
+    def status(self):
+        return types.SimpleNamespace(leader="c1" if self._replica.is_leader else "c2")
+
+    def propose(self, payload):
+        self.unanswered.append(concurrent.futures.Future())
+        return self.unanswered[-1]
+
+
+def test_change_of_a_former_leader_is_not_sent_to_the_next(monkeypatch):
+    """It would undo what the next leader has read since, such as that an endpoint leaves."""
+    replica, sent = FakeReplica(), []
+    group_host = Host(replica)
+    monkeypatch.setattr(call_router, "RETRY_DELAY_S", 0.0)
+    router = call_router.CallRouter(
+        "c1", {"config": group_host}, lambda target, msg: sent.append((target, msg)) or True
+    )
+    router.start()
+    replica.call = router.call
+    replica.propose = lambda group, change: group_host.propose(change)
+    page = instance_list.Page({"x": builders.make_endpoint("x")}, time.monotonic())
+    cfg = types.SimpleNamespace(instance_list="", instance_poll_s=60.0, name="c1")
+    monitor = instance_monitor.InstanceMonitor(
+        cfg, replica, reports.Reports(), lambda: None, lambda: [page]
+    )
+    monitor._threads[-1].start()
+    waiting.until(lambda: group_host.unanswered)
+    replica.is_leader = False
+    group_host.unanswered[0].set_result(unavailable.Unavailable("leadership was lost", retry=True))
+    threading.Event().wait(0.3)
+    monitor.stop()
+    router.stop()
+    assert sent == []
--- a/tests/control/test_standby_reading.py
+++ b/tests/control/test_standby_reading.py
@@ -44,7 +44,13 @@
     def member_names(self):
         return MEMBERS
 
+    def propose(self, group, change):
+        assert self.is_leader
+        self.proposed.append(change)
+        return concurrent.futures.Future()
+
     def call(self, group, change, timeout_s):
+        assert not self.is_leader
         self.proposed.append(change)
         return concurrent.futures.Future()
 
--- a/tests/platform/test_far_list.py
+++ b/tests/platform/test_far_list.py
@@ -36,7 +36,7 @@
     def configuration(self):
         return self._state.view()
 
-    def call(self, group, change, timeout_s):
+    def propose(self, group, change):
         fut = concurrent.futures.Future()
         instance = getattr(change, "endpoint", None)
         if instance is not None:
