Count what is missing from the list on replicas that read for a leader

A replica that reads while no leader is heard now counts as well, and goes on when it is elected. What it counted is dropped after 3 s without a reading of its own, as another replica may have read that the instance is listed. Three readings it remains: the list may omit an instance, and readings without a pause could share one omission. Ruled out: telling others which instances were missing, which needs a new message.

failed on: test_new_leader_counts_what_was_missing_when_it_read_for_the_last (three readings where two are enough). test_leader_of_seconds_removes_what_is_gone_from_the_list held before as well: it shows that a leader that leads for 2 s (4 s on lists of over 50) gets there.

--- a/oriolelock/control/instance_list.py
+++ b/oriolelock/control/instance_list.py
@@ -21,6 +21,8 @@
 # The list lags and may omit an instance once, so an instance is removed only after it has been
 # missing from this many consecutive readings.
 READINGS_UNTIL_REMOVED = 3
+# Readings that are further apart are not consecutive, as other replicas have read in between.
+MAX_GAP_S = 3.0
 STATES = ("live", "leaving")
 MAX_PORT = 65535
 
@@ -146,12 +148,13 @@
     """Compares readings of the list with the configuration.
 
     Counts for how many consecutive readings each instance was missing. ``names_members``: the list
-    contains entries and control replicas too, not only endpoints.
+    contains entries and control replicas too, not only endpoints. ``now``: monotonic seconds.
     """
 
     def __init__(self, names_members: bool = True) -> None:
         self._names_members = names_members
         self._missed_readings: dict[str, int] = {}
+        self._counted_s = float("-inf")
 
     def find_changes(
         self,
@@ -159,6 +162,7 @@
         listed: dict,
         leaving: collections.abc.Set[str] = frozenset(),
         seen: collections.abc.Set[str] = frozenset(),
+        now: float = 0.0,
     ) -> list[changes.Change]:
         """Return the changes that turn ``cfg`` into ``listed``; none for an empty list.
 
@@ -168,7 +172,7 @@
         if not listed:
             return []
         updates = self.find_updates(cfg, listed, leaving)
-        return updates + self.find_removals(cfg, listed, seen)
+        return updates + self.find_removals(cfg, listed, seen, now)
 
     def find_updates(
         self,
@@ -185,11 +189,15 @@
         self,
         cfg: configuration.Configuration,
         listed: dict,
-        seen: collections.abc.Set[str] = frozenset(),
+        seen: collections.abc.Set[str],
+        now: float,
     ) -> list[changes.Change]:
         """Return the removals that follow from ``listed``, the whole list; none if it is empty."""
         if not listed:
             return []
+        if now - self._counted_s > MAX_GAP_S:
+            self._missed_readings = {}
+        self._counted_s = now
         configured: dict = dict(cfg.endpoints)
         if self._names_members:
             configured |= cfg.members
--- a/oriolelock/control/instance_poller.py
+++ b/oriolelock/control/instance_poller.py
@@ -95,8 +95,6 @@
             status, now = self._replica.status(), clock.monotonic_s()
             # A new leader whose state is behind would propose what has been done or undone since.
             is_leader = status.is_leader and status.is_caught_up
-            if not is_leader:
-                self._diff = self._make_diff()
             if self._turn.is_due(is_leader, self._standby_rank(status), now):
                 self._poll(status, is_leader, now)
 
@@ -151,7 +149,7 @@
         self._tell_replicas()
         now = clock.monotonic_s()
         removals = self._diff.find_removals(
-            self._replica.configuration(), listed, self._reports.seen(now)
+            self._replica.configuration(), listed, self._reports.seen(now), now
         )
         self._proposals.propose(removals, now)
         return len(listed), changed + len(removals)
@@ -160,14 +158,15 @@
         """Return the numbers of instances listed and of endpoints that are found to leave.
 
         These are proposed to the leader too, which may be unable to read. All else can wait for it.
+        What is missing is counted, in case this replica leads next.
         """
-        count, leaving_count = 0, 0
+        listed, leaving_count = {}, 0
         for page in self._read():
             now = clock.monotonic_s()
-            count += len(page.instances)
             if now - page.asked_s > MAX_PAGE_AGE_S:
                 log.warning("A reading of the instance list is outdated and discarded.")
-                return count, leaving_count
+                return len(listed), leaving_count
+            instance_list.merge(listed, page)
             cfg = self._replica.configuration()
             leaving = [
                 change
@@ -178,7 +177,11 @@
             self._forwarded.propose(leaving, now)
             leaving_count += len(leaving)
         self._tell_replicas()
-        return count, leaving_count
+        now = clock.monotonic_s()
+        self._diff.find_removals(
+            self._replica.configuration(), listed, self._reports.seen(now), now
+        )
+        return len(listed), leaving_count
 
     def _tell_entries(self, cfg, updates):
         leaving = [change.endpoint for change in updates if _is_leaving(change)]
--- a/tests/control/test_standby_reading.py
+++ b/tests/control/test_standby_reading.py
@@ -8,10 +8,11 @@
 
 import pytest
 
-from oriolelock.control import instance_poller, list_news, reading_turn
+from oriolelock.control import instance_list, instance_poller, list_news, reading_turn
 from oriolelock.dispatch import endpoint_view
 from oriolelock.distribution import reports
 from oriolelock.gateway import signing
+from oriolelock.model import changes
 from oriolelock.platform import instances
 from tests import waiting
 from tests.dispatch import builders
@@ -152,6 +153,29 @@
     assert {change.endpoint.name for change in replica.proposed} == {"x0"}
 
 
+def test_new_leader_counts_what_was_missing_when_it_read_for_the_last(make_poller, fleet, listed):
+    """Guards against endpoints that stay listed while each leader leads for a few readings only."""
+    replica = Replica(fleet[0].core.cfg_in_force)
+    del listed.states["x0"]
+    make_poller("c2", replica, listed)
+    waiting.until(lambda: listed.calls >= 2, 5.0)
+    # The second reading may not have been counted by then.
+    calls = listed.calls
+    replica.is_leader = True
+    waiting.until(lambda: replica.proposed, 5.0)
+    assert replica.proposed == [changes.RemoveEndpoint("x0")]
+    assert listed.calls - calls <= instance_list.READINGS_UNTIL_REMOVED - 1
+
+
+def test_what_was_missing_long_ago_does_not_count():
+    """The instance may have been listed since, which another replica has read."""
+    diff, cfg = instance_list.InstanceDiff(False), builders.configure([builders.make_endpoint("x")])
+    listed = {"y": builders.make_endpoint("y")}
+    for at_s in (0.0, 0.5, 0.5 + instance_list.MAX_GAP_S + 0.1, 4.5):
+        assert diff.find_removals(cfg, listed, frozenset(), at_s) == []
+    assert diff.find_removals(cfg, listed, frozenset(), 5.0) == [changes.RemoveEndpoint("x")]
+
+
 def test_replicas_read_one_after_another_while_nothing_is_heard():
     ranks = {name: reading_turn.rank(name, "c1", MEMBERS) for name in MEMBERS}
     assert sorted(rank for rank in ranks.values() if rank is not None) == [0, 1]
--- a/tests/platform/test_far_list.py
+++ b/tests/platform/test_far_list.py
@@ -17,6 +17,9 @@
 # The bound from the listing to the last request is 3 s. Half of it is left for agreement, for the
 # way to the entries, and for what is being sent.
 LEARN_LIMIT_S = 1.5
+# How long each leader leads if the next loss comes as soon as it may, on small deployments and on
+# others, where it comes two seconds later.
+SHORT_LEADERSHIP_S, LONGER_LEADERSHIP_S = 2.0, 4.0
 # Between distant regions.
 ROUND_TRIP_S = 0.14
 
@@ -27,7 +30,7 @@
     def __init__(self):
         self._state = config_state.ConfigState()
         self._lock = threading.Lock()
-        self.proposed_s = {}
+        self.proposed_s, self.removed_s = {}, {}
         self.holds = lambda change: False
 
     def status(self):
@@ -39,6 +42,8 @@
     def propose(self, group, change):
         fut = concurrent.futures.Future()
         instance = getattr(change, "endpoint", None)
+        if isinstance(change, changes.RemoveEndpoint):
+            self.removed_s.setdefault(change.name, time.monotonic())
         if instance is not None:
             self.proposed_s.setdefault((instance.name, instance.state), time.monotonic())
         if not self.holds(change):
@@ -55,13 +60,9 @@
 
     def start(listed):
         leader = Leader()
-        cfg = types.SimpleNamespace(instance_list="", instance_poll_s=0.5, name="c1")
-        reader = instances.make_reader(listed.address, listed.regions)
-        monitor = instance_monitor.InstanceMonitor(
-            cfg, leader, reports.Reports(), lambda: None, reader
-        )
-        monitor._threads[-1].start()
+        monitor = start_monitor(leader, listed)
         started.append((monitor, listed))
+        leader.monitor = monitor
         waiting.until(lambda: len(leader.configuration().endpoints) == len(listed.states), 30.0)
         return leader
 
@@ -71,6 +72,14 @@
         listed.close()
 
 
+def start_monitor(leader, listed):
+    cfg = types.SimpleNamespace(instance_list="", instance_poll_s=0.5, name="c1")
+    reader = instances.make_reader(listed.address, listed.regions)
+    monitor = instance_monitor.InstanceMonitor(cfg, leader, reports.Reports(), lambda: None, reader)
+    monitor._threads[-1].start()
+    return monitor
+
+
 def leave_after_its_page(listed, name):
     """Let an endpoint leave right after its page was read; returns a function for the time."""
     left_s = []
@@ -120,3 +129,21 @@
     listed.states["i-0"] = "draining"
     changed_s = time.monotonic()
     assert learning_time_s(leader, "i-0", lambda: changed_s) <= LEARN_LIMIT_S
+
+
+@pytest.mark.parametrize(
+    ("count", "leads_s"),
+    [(50, SHORT_LEADERSHIP_S), (250, LONGER_LEADERSHIP_S), (900, LONGER_LEADERSHIP_S)],
+)
+def test_leader_of_seconds_removes_what_is_gone_from_the_list(read_list, count, leads_s):
+    """Guards against endpoints that stay as long as no leader lives to count its readings."""
+    listed = listing.Listing(count, round_trip_s=ROUND_TRIP_S)
+    leader = read_list(listed)
+    leader.monitor.stop()
+    time.sleep(1.0)
+    del listed.states["i-0"]
+    elected_s = time.monotonic()
+    successor = start_monitor(leader, listed)
+    waiting.until(lambda: "i-0" in leader.removed_s, 15.0)
+    successor.stop()
+    assert leader.removed_s["i-0"] - elected_s <= leads_s
