--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -109,6 +109,8 @@
         self._closed_link_bytes = (0, 0)
         self._closed_link_messages = (0, 0)
         self._stopping = threading.Event()
+        # Ends a search for a parent and the wait for the next one.
+        self._interrupted = threading.Event()
         self._thread = threading.Thread(target=self._run, name="uplink", daemon=True)
 
     @property
@@ -172,8 +174,13 @@
     def stop(self) -> None:
         """Close the connection; pending calls raise Disconnected."""
         self._stopping.set()
+        self._interrupted.set()
         self._thread.join()
 
+    def search_anew(self) -> None:
+        """Start a search for a parent that is in progress again, as ``parents`` has changed."""
+        self._interrupted.set()
+
     def send_report(self) -> None:
         """Send a status report at once, for example after a change of state."""
         own_report = self._make_report()
@@ -201,7 +208,11 @@
 
     def _run(self):
         failures, connected = 0, None
-        while not self._stopping.is_set():
+        while True:
+            # Cleared before the check, since ``stop`` sets them in the other order.
+            self._interrupted.clear()
+            if self._stopping.is_set():
+                return
             started_s = clock.monotonic_s()
             try:
                 connected = connected or self._find_parent(started_s)
@@ -218,7 +229,7 @@
                 failures = 0
             failures += 1
             max_delay_s = min(BACKOFF_MAX_S, BACKOFF_MIN_S * 2 ** min(failures, 10))
-            self._stopping.wait(self._rng.uniform(BACKOFF_MIN_S / 2, max_delay_s))
+            self._interrupted.wait(self._rng.uniform(BACKOFF_MIN_S / 2, max_delay_s))
 
     def _order_parents(self, now):
         """Return the parents that have not failed recently, then the others, earliest first."""
@@ -246,7 +257,7 @@
         """Return a connection to a parent that confirms the configuration."""
         race = self._make_race()
         try:
-            return race.run(self._search_order(now), self._stopping)
+            return race.run(self._search_order(now), self._interrupted)
         except errors.Disconnected:
             # Changes that a parent holds are committed, whether it can confirm them or not.
             for msg in race.unconfirmed:
@@ -257,7 +268,9 @@
                 self._avoid(address)
 
     def _avoid(self, address, penalty_s=FAILED_PARENT_PENALTY_S):
-        self._avoid_until_s[address] = clock.monotonic_s() + penalty_s
+        now = clock.monotonic_s()
+        self._avoid_until_s = {a: t for a, t in self._avoid_until_s.items() if t > now}
+        self._avoid_until_s[address] = now + penalty_s
 
     def _serve_connection(self, connected):
         """Use a connection until it ends. Returns the one to use next if there is one already."""
--- a/oriolelock/gateway/daemon.py
+++ b/oriolelock/gateway/daemon.py
@@ -125,7 +125,9 @@
 
     def use_control(self, control: tuple[tuple[str, int], ...]) -> None:
         """Replace the initial addresses of control replicas."""
-        self._control = control
+        if control != self._control:
+            self._control = control
+            self._uplink.search_anew()
 
     def _report(self):
         cfg = self._uplink.configuration
--- a/tests/control/test_replaced_addresses.py
+++ b/tests/control/test_replaced_addresses.py
@@ -6,10 +6,11 @@
 
 import pytest
 
+from oriolelock.distribution import parent_race
 from oriolelock.gateway import daemon
 from oriolelock.model import results
 from oriolelock.settings import gateway as settings
-from tests import waiting
+from tests import fake_parent, unreachable, waiting
 from tests.control import cluster, replacements, test_seeds
 from tests.gateway import conftest
 
@@ -35,12 +36,12 @@
 def start_entry():
     started = []
 
-    def start(control, name="e1"):
+    def start(control, name="e1", cluster_name="c", token="token-for-tests"):
         port = cluster.free_ports(1)[0]
         loopback = ("127.0.0.1", 0)
         cfg = settings.GatewaySettings(
             name=name,
-            cluster="c",
+            cluster=cluster_name,
             region="a",
             failure_domain="a1",
             listen=loopback,
@@ -50,7 +51,7 @@
             peer_listen=loopback,
             metrics_listen=None,
             control=control,
-            cluster_token="token-for-tests",
+            cluster_token=token,
             retry_ratio=0.2,
             retry_allowance=60.0,
             retry_window_s=10.0,
@@ -123,3 +124,28 @@
         assert time.monotonic() - lost_s < ACK_S
         group.add()
         group.wait_for_voters()
+
+
+@pytest.fixture
+def gone():
+    made = [unreachable.Unreachable() for _ in range(3)]
+    yield tuple(item.address for item in made)
+    for item in made:
+        item.close()
+
+
+@pytest.fixture
+def parent():
+    fake = fake_parent.FakeParent(fake_parent.make_config(members=()))
+    yield fake
+    fake.close()
+
+
+@pytest.mark.parametrize("searching_s", [0.3, 2.0])
+def test_changed_seeds_are_tried_at_once(start_entry, gone, parent, searching_s):
+    """They waited for the end of a search among addresses that are gone."""
+    entry = start_entry(gone, "e1", fake_parent.CLUSTER, fake_parent.TOKEN)
+    time.sleep(searching_s)
+    entry.use_control((parent.address,))
+    # Less than one attempt at an address that does not answer.
+    waiting.until(lambda: entry._uplink.is_ready, parent_race.CONNECT_LIMIT_S)
