--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import dataclasses
 import random
 import threading
 
@@ -53,6 +54,8 @@
 # A starting entry connects to control first, and later moves to its parent in the tree.
 REBALANCE_INTERVAL_S = 5.0
 FAILED_PARENT_PENALTY_S = 30.0
+# Entries that are asked for their configuration when no parent answers.
+MAX_ASKED_ENTRIES = 3
 # For a parent that may only have been busy.
 SUSPECT_PENALTY_S = 5.0
 
@@ -237,11 +240,12 @@
         return sorted(addresses, key=lambda a: max(now, self._avoid_until_s.get(a, 0.0)))
 
     def _search_order(self, now):
-        replicas = set()
-        for peer in self._holder.cfg.members.values():
-            host, _, port = peer.link_address.rpartition(":")
-            if peer.role == "control" and port.isdigit():
-                replicas.add((host, int(port)))
+        replicas = {
+            address
+            for peer in self._holder.cfg.members.values()
+            if peer.role == "control"
+            for address in _link_addresses(peer)
+        }
         return parent_search.interleave(self._order_parents(now), replicas)
 
     def _make_race(self):
@@ -262,11 +266,38 @@
             # Changes that a parent holds are committed, whether it can confirm them or not.
             for msg in race.unconfirmed:
                 self._handle(msg)
+            if not race.unconfirmed:
+                self._ask_other_entries()
             raise
         finally:
             for address in race.unfit:
                 self._avoid(address)
 
+    def _ask_other_entries(self):
+        """Take over the configuration of another entry, which may name replicas unknown here.
+
+        It is not kept as a parent, whose place in the tree it may not have: entries that subscribe
+        to each other would confirm their configurations in a circle.
+        """
+        others = [
+            address
+            for peer in self._holder.cfg.members.values()
+            if peer.role == "entry" and peer.state == "live" and peer.name != self._hello.name
+            for address in _link_addresses(peer)
+        ]
+        asked = self._rng.sample(others, min(MAX_ASKED_ENTRIES, len(others)))
+        race = self._make_race()
+        try:
+            found = race.run(asked, self._interrupted)
+        except errors.Disconnected:
+            received = race.unconfirmed
+        else:
+            found.link.close()
+            received = found.received
+        for msg in received:
+            if isinstance(msg, messages.Snapshot | messages.Delta):
+                self._handle(dataclasses.replace(msg, confirmed=False))
+
     def _avoid(self, address, penalty_s=FAILED_PARENT_PENALTY_S):
         now = clock.monotonic_s()
         self._avoid_until_s = {a: t for a, t in self._avoid_until_s.items() if t > now}
@@ -423,6 +454,12 @@
             self._subscribe()
 
 
+def _link_addresses(peer):
+    """Return the link address of a member in a tuple, which is empty if it has none."""
+    host, _, port = peer.link_address.rpartition(":")
+    return ((host, int(port)),) if host and port.isdigit() else ()
+
+
 def _send_queued(link, outbox):
     """Send queued messages until the queue is closed or the connection ends."""
     while (data := outbox.get()) is not None:
--- a/tests/control/test_replaced_addresses.py
+++ b/tests/control/test_replaced_addresses.py
@@ -1,14 +1,15 @@
 """Tests that entries and replicas reach control after the addresses they know are gone."""
 
+import dataclasses
 import threading
 import time
 import types
 
 import pytest
 
-from oriolelock.distribution import parent_race
+from oriolelock.distribution import parent_race, tree
 from oriolelock.gateway import daemon
-from oriolelock.model import results
+from oriolelock.model import member, results
 from oriolelock.settings import gateway as settings
 from tests import fake_parent, unreachable, waiting
 from tests.control import cluster, replacements, test_seeds
@@ -149,3 +150,40 @@
     entry.use_control((parent.address,))
     # Less than one attempt at an address that does not answer.
     waiting.until(lambda: entry._uplink.is_ready, parent_race.CONNECT_LIMIT_S)
+
+
+@pytest.fixture
+def make_parent():
+    made = []
+
+    def make():
+        made.append(fake_parent.FakeParent())
+        return made[-1]
+
+    yield make
+    for fake in made:
+        fake.close()
+
+
+def as_member(name, role, parent):
+    return member.Member(name, role, "", "{}:{}".format(*parent.address), "a", "a1")
+
+
+def test_head_of_a_domain_whose_replicas_are_all_gone_learns_of_others(start_entry, make_parent):
+    """It subscribes to replicas only, and knows those from before it was cut off."""
+    first, successor, peer = make_parent(), make_parent(), make_parent()
+    own = member.Member("e1", "entry", "", "127.0.0.1:1", "a", "a1")
+    # Later than ``e1`` in the tree, so that it is no parent of it.
+    other = as_member("e2", "entry", peer)
+    assert peer.address not in tree.parent_candidates(own, [own, other], [])
+    first.cfg = fake_parent.make_config(5, members=())
+    first.cfg = dataclasses.replace(
+        first.cfg, members={"e1": own, "e2": other, "c1": as_member("c1", "control", first)}
+    )
+    members = {"e1": own, "e2": other, "c2": as_member("c2", "control", successor)}
+    peer.cfg = successor.cfg = dataclasses.replace(first.cfg, index=6, members=members)
+    entry = start_entry((first.address,), "e1", fake_parent.CLUSTER, fake_parent.TOKEN)
+    waiting.until(lambda: entry._uplink.is_ready)
+    first.close()
+    waiting.until(lambda: entry._uplink.parent == successor.address, 10)
+    assert entry._uplink.configuration.index == 6
