--- a/tests/control/replacements.py
+++ b/tests/control/replacements.py
@@ -62,11 +62,17 @@
         return number
 
     def lose(self, number):
-        """End a replica without a hand-over, as if its machine were gone."""
+        """End a replica without a hand-over; its connections fall silent before they end."""
         components = self.running.pop(number)._components
         components.instance_monitor.stop()
         components._joiner.stop()
-        components.stop()
+        # ``stop`` would close the connections of entries at once.
+        components.publisher._stopping = True
+        components.publisher.wake()
+        if components._news:
+            components._news.stop()
+        components._links.shutdown()
+        components.replica.stop()
 
     def cut_off(self, number):
         """Drop all messages of a replica, until the returned function is called."""
--- a/tests/control/test_replaced_addresses.py
+++ b/tests/control/test_replaced_addresses.py
@@ -127,6 +127,21 @@
         group.wait_for_voters()
 
 
+def test_changes_reach_an_entry_whose_parent_is_lost_each_time(replicas, start_entry):
+    """The change is made as soon as the parent is gone, which falls silent first."""
+    rounds = 3
+    group = replicas(5, 5 + rounds)
+    group.wait_for_voters()
+    entry = start_entry(tuple(group.link_address(n) for n in range(3)))
+    wait_for_revision(entry, 1, put(group, 0, 1))
+    for number in range(1, rounds + 1):
+        parent = waiting.until(lambda: entry._uplink.parent)
+        group.lose(next(n for n in group.running if group.link_address(n) == parent))
+        wait_for_revision(entry, number + 1, put(group, number, number + 1))
+        group.add()
+        group.wait_for_voters()
+
+
 @pytest.fixture
 def gone():
     made = [unreachable.Unreachable() for _ in range(3)]
