--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import dataclasses
 import random
 import threading
 
@@ -53,6 +54,8 @@
 # A starting entry connects to control first, and later moves to its parent in the tree.
 REBALANCE_INTERVAL_S = 5.0
 FAILED_PARENT_PENALTY_S = 30.0
+# Entries that are asked for their configuration when no parent answers.
+MAX_ASKED_ENTRIES = 3
 # For a parent that may only have been busy.
 SUSPECT_PENALTY_S = 5.0
 
@@ -109,6 +112,8 @@
         self._closed_link_bytes = (0, 0)
         self._closed_link_messages = (0, 0)
         self._stopping = threading.Event()
+        # Ends a search for a parent and the wait for the next one.
+        self._interrupted = threading.Event()
         self._thread = threading.Thread(target=self._run, name="uplink", daemon=True)
 
     @property
@@ -172,8 +177,13 @@
     def stop(self) -> None:
         """Close the connection; pending calls raise Disconnected."""
         self._stopping.set()
+        self._interrupted.set()
         self._thread.join()
 
+    def search_anew(self) -> None:
+        """Start a search for a parent that is in progress again, as ``parents`` has changed."""
+        self._interrupted.set()
+
     def send_report(self) -> None:
         """Send a status report at once, for example after a change of state."""
         own_report = self._make_report()
@@ -201,7 +211,11 @@
 
     def _run(self):
         failures, connected = 0, None
-        while not self._stopping.is_set():
+        while True:
+            # Cleared before the check, since ``stop`` sets them in the other order.
+            self._interrupted.clear()
+            if self._stopping.is_set():
+                return
             started_s = clock.monotonic_s()
             try:
                 connected = connected or self._find_parent(started_s)
@@ -218,7 +232,7 @@
                 failures = 0
             failures += 1
             max_delay_s = min(BACKOFF_MAX_S, BACKOFF_MIN_S * 2 ** min(failures, 10))
-            self._stopping.wait(self._rng.uniform(BACKOFF_MIN_S / 2, max_delay_s))
+            self._interrupted.wait(self._rng.uniform(BACKOFF_MIN_S / 2, max_delay_s))
 
     def _order_parents(self, now):
         """Return the parents that have not failed recently, then the others, earliest first."""
@@ -226,11 +240,12 @@
         return sorted(addresses, key=lambda a: max(now, self._avoid_until_s.get(a, 0.0)))
 
     def _search_order(self, now):
-        replicas = set()
-        for peer in self._holder.cfg.members.values():
-            host, _, port = peer.link_address.rpartition(":")
-            if peer.role == "control" and port.isdigit():
-                replicas.add((host, int(port)))
+        replicas = {
+            address
+            for peer in self._holder.cfg.members.values()
+            if peer.role == "control"
+            for address in _link_addresses(peer)
+        }
         return parent_search.interleave(self._order_parents(now), replicas)
 
     def _make_race(self):
@@ -246,18 +261,47 @@
         """Return a connection to a parent that confirms the configuration."""
         race = self._make_race()
         try:
-            return race.run(self._search_order(now), self._stopping)
+            return race.run(self._search_order(now), self._interrupted)
         except errors.Disconnected:
             # Changes that a parent holds are committed, whether it can confirm them or not.
             for msg in race.unconfirmed:
                 self._handle(msg)
+            if not race.unconfirmed:
+                self._ask_other_entries()
             raise
         finally:
             for address in race.unfit:
                 self._avoid(address)
 
+    def _ask_other_entries(self):
+        """Take over the configuration of another entry, which may name replicas unknown here.
+
+        It is not kept as a parent, whose place in the tree it may not have: entries that subscribe
+        to each other would confirm their configurations in a circle.
+        """
+        others = [
+            address
+            for peer in self._holder.cfg.members.values()
+            if peer.role == "entry" and peer.state == "live" and peer.name != self._hello.name
+            for address in _link_addresses(peer)
+        ]
+        asked = self._rng.sample(others, min(MAX_ASKED_ENTRIES, len(others)))
+        race = self._make_race()
+        try:
+            found = race.run(asked, self._interrupted)
+        except errors.Disconnected:
+            received = race.unconfirmed
+        else:
+            found.link.close()
+            received = found.received
+        for msg in received:
+            if isinstance(msg, messages.Snapshot | messages.Delta):
+                self._handle(dataclasses.replace(msg, confirmed=False))
+
     def _avoid(self, address, penalty_s=FAILED_PARENT_PENALTY_S):
-        self._avoid_until_s[address] = clock.monotonic_s() + penalty_s
+        now = clock.monotonic_s()
+        self._avoid_until_s = {a: t for a, t in self._avoid_until_s.items() if t > now}
+        self._avoid_until_s[address] = now + penalty_s
 
     def _serve_connection(self, connected):
         """Use a connection until it ends. Returns the one to use next if there is one already."""
@@ -410,6 +454,12 @@
             self._subscribe()
 
 
+def _link_addresses(peer):
+    """Return the link address of a member in a tuple, which is empty if it has none."""
+    host, _, port = peer.link_address.rpartition(":")
+    return ((host, int(port)),) if host and port.isdigit() else ()
+
+
 def _send_queued(link, outbox):
     """Send queued messages until the queue is closed or the connection ends."""
     while (data := outbox.get()) is not None:
