Let an operator go on with one replica after a majority is lost for good

What operators saw: after the loss of a majority of control replicas with their disks nothing brought a group back: neither restarts nor replacements, since admission takes a majority. All that was left was a new deployment without any of the changes.

The data folder gets a new incarnation, so that the old membership counts none of its votes, then one entry in the log with the new membership. All stored entries are kept, also those without a stored commit, which may be acknowledged. The entry's term is far above those before and differs between replicas: entries of the same index and term must be the same entry. Replicas that are named in the settings become learners of an incarnation that no folder has, because a leader sends only to members; they are admitted under their own one when they reply. Replicas from seeds ask for admission.

A crash between the two steps leaves a replica that is no member; the command can be repeated.

--- a/oriolelock/control/main.py
+++ b/oriolelock/control/main.py
@@ -12,7 +12,7 @@
 import threading
 
 from oriolelock import logs
-from oriolelock.control import daemon, replica
+from oriolelock.control import daemon, recovery, replica
 from oriolelock.settings import control as settings
 from oriolelock.settings import loader
 from oriolelock.storage import errors as storage_errors
@@ -22,6 +22,7 @@
 EXIT_BAD_STORAGE = 3
 EXIT_INTERNAL_FAILURE = 4
 EXIT_CANNOT_LISTEN = 5
+EXIT_NOT_CONFIRMED = 6
 
 log = logs.get_logger("control")
 
@@ -34,6 +35,16 @@
     parser.add_argument(
         "--form", action="store_true", help="create the data folder of an initial replica and exit"
     )
+    parser.add_argument(
+        "--recover",
+        action="store_true",
+        help="last resort if a majority is lost for good: make this stopped replica the only voter",
+    )
+    parser.add_argument(
+        "--yes-lose-changes",
+        action="store_true",
+        help="with --recover: go on, although changes that only other replicas hold are lost",
+    )
     parser.add_argument("--check", action="store_true", help="check the settings and exit")
     return parser.parse_args(argv)
 
@@ -45,6 +56,17 @@
     os._exit(EXIT_INTERNAL_FAILURE)
 
 
+def _recover(cfg, confirmed):
+    stored = recovery.inspect(cfg)
+    print(recovery.describe(cfg.name, stored))
+    if not confirmed:
+        print("Nothing was changed. To go on, add --yes-lose-changes.")
+        return EXIT_NOT_CONFIRMED
+    recovery.recover(cfg)
+    print("Done. Start this replica, and the others with empty data folders.")
+    return 0
+
+
 def _run(cfg):
     stopping = threading.Event()
     for signum in (signal.SIGTERM, signal.SIGINT):
@@ -68,6 +90,8 @@
         if args.form:
             replica.form(cfg)
             return 0
+        if args.recover:
+            return _recover(cfg, args.yes_lose_changes)
         return _run(cfg)
     except storage_errors.StorageError as exc:
         print(f"{cfg.data_folder}: {exc}", file=sys.stderr)
--- a/oriolelock/storage/errors.py
+++ b/oriolelock/storage/errors.py
@@ -8,6 +8,7 @@
 __all__ = [
     "CorruptStore",
     "DiskFull",
+    "NoMembership",
     "StorageError",
     "StoreExists",
     "StoreInUse",
@@ -41,5 +42,9 @@
     """Another process has the store open."""
 
 
+class NoMembership(StorageError):
+    """The store holds no data of a group: its replica was never admitted."""
+
+
 class StoreExists(StorageError):
     """The store of an initial member cannot be created because one exists already."""
--- a/oriolelock/storage/store.py
+++ b/oriolelock/storage/store.py
@@ -91,7 +91,7 @@
     """An open store. Not thread-safe; after SyncFailed every call raises it again."""
 
     def __init__(self, path: pathlib.Path, name: str):
-        self._path = path
+        self._path, self._name = path, name
         self._failure_reason = ""
         # Whether a part of a record that did not fit may follow the last whole one.
         self._has_partial_record = False
@@ -236,6 +236,17 @@
             if self._segment_outdated:
                 self._rewrite_segment()
 
+    def renew_incarnation(self) -> None:
+        """Give the folder a new random id, so that no member counts its votes any more.
+
+        Raises DiskFull, with the id unchanged, or SyncFailed.
+        """
+        self._raise_if_failed()
+        record = records.IdentityRecord(self._name, secrets.token_hex(16))
+        with self._recording_failure():
+            files.replace(self._path / "identity", _encode_file([record]))
+        self.incarnation = record.incarnation
+
     def _raise_if_failed(self):
         if self._failure_reason:
             raise errors.SyncFailed(self._failure_reason)
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -344,3 +344,30 @@
         assert segment_path(folder).stat().st_size < 6000
     opened_store.close()
     assert reload(folder).entries == (make_entry(1, 499, 100),)
+
+
+def test_renewed_incarnation_keeps_everything_else(folder):
+    save_entries(folder)
+    before = reload(folder)
+    opened_store = store.open(folder, "config")
+    opened_store.renew_incarnation()
+    renewed = opened_store.incarnation
+    opened_store.close()
+    assert renewed != store.INITIAL_INCARNATION
+    opened_store = store.open(folder, "config")
+    assert (opened_store.incarnation, opened_store.load()) == (renewed, before)
+    opened_store.close()
+
+
+def test_incarnation_is_kept_when_the_disk_is_full(folder, monkeypatch):
+    """A store without a valid identity could not be opened any more."""
+    opened_store = store.open(folder, "config")
+    with monkeypatch.context() as patches:
+        fail_calls(patches, "write", errno.ENOSPC)
+        with pytest.raises(errors.DiskFull):
+            opened_store.renew_incarnation()
+    assert opened_store.incarnation == store.INITIAL_INCARNATION
+    opened_store.close()
+    opened_store = store.open(folder, "config")
+    assert opened_store.incarnation == store.INITIAL_INCARNATION
+    opened_store.close()
