--- a/tests/control/test_changing_leaders.py
+++ b/tests/control/test_changing_leaders.py
@@ -3,12 +3,16 @@
 import contextlib
 import threading
 import time
+import types
 
 import pytest
 
+from oriolelock.control import call_router, commands
 from oriolelock.distribution import messages
+from oriolelock.model import changes
 from oriolelock.wire import channel, errors, hello
-from tests.control import cluster, test_instance_monitor
+from tests import waiting
+from tests.control import cluster, samples, test_instance_monitor
 
 # A leader is lost this often, and leads for half of the time at most.
 LOSS_INTERVAL_S = 5.0
@@ -16,6 +20,8 @@
 LOSSES = 5
 # The contact window of the smallest deployments and 3 s, until lookups name an entry no more.
 GONE_S = 6.0
+# The limit of the interface, and the time to answer.
+CALL_LIMIT_S = 9.0
 ENTRIES = ("a", "b", "c", "d", "e")
 
 
@@ -56,6 +62,31 @@
         self._thread.join()
 
 
+@pytest.fixture
+def replicas(tmp_path):
+    with contextlib.ExitStack() as stack:
+        started = cluster.Cluster(tmp_path)
+        stack.callback(started.close)
+        started.form()
+        for name in started.names:
+            started.start(name)
+        started.wait_for_leader()
+        yield started
+
+
+@contextlib.contextmanager
+def losses(replicas):
+    """Lose leaders meanwhile; yields the list of those that were lost."""
+    stopping, lost = threading.Event(), []
+    thread = threading.Thread(target=lose_leaders, args=(replicas, stopping, lost))
+    thread.start()
+    try:
+        yield lost
+    finally:
+        stopping.set()
+        thread.join()
+
+
 @pytest.fixture
 def harness(tmp_path):
     with contextlib.ExitStack() as stack:
@@ -104,11 +135,8 @@
     cluster.wait_for(
         lambda: states(replicas) == dict.fromkeys(ENTRIES, "ready"), "all entries report"
     )
-    stopping, lost = threading.Event(), []
-    losses = threading.Thread(target=lose_leaders, args=(replicas, stopping, lost))
     started_s = time.monotonic()
-    losses.start()
-    try:
+    with losses(replicas) as lost:
         time.sleep(LOSS_INTERVAL_S - 2.0)
         reporters[0].names.discard("a")
         gone_s, down_s, wrong = time.monotonic(), None, set()
@@ -118,11 +146,56 @@
             if found.get("a") == "down" and down_s is None:
                 down_s = time.monotonic()
             time.sleep(0.1)
-    finally:
-        stopping.set()
-        losses.join()
     assert len(lost) >= LOSSES - 1
     assert not wrong
     assert down_s is not None, "never set down"
     # The bound, and the time from the loss of one leader until the next one is elected.
     assert down_s - gone_s <= GONE_S + 3.0
+
+
+def test_a_change_that_was_accepted_is_never_refused_while_leaders_change(replicas):
+    """Guards against results, and calls, that are lost with the leader that knew them."""
+    answers, durations_s = [], []
+
+    def send(change_id):
+        began_s = time.monotonic()
+        name = replicas.names[len(answers) % len(replicas.names)]
+        data = samples.preset_json(f"preset-{change_id}")
+        status, answer = replicas.change(name, change_id, "put-preset", preset=data)
+        if name in replicas.processes:
+            durations_s.append(time.monotonic() - began_s)
+        answers.append((change_id, status, answer))
+        return (answer["result"], answer["version"]) if status == 200 else None
+
+    started_s, accepted, number = time.monotonic(), {}, 0
+    with losses(replicas) as lost:
+        while time.monotonic() < started_s + LOSSES * LOSS_INTERVAL_S:
+            for change_id in (*list(accepted)[-3:], str(number)):
+                result = send(change_id)
+                if result is not None:
+                    # Sent again, a change gets the result that it had.
+                    assert accepted.setdefault(change_id, result) == result
+            number += str(number) in accepted
+    assert len(lost) >= LOSSES - 1
+    assert len(accepted) > LOSSES
+    assert {status for _, status, _ in answers} <= {0, 200, 503}
+    assert max(durations_s) <= CALL_LIMIT_S
+
+
+def test_call_to_a_leader_that_started_again_and_leads_again_is_sent_again():
+    """Guards against calls that wait until their limit for the process before."""
+    status = types.SimpleNamespace(leader="c2", term=3)
+    sent = []
+    router = call_router.CallRouter(
+        "c1",
+        {"config": types.SimpleNamespace(status=lambda: status)},
+        lambda target, msg: sent.append(target) or True,
+    )
+    router.start()
+    change = commands.OperatorChange("1", None, "", changes.UsePreset("a"))
+    router.call("config", change, CALL_LIMIT_S)
+    status.leader = ""
+    time.sleep(4 * call_router.CHECK_INTERVAL_S)
+    status.leader, status.term = "c2", 5
+    waiting.until(lambda: sent == ["c2", "c2"], 2.0, "sent to the leader of the new term")
+    router.stop()
--- a/tests/control/test_list_readings.py
+++ b/tests/control/test_list_readings.py
@@ -157,7 +157,8 @@
         self.unanswered = []
 
     def status(self):
-        return types.SimpleNamespace(leader="c1" if self._replica.is_leader else "c2")
+        is_leader = self._replica.is_leader
+        return types.SimpleNamespace(leader="c1" if is_leader else "c2", term=3 + (not is_leader))
 
     def propose(self, payload):
         self.unanswered.append(concurrent.futures.Future())
