--- a/oriolelock/control/snapshot_policy.py
+++ b/oriolelock/control/snapshot_policy.py
@@ -56,6 +56,7 @@
     def postpone(self, index: int) -> None:
         """Wait for as many entries again, after a snapshot failed at ``index``."""
         self._index = index
+        self._transferring_since_s = None
         self._applied_bytes, self._apply_time_s = 0, 0.0
 
     def is_due(self, applied: int) -> bool:
--- a/tests/control/test_snapshot_policy.py
+++ b/tests/control/test_snapshot_policy.py
@@ -34,3 +34,25 @@
     policy.postpone(120)
     assert not policy.is_due(219)
     assert policy.is_due(220)
+
+
+def test_leader_transfers_again_after_a_snapshot_that_failed():
+    """The attempt to transfer before the one that failed must not count for the next."""
+    policy = snapshot_policy.SnapshotPolicy(100, 0, 60 * MB)
+    assert policy.should_transfer(5.0)
+    assert not policy.should_transfer(8.0)
+    policy.postpone(120)
+    assert policy.should_transfer(60.0)
+
+
+def test_replica_that_has_transferred_takes_the_snapshot_and_asks_no_further_one():
+    """Leadership moves once for each snapshot that is due, not from one replica to the next."""
+    first, second = (snapshot_policy.SnapshotPolicy(100, 0, 60 * MB) for _ in range(2))
+    due = 60 * MB // snapshot_policy.SNAPSHOT_BYTES_PER_ENTRY + 1
+    assert first.is_due(due) and second.is_due(due)
+    # The follower takes its own at the same index, before it is asked to lead.
+    second.record_snapshot(due, 60 * MB, 1.0)
+    assert first.should_transfer(5.0)
+    first.record_snapshot(due, 60 * MB, 1.0)
+    assert not second.is_due(due + 1)
+    assert not first.is_due(due + 1)
