--- a/oriolelock/consensus/events.py
+++ b/oriolelock/consensus/events.py
@@ -12,6 +12,7 @@
 __all__ = [
     "AddLearner",
     "Event",
+    "Probe",
     "Promote",
     "Propose",
     "ReadRequest",
@@ -75,6 +76,13 @@
     replica: messages.Replica
 
 
+@dataclasses.dataclass(frozen=True)
+class Probe:
+    """Send a heartbeat to those of the replicas that are no members; follows each ``Tick``."""
+
+    names: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class Promote:
     """Make a learner a voter if it has caught up."""
@@ -104,6 +112,7 @@
     | Saved
     | SnapshotTaken
     | AddLearner
+    | Probe
     | Promote
     | Remove
     | Transfer
--- a/oriolelock/consensus/node.py
+++ b/oriolelock/consensus/node.py
@@ -22,6 +22,7 @@
     outputs,
     persistence,
     persistent_state,
+    probe,
     quorum,
     reads,
     replacement,
@@ -153,6 +154,7 @@
 
 _EVENT_HANDLERS = {
     events.AddLearner: membership.add_learner,
+    events.Probe: probe.probe,
     events.Promote: membership.promote,
     events.Propose: replication.propose,
     events.ReadRequest: reads.request,
--- a/oriolelock/control/host.py
+++ b/oriolelock/control/host.py
@@ -173,7 +173,8 @@
             return []
         plan = node.membership_plan(self._node, self._cfg.min_voters, now, self._cfg.last_heard())
         self._membership_log.record(plan)
-        return [change.event for change in plan.changes]
+        probe = events.Probe(tuple(self._cfg.candidates()))
+        return [probe, *(change.event for change in plan.changes)]
 
     def _process_batch(self, batch, now):
         pending = collections.deque()
--- a/oriolelock/control/host_settings.py
+++ b/oriolelock/control/host_settings.py
@@ -22,7 +22,8 @@
     taken after ``snapshot_every`` entries at the latest, unless snapshots are large.
     ``min_voters``: a voter that is lost is removed without a successor only while at least this
     many others remain; None never removes voters. ``last_heard()`` returns when the link to each
-    other replica was last alive (monotonic seconds, by name).
+    other replica was last alive (monotonic seconds, by name). ``candidates()`` returns the names
+    of replicas that the leader admits although they don't ask for it.
     """
 
     group: str
@@ -33,3 +34,4 @@
     changed: collections.abc.Callable
     min_voters: int | None = None
     last_heard: collections.abc.Callable[[], collections.abc.Mapping[str, float]] = dict
+    candidates: collections.abc.Callable[[], collections.abc.Iterable[str]] = tuple
--- a/oriolelock/control/replica.py
+++ b/oriolelock/control/replica.py
@@ -102,6 +102,8 @@
                 self._notify_listeners,
                 cfg.min_voters if cfg.seeds else None,
                 self.last_heard,
+                # Replicas from seeds ask to be admitted to ``config`` only.
+                self.member_names if cfg.seeds and group != "config" else tuple,
             ),
             group_store,
             state_machines.make_state_machine(group),
