--- a/tests/control/replacements.py
+++ b/tests/control/replacements.py
@@ -22,7 +22,7 @@
         self._sends = {}
         self._next_number = count
         for number in range(count):
-            self._start(number, range(min(3, count)), is_first=True)
+            self._start(number, self._ports[: min(3, count)], is_first=True)
 
     def name(self, number):
         """Return the name of a replica, which is its link address."""
@@ -31,12 +31,12 @@
     def link_address(self, number):
         return ("127.0.0.1", self._ports[number])
 
-    def _start(self, number, seeds, is_first=False, is_mute=False):
+    def _start(self, number, seed_ports, is_first=False, is_mute=False):
         cfg = test_seeds.make_settings(
             self._folder / str(number),
             self._ports[number],
             self._http[number],
-            [self._ports[seed] for seed in seeds],
+            seed_ports,
         )
         cfg = dataclasses.replace(cfg, **self._overrides)
         hosted.form_if_first(cfg, is_first)
@@ -52,18 +52,24 @@
             self.running[number].replica._links.send = lambda name, msg: False
         self.running[number].start()
 
-    def add(self, is_mute=False):
+    def add(self, seed_ports=None, is_mute=False):
         """Start an empty replica at a new address and return its number.
 
         ``is_mute``: it sends nothing until it rejoins after a cut.
         """
         number, self._next_number = self._next_number, self._next_number + 1
-        self._start(number, sorted(self.running)[:3], is_mute=is_mute)
+        living = [self._ports[n] for n in sorted(self.running)[:3]]
+        self._start(number, living if seed_ports is None else seed_ports, is_mute=is_mute)
         return number
 
+    def restart(self, number, seed_ports):
+        """Start a replica that was lost again, with its folder and address."""
+        self._start(number, seed_ports)
+
     def lose(self, number):
         """End a replica without a hand-over; its connections fall silent before they end."""
-        components = self.running.pop(number)._components
+        item = self.running.pop(number)
+        components = item._components
         components.instance_monitor.stop()
         components._joiner.stop()
         # ``stop`` would close the connections of entries at once.
@@ -73,6 +79,10 @@
             components._news.stop()
         components._links.shutdown()
         components.replica.stop()
+        for group_store in components.replica._stores.values():
+            group_store.close()
+        item.loop.call_soon(item._stop_serving)
+        item._thread.join(5)
 
     def cut_off(self, number):
         """Drop all messages of a replica, until the returned function is called."""
