--- a/tests/control/test_changing_leaders.py
+++ b/tests/control/test_changing_leaders.py
@@ -199,3 +199,26 @@
     status.leader, status.term = "c2", 5
     waiting.until(lambda: sent == ["c2", "c2"], 2.0, "sent to the leader of the new term")
     router.stop()
+
+
+def test_deaths_that_were_reported_to_different_leaders_add_up(replicas):
+    """Guards against requests that crash endpoints for as long as leaders change."""
+    conn = None
+    for number in range(2):
+        leader = replicas.wait_for_leader()
+        follower = next(name for name in replicas.processes if name != leader)
+        conn = replicas.connect_link(follower)
+        conn.send(messages.UplinkCall(f"{number}", changes.ReportCrash("f", f"x{number}")))
+        replies = iter(lambda link=conn: link.recv(5.0), None)
+        reply = next(msg for msg in replies if isinstance(msg, messages.UplinkReply))
+        assert reply.error == ""
+        if number == 0:
+            conn.close()
+            replicas.kill(leader)
+    conn.send(messages.Subscribe("e1", 0))
+    replies = iter(lambda: conn.recv(5.0), None)
+    snapshot = next(msg for msg in replies if isinstance(msg, messages.Snapshot))
+    conn.close()
+    record = snapshot.configuration.crashes["f"]
+    assert [name for name, _ in record.deaths] == ["x0", "x1"]
+    assert record.until_s > 0.0
