--- a/oriolelock/control/registration.py
+++ b/oriolelock/control/registration.py
@@ -35,14 +35,12 @@
 ) -> list[str]:
     """Return the names of registered replicas that are not in the group.
 
-    Replicas that an instance list names have other names; the list removes them.
+    Those that only an instance list names are removed with the list.
     """
     return [
         peer.name
         for peer in cfg.members.values()
-        if peer.role == "control"
-        and peer.name == peer.link_address
-        and peer.name not in group_names
+        if member.is_registered_replica(peer) and peer.name not in group_names
     ]
 
 
--- a/oriolelock/entry/daemon.py
+++ b/oriolelock/entry/daemon.py
@@ -92,8 +92,11 @@
         own = member.Member(
             settings.name, "entry", "", "", settings.region, settings.failure_domain
         )
-        control = [f"{host}:{port}" for host, port in settings.control]
-        addresses = tree.parent_candidates(own, cfg.members.values(), control)
+        control = {f"{host}:{port}" for host, port in settings.control}
+        # Those of an instance list are left out: the settings may name the way to them.
+        peers = cfg.members.values()
+        control |= {peer.link_address for peer in peers if member.is_registered_replica(peer)}
+        addresses = tree.parent_candidates(own, peers, sorted(control))
         return [(host, int(port)) for host, port in (a.split(":") for a in addresses)]
 
     def _on_config(self, cfg):
--- a/oriolelock/model/member.py
+++ b/oriolelock/model/member.py
@@ -9,7 +9,7 @@
 
 from oriolelock.wire import codec
 
-__all__ = ["STATES", "Member"]
+__all__ = ["STATES", "Member", "is_registered_replica"]
 
 STATES = ("live", "leaving", "down")
 
@@ -30,3 +30,11 @@
     failure_domain: str
     state: str = "live"
     peer_address: str = ""
+
+
+def is_registered_replica(peer: Member) -> bool:
+    """Return whether a member is a control replica that has registered itself.
+
+    It is named by its link address. Replicas in an instance list have other names.
+    """
+    return peer.role == "control" and peer.name == peer.link_address
--- a/tests/entry/test_daemon.py
+++ b/tests/entry/test_daemon.py
@@ -1,11 +1,14 @@
 """Tests an entry's responses, and that a stop does not abort requests in flight."""
 
+import dataclasses
 import json
 import threading
 
 import pytest
 
-from tests import fake_endpoint, waiting
+from oriolelock.distribution import messages
+from oriolelock.model import member
+from tests import fake_endpoint, fake_parent, waiting
 
 
 def outcome_of(response):
@@ -26,6 +29,21 @@
     assert response.getheader("X-Load") is None
 
 
+def test_entry_whose_settings_name_no_living_replica_uses_registered_ones(start):
+    """Replicas that start from seeds may all be replaced at other addresses."""
+    running = start().wait_ready()
+    successor = fake_parent.FakeParent(running.cfg)
+    name = "{}:{}".format(*successor.address)
+    registered = member.Member(name, "control", "", name, "perth", "perth-a")
+    members = {**running.cfg.members, name: registered}
+    running.parent.cfg = successor.cfg = dataclasses.replace(running.cfg, index=9, members=members)
+    running.parent.send(messages.Snapshot(running.parent.cfg, True))
+    waiting.until(lambda: running.entry.uplink.configuration.index == 9)
+    running.parent.close()
+    waiting.until(lambda: running.entry.uplink.parent == successor.address, 10)
+    successor.close()
+
+
 def test_lookup_returns_the_entry(start):
     running = start().wait_ready()
     response = running.send_request(path="/oriolelock/lookup?service=proofs&client=127.0.0.9")
