--- a/oriolelock/control/joiner.py
+++ b/oriolelock/control/joiner.py
@@ -63,8 +63,7 @@
         if not (status.leader and status.voter):
             self._request_admission()
         if rounds % ROUNDS_PER_LINK_CLEANUP == 0:
-            kept = {*self._seeds, *self._replica.member_names()}
-            self._replica.drop_unused_links(kept, clock.monotonic_s())
+            self._replica.drop_unused_links(self._seeds, clock.monotonic_s())
 
     def _request_admission(self):
         location = (self._cfg.region, self._cfg.failure_domain)
--- a/tests/control/test_joiner.py
+++ b/tests/control/test_joiner.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from oriolelock.control import joiner, messages, peer_links
+from oriolelock.control import joiner, messages, peer_links, replica
 from tests import waiting
 from tests.control import cluster, test_seeds
 
@@ -82,3 +82,16 @@
     waiting.until(lambda: threading.active_count() <= before, 10, "the end of the threads")
     assert not links._used_s
     links.stop()
+
+
+def test_links_to_members_of_any_group_are_kept():
+    """A record group may have members that left ``config``, of which a new leader must judge."""
+    dropped = []
+    groups = {
+        "config": types.SimpleNamespace(member_names=lambda: ("127.0.0.1:1",)),
+        "record-0": types.SimpleNamespace(member_names=lambda: ("127.0.0.1:2",)),
+    }
+    links = types.SimpleNamespace(drop_unused=lambda kept, now: dropped.append(kept))
+    rep = types.SimpleNamespace(_hosts=groups, _links=links)
+    replica.Replica.drop_unused_links(rep, ("127.0.0.1:3",), 0.0)
+    assert dropped == [{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"}]
