--- a/oriolelock/consensus/membership.py
+++ b/oriolelock/consensus/membership.py
@@ -56,7 +56,7 @@
                 replica.incarnation, node.log.last_index + 1, now, node.heartbeat_round
             )
         progress_by_name[replica.name] = progress
-        if node.non_members.get(replica.name, ("",))[0] == replica.incarnation:
+        if node.non_members.get(replica.name, (None,))[0] == replica.incarnation:
             del node.non_members[replica.name]
     node.progress = progress_by_name
 
--- a/oriolelock/control/components.py
+++ b/oriolelock/control/components.py
@@ -100,6 +100,7 @@
         if self._news:
             self._news.stop()
         self._links.shutdown()
+        self.replica.depart()
         self.replica.stop()
 
     def _lag_s(self):
--- a/oriolelock/control/replica.py
+++ b/oriolelock/control/replica.py
@@ -14,6 +14,7 @@
 from oriolelock.consensus import node_settings
 from oriolelock.control import (
     call_router,
+    departure,
     group_watch,
     hand_over,
     host,
@@ -126,9 +127,19 @@
         """Stop all threads of the replica."""
         self._watch.stop()
         self._call_router.stop()
+        self._stop_groups()
+        self._links.stop()
+
+    def _stop_groups(self):
         for group_host in self._hosts.values():
             group_host.stop()
-        self._links.stop()
+
+    def depart(self) -> None:
+        """Stop taking part in the groups, as planned; ``stop`` follows."""
+        group = self.assess()
+        self._stop_groups()
+        if self.cfg.seeds and departure.is_better_without(group, self.cfg.name):
+            departure.give_up_vote(self.cfg, group.leader, self.send)
 
     def listen(self, listener: collections.abc.Callable) -> None:
         """Call ``listener(group)`` after each commit and each change of leader."""
--- a/tests/control/replacements.py
+++ b/tests/control/replacements.py
@@ -84,6 +84,13 @@
         item.loop.call_soon(item._stop_serving)
         item._thread.join(5)
 
+    def stop(self, number):
+        """Stop a replica as planned."""
+        item = self.running.pop(number)
+        item.stop()
+        for group_store in item.replica._stores.values():
+            group_store.close()
+
     def cut_off(self, number):
         """Drop all messages of a replica, until the returned function is called."""
         rep = self.running[number].replica
