--- a/oriolelock/control/joiner.py
+++ b/oriolelock/control/joiner.py
@@ -19,7 +19,8 @@
 __all__ = ["Joiner"]
 
 ROUND_INTERVAL_S = 0.3
-# Unused links to replicas that are no longer members are closed once per this many rounds.
+# Unused links to replicas that are not members are closed once per this many rounds. Those to seeds
+# are made again when the next request goes to them.
 ROUNDS_PER_LINK_CLEANUP = 10
 
 log = logs.get_logger("control.join")
@@ -63,7 +64,7 @@
         if not (status.leader and status.voter):
             self._request_admission()
         if rounds % ROUNDS_PER_LINK_CLEANUP == 0:
-            self._replica.drop_unused_links(self._seeds, clock.monotonic_s())
+            self._replica.drop_unused_links(clock.monotonic_s())
 
     def _request_admission(self):
         location = (self._cfg.region, self._cfg.failure_domain)
--- a/oriolelock/control/replica.py
+++ b/oriolelock/control/replica.py
@@ -159,13 +159,15 @@
         """Return the names of the replicas in the group ``config``."""
         return self._hosts["config"].member_names()
 
-    def drop_unused_links(self, kept: collections.abc.Collection[str], now: float) -> None:
-        """See ``peer_links.PeerLinks.drop_unused``; links to members of any group are kept.
+    def drop_unused_links(self, now: float) -> None:
+        """Close links that were not used recently, except to members of any group.
+
+        ``now`` is of the monotonic clock.
 
         A new leader judges the members of its group by when their links were last alive.
         """
         members = {name for item in self._hosts.values() for name in item.member_names()}
-        self._links.drop_unused({*kept, *members}, now)
+        self._links.drop_unused(members, now)
 
     def last_heard(self) -> dict[str, float]:
         """Return the monotonic times at which the other replicas last sent anything, by name.
--- a/tests/control/test_replaced_addresses.py
+++ b/tests/control/test_replaced_addresses.py
@@ -127,6 +127,17 @@
         group.wait_for_voters()
 
 
+def test_replica_keeps_links_to_members_only(replicas, gone):
+    """Its seeds are gone for good, and each link to them would go on connecting."""
+    group = replicas(3, 4)
+    group.wait_for_voters()
+    seeds = [*(port for _, port in gone[:2]), group.link_address(0)[1]]
+    links = group.running[group.add(seeds)].replica._links
+    group.wait_for_voters()
+    members = {group.name(number) for number in range(3)}
+    cluster.wait_for(lambda: set(links.all()) == members, "links to the other members only", 15)
+
+
 def test_changes_reach_an_entry_whose_parent_is_lost_each_time(replicas, start_entry):
     """The change is made as soon as the parent is gone, which falls silent first."""
     rounds = 3
