--- a/tests/consensus/driver.py
+++ b/tests/consensus/driver.py
@@ -41,6 +41,8 @@
         self.partitioned, self.sides = set(), {}
         self.next_link_heartbeat_s = 0.0
         self.starting, self.incarnations = [], 0
+        # When replicas were added, by incarnation; whether leaders know when links were alive.
+        self.started_s, self.knows_links = {}, True
         self.record = majorities.Record()
         self.leaders, self.committed, self.states = {}, {}, {}
         self.reads, self.results = {}, []
@@ -129,11 +131,11 @@
             self.network.append((replica.name, replica.incarnation, leader, forwarded))
 
     def _request_admission(self):
-        """Let each replica that knows no leader ask all others, as the joiner does."""
+        """Let replicas that know no leader or don't vote ask all others, as the joiner does."""
         for replica in self.replicas.values():
             if replica.running and self.now >= replica.next_join_s:
                 replica.next_join_s = self.now + JOIN_INTERVAL_S
-                if not node.leader(replica.node):
+                if not (node.leader(replica.node) and replica.is_voter()):
                     msg = simulated.Join(replica.name, replica.incarnation)
                     for name in self.replicas:
                         self.network.append((replica.name, replica.incarnation, name, msg))
@@ -210,6 +212,7 @@
         incarnation = f"disk-{self.incarnations}"
         replica = simulated.Replica(name, incarnation, simulated.EMPTY, self.rng, self.settings)
         self.replicas[name] = replica
+        self.started_s[incarnation] = self.now
         replica.start(self.now)
 
     def replace(self, old, new, pause_s):
@@ -241,7 +244,8 @@
     def _membership_changes(self, replica):
         """Return what ``oriolelock.control.host._membership_events`` returns on a leader."""
         now, min_voters = self.now - replica.slept_s, self.settings.min_voters
-        plan = node.membership_plan(replica.node, min_voters, now, replica.heard_s)
+        heard_s = replica.heard_s if self.knows_links else {}
+        plan = node.membership_plan(replica.node, min_voters, now, heard_s)
         return [change.event for change in plan.changes]
 
     def propose(self, name):
--- a/tests/consensus/simulated.py
+++ b/tests/consensus/simulated.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from oriolelock.consensus import events, messages, node, node_settings, persistent_state
+from oriolelock.consensus import events, messages, node, node_settings, persistent_state, quorum
 
 EMPTY = messages.Membership(())
 
@@ -54,6 +54,11 @@
     def running(self):
         return not self.suspended and not self.down
 
+    def is_voter(self):
+        """Return whether this replica votes in the latest membership that it has applied."""
+        membership = node.snapshot_metadata(self.node, self.applied)[1]
+        return quorum.is_voter(membership, self.name, self.incarnation)
+
     def start(self, now):
         cfg = node_settings.NodeSettings(
             self.name,
