Replace control replicas at new addresses in the soak

New and restarted processes get seeds as an operator's list has them then, one of them living.

Checked in addition: each change is acknowledged in the operator's limit (10 s), after the last fault one is acknowledged in 4 s and told by each replica 2.5 s later, planned stops end with 0 in time, and the voters in each store are exactly the running replicas.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -18,6 +18,7 @@
 PAUSE_S = 0.03
 OPERATOR_PAUSE_S = 0.7
 OPERATOR_LIMIT_S = 1.0
+ORDER_LIMIT_S = 10.0
 
 
 def _read(sock, http):
@@ -134,7 +135,7 @@
         self._stopping.set()
 
     def _call(self, method, path, body=b"", base="", host=""):
-        host = host or self._rng.choice(self._hosts)
+        host = host or self._rng.choice(tuple(self._hosts))
         headers = [("Host", host), ("Connection", "close"), ("Content-Length", str(len(body)))]
         if base:
             headers.append(("X-Base-Version", base))
@@ -215,7 +216,9 @@
 
     def _run(self):
         while not self._stopping.wait(OPERATOR_PAUSE_S * self._rng.random() * 2):
-            self.put_next(10.0)
+            began_s = time.monotonic()
+            if not self.put_next(ORDER_LIMIT_S):
+                self._book.unacknowledged.append((began_s, self._revision + 1))
             began_s = time.monotonic()
             revision = self.read()
             if revision is not None:
--- a/tests/soak/control_group.py
+++ b/tests/soak/control_group.py
@@ -1,5 +1,6 @@
 """What control must keep while its replicas are lost and replaced, as seen from outside."""
 
+import collections.abc
 import concurrent.futures
 import re
 import time
@@ -34,16 +35,16 @@
         text = self._operator.metrics(host)
         return {key: int(n) for key, n in re.findall(r"oriolelock_control_(\w+) (\d+)", text)}
 
-    def find_leader(self) -> str:
-        """Return the address of the leader of the newest term, empty if none says it leads."""
-        found = {host: self.gauges(host) for host in list(self._fleet.control_hosts)}
+    def find_leader(self, hosts: collections.abc.Iterable[str]) -> str:
+        """Return the one of ``hosts`` that leads in the newest term, empty if none says so."""
+        found = {host: self.gauges(host) for host in hosts}
         leading = {host: item["term"] for host, item in found.items() if item.get("is_leader")}
         return max(leading, key=leading.get, default="")
 
     def await_leader(self) -> str:
         """Return the address of the leader once there is one."""
         end_s = time.monotonic() + ACK_S
-        while not (leader := self.find_leader()):
+        while not (leader := self.find_leader(self._fleet.control_hosts)):
             if time.monotonic() > end_s:
                 raise Broken(f"no leader within {ACK_S} s")
             time.sleep(POLL_S)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -20,21 +20,31 @@
 PORT_INNER = 17620
 STOP_LIMIT_S = 10.0
 SEEDS = 3
+# From so many control replicas on, two may be lost at once.
+GROWN_CONTROLS = 11
+HOSTS_PER_BLOCK = 250
+KEPT_RETIRED = 6
 
 
 def _zone(host):
     return f"z{int(host.rpartition('.')[2]) % 2 + 1}"
 
 
+def _control_host(net, number):
+    block, last = divmod(number - 1, HOSTS_PER_BLOCK)
+    return f"127.{net}.{block + 10 if block else 1}.{last + 1}"
+
+
 class Fleet:
     """``entries`` and ``controls`` are counts; every process has a loopback address of its own."""
 
     def __init__(self, folder: pathlib.Path, net: int, entries: int, controls: int, listing: str):
         self._folder = folder
         self._listing = listing
-        self._control_net = f"127.{net}.1"
+        self._net = net
         self._last_control = controls
-        self.control_hosts = [f"{self._control_net}.{n + 1}" for n in range(controls)]
+        self._tolerance = 1 if controls < GROWN_CONTROLS else 2
+        self.control_hosts = [_control_host(net, n + 1) for n in range(controls)]
         self.entry_hosts = [f"127.{net}.2.{n + 1}" for n in range(entries)]
         self._zones = {host: _zone(host) for host in self.names()}
         self._lock = threading.Lock()
@@ -65,7 +75,7 @@
             f"internalPortRange={PORT_INNER},{PORT_INNER + 15}",
             "seeds=" + ",".join(f"{seed}:{PORT_CONTROL}" for seed in seeds),
             f"firstStart={'true' if self._is_first else 'false'}",
-            "faultTolerance.machines=1",
+            f"faultTolerance.machines={self._tolerance}",
             f"dataDir={self._folder / host}",
             f"cloud.address={self._listing}",
             "bounds=grace=6s,retryBudgetRatio=0.2,budgetWindow=10s,budgetExtraRetries=60",
@@ -85,13 +95,18 @@
         for host in self.names():
             self._write(host, self.control_hosts[:SEEDS])
 
+    def rewrite(self, host: str, seeds: list[str]) -> None:
+        """Write the settings of a process again, with other seeds."""
+        self._write(host, seeds)
+
     def add_control(self, zone_of: str, seeds: list[str]) -> str:
         """Start a control replica with an empty disk at a new address and return the address.
 
         It is in the failure domain of the process at ``zone_of``.
         """
-        self._last_control += 1
-        host = f"{self._control_net}.{self._last_control}"
+        with self._lock:
+            self._last_control += 1
+            host = _control_host(self._net, self._last_control)
         self._zones[host] = self._zones[zone_of]
         self._write(host, seeds)
         self.control_hosts.append(host)
@@ -102,6 +117,9 @@
         """Leave out of the fleet a process that has ended or is stopped for good."""
         self.control_hosts.remove(host)
         self._retired.append(self._processes.pop(host))
+        # Silent processes still use memory.
+        for process in self._retired[:-KEPT_RETIRED]:
+            process.kill()
 
     def start(self, host: str) -> None:
         """Start the process of an address unless it runs."""
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -51,6 +51,8 @@
         self.leaving: dict[str, float] = {}
         self.acknowledged: list[tuple[float, int]] = []
         self.reads: list[tuple[float, int]] = []
+        # When an operator began to send a revision, without an acknowledgement in its limit.
+        self.unacknowledged: list[tuple[float, int]] = []
         self.final_revision: int | None = None
         # Host, start and end of each time that a process was paused.
         self.pauses: list[tuple[str, float, float]] = []
--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -5,13 +5,21 @@
 import json
 import pathlib
 import shutil
-import signal
 import sys
 import tempfile
 import threading
 import time
 
-from tests.soak import callers, endpoint, fleet, ledger, plan
+from tests.soak import (
+    callers,
+    control_group,
+    endpoint,
+    fleet,
+    injector,
+    ledger,
+    losses,
+    plan,
+)
 
 __all__ = ["main", "play"]
 
@@ -21,6 +29,7 @@
 PORT_ENDPOINT = 18080
 PORT_LIST = 18642
 NETS = 200
+MOST_LINES = 30
 
 
 class _List:
@@ -52,88 +61,6 @@
         self._server.server_close()
 
 
-class _Injector:
-    """Carries out the faults of a plan; each ends by itself."""
-
-    def __init__(self, group, endpoints, operator, book):
-        self._fleet = group
-        self._endpoints = endpoints
-        self._operator = operator
-        self._book = book
-        self.longest_pause_s = 0.0
-        self._open: list[threading.Thread] = []
-
-    def begin(self, fault):
-        thread = threading.Thread(target=self._carry_out, args=(fault,), daemon=True)
-        thread.start()
-        self._open.append(thread)
-
-    def wait(self):
-        for thread in self._open:
-            thread.join(30)
-
-    def _carry_out(self, fault):
-        hits = plan.KINDS[fault.kind][0]
-        group = self._fleet
-        if hits == "endpoint":
-            self._hit_endpoint(fault, self._endpoints[fault.target % len(self._endpoints)])
-        elif fault.kind == "evacuate":
-            self._operator.evacuate("z1", True)
-            time.sleep(fault.for_s)
-            self._operator.evacuate("z1", False)
-        elif hits == "all":
-            names = group.control_hosts if fault.kind == "kill-control" else group.names()
-            for host in names:
-                group.signal(host, signal.SIGKILL)
-            time.sleep(fault.for_s)
-            for host in names:
-                group.kill(host)
-                group.start(host)
-        else:
-            hosts = {"entry": group.entry_hosts, "control": group.control_hosts}
-            known = hosts.get(hits, group.names())
-            self._hit_process(fault, known[fault.target % len(known)])
-
-    def _hit_process(self, fault, host):
-        group = self._fleet
-        if fault.kind == "pause":
-            self.longest_pause_s = max(self.longest_pause_s, fault.for_s)
-            began_s = time.monotonic()
-            group.signal(host, signal.SIGSTOP)
-            time.sleep(fault.for_s)
-            group.signal(host, signal.SIGCONT)
-            self._book.pauses.append((host, began_s, time.monotonic()))
-        elif fault.kind == "reload":
-            group.signal(host, signal.SIGHUP)
-        elif fault.kind == "stop":
-            group.signal(host, signal.SIGTERM)
-            time.sleep(7.0)
-            group.kill(host)
-            group.start(host)
-        else:
-            group.kill(host)
-            if fault.kind == "wipe":
-                group.wipe(host)
-            time.sleep(fault.for_s)
-            group.start(host)
-
-    def _hit_endpoint(self, fault, item):
-        if fault.kind == "reset":
-            item.reset()
-        elif fault.kind == "leave":
-            if sum(e.state == "ready" for e in self._endpoints) > len(self._endpoints) // 2:
-                item.state = "draining"
-                self._book.leaving[item.name] = time.monotonic()
-        elif fault.kind == "crash":
-            item.crash()
-            time.sleep(fault.for_s)
-            item.start()
-        else:
-            item.mode = fault.kind
-            time.sleep(fault.for_s)
-            item.mode = ""
-
-
 def _take_net(seed, endpoints):
     """Return a part of the loopback range that no other soak uses, and the list served there."""
     for offset in range(NETS):
@@ -146,71 +73,136 @@
     raise RuntimeError("every part of the loopback range is in use")
 
 
+class _Deployment:
+    """The processes, endpoints, callers and the operator of one seed."""
+
+    def __init__(self, seed, entries, controls, endpoints, asking, folder):
+        self._connections = asking
+        self.book = ledger.Ledger()
+        self._seed = seed
+        self.endpoints: list[endpoint.Endpoint] = []
+        net, self._listing = _take_net(seed, self.endpoints)
+        self.endpoints += [
+            endpoint.Endpoint(f"e{n}", f"127.{net}.3.{n + 1}", PORT_ENDPOINT, self.book, seed + n)
+            for n in range(endpoints)
+        ]
+        self.group = fleet.Fleet(folder, net, entries, controls, f"127.{net}.4.1:{PORT_LIST}")
+        self.operator = callers.Operator(self.group.control_hosts, self.book, seed)
+        self._asking: list[callers.Caller] = []
+
+    def start(self):
+        """Start everything; returns whether the first configuration was acknowledged."""
+        self.group.start_all()
+        if not self.operator.put_next(START_LIMIT_S):
+            return False
+        self.group.settle()
+        time.sleep(1.0)
+        hosts = self.group.entry_hosts
+        for number in range(self._connections):
+            self._asking.append(callers.Caller(number, hosts, self.book, self._seed + number))
+        self.operator.thread.start()
+        return True
+
+    def stop_callers(self):
+        for item in self._asking:
+            item.stop()
+        for item in self._asking:
+            item.thread.join(5)
+
+    def read_back(self):
+        """Return the broken promises of the final configuration and of the processes."""
+        broken = []
+        for _ in range(20):
+            self.book.final_revision = self.operator.read()
+            if self.book.final_revision is not None:
+                break
+            time.sleep(0.3)
+        else:
+            broken.append("no replica tells the newest revision at the end")
+        ended = self.group.ended()
+        return broken + [f"{host} ended by itself with {code}" for host, code in ended.items()]
+
+    def close(self):
+        for item in self._asking:
+            item.stop()
+        self.group.stop_all()
+        self._listing.close()
+        for item in self.endpoints:
+            item.crash()
+
+
 def play(
-    seed: int, length_s: float, entries: int, controls: int, endpoints: int, folder: pathlib.Path
+    seed: int,
+    length_s: float,
+    entries: int,
+    controls: int,
+    endpoints: int,
+    folder: pathlib.Path,
+    replacing: bool = False,
+    most_lost: int | None = None,
+    connections: int | None = None,
 ) -> list[str]:
-    """Play one seed and return a line for each broken promise."""
-    book = ledger.Ledger()
-    served: list[endpoint.Endpoint] = []
-    net, listing = _take_net(seed, served)
-    served += [
-        endpoint.Endpoint(f"e{n}", f"127.{net}.3.{n + 1}", PORT_ENDPOINT, book, seed + n)
-        for n in range(endpoints)
-    ]
-    group = fleet.Fleet(folder, net, entries, controls, f"127.{net}.4.1:{PORT_LIST}")
-    operator = callers.Operator(group.control_hosts, book, seed)
-    asking: list[callers.Caller] = []
+    """Play one seed and return a line for each broken promise.
+
+    With ``replacing`` control replicas are replaced at new addresses, and at most ``most_lost`` of
+    them, drawn by the seed if None, are lost at once. ``connections``: of callers, three for each
+    entry if None.
+    """
+    asking = 3 * entries if connections is None else connections
+    found = _Deployment(seed, entries, controls, endpoints, asking, folder)
+    book, operator = found.book, found.operator
+    control = control_group.ControlGroup(found.group, operator, book)
+    faults, lost = plan.make(seed, length_s), None
+    if replacing:
+        most, faults = plan.make_replacing(
+            seed, length_s, controls, control_group.CATCH_UP_S, most_lost
+        )
+        lost = losses.Losses(found.group, control, most, seed, folder / "losses.txt")
     try:
-        group.start_all()
-        if not operator.put_next(START_LIMIT_S):
+        if not found.start():
             return ["the first configuration was not acknowledged"]
-        group.settle()
-        time.sleep(1.0)
-        asking = [callers.Caller(n, group.entry_hosts, book, seed + n) for n in range(3 * entries)]
-        operator.thread.start()
-        injector = _Injector(group, served, operator, book)
-        began_s = time.monotonic()
-        for fault in plan.make(seed, length_s):
-            time.sleep(max(0.0, began_s + fault.at_s - time.monotonic()))
-            injector.begin(fault)
-        injector.wait()
+        faulty = injector.Injector(found.group, found.endpoints, operator, book, lost)
+        faulty.play(faults)
         operator.stop()
         operator.thread.join(15)
+        broken = _check_control(control, book, lost) if lost else []
         time.sleep(CALM_S)
         since = len(book.answers)
         time.sleep(CALM_S)
-        for item in asking:
-            item.stop()
-        for item in asking:
-            item.thread.join(5)
-        broken = book.broken(injector.longest_pause_s)
-        for _ in range(20):
-            book.final_revision = operator.read()
-            if book.final_revision is not None:
-                break
-            time.sleep(0.3)
-        else:
-            broken.append("no replica tells the newest revision at the end")
+        found.stop_callers()
+        broken += book.broken(faulty.longest_pause_s) + found.read_back()
         if book.served_part(since) < CALM_SERVED:
             broken.append(f"only {book.served_part(since):.2f} served after all faults ended")
-        broken += [f"{host} ended by itself with {code}" for host, code in group.ended().items()]
+        if lost:
+            broken += _broken_by(control.check_members)
         print(
             f"seed {seed}: {len(book.answers)} requests, {len(book.runs)} runs,"
-            f" {len(book.acknowledged)} revisions, {len(broken)} broken promises",
+            f" {len(book.acknowledged)} revisions, {len(broken)} broken promises"
+            + (f", {most} of {controls} replicas lost at once at most" if lost else ""),
             flush=True,
         )
         return broken
     finally:
-        for item in asking:
-            item.stop()
-        group.stop_all()
-        listing.close()
-        for item in served:
-            item.crash()
+        found.close()
 
 
-def main(argv: list[str] | None = None) -> int:
-    """Run the command; returns 1 when a promise was broken."""
+def _check_control(control, book, lost):
+    return [
+        *_broken_by(control.check_service, "after the last fault"),
+        *(f"no acknowledgement of revision {n} in time" for _, n in book.unacknowledged),
+        *lost.broken,
+    ]
+
+
+def _broken_by(check, *args):
+    try:
+        check(*args)
+    except control_group.Broken as exc:
+        return [str(exc)]
+    return []
+
+
+def _parse(argv):
     parser = argparse.ArgumentParser("soak", description="Plays random faults on loopback.")
     parser.add_argument("--seed", type=int, default=1, help="first seed")
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds, one after the other")
@@ -218,17 +210,33 @@
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--controls", type=int, default=3)
     parser.add_argument("--endpoints", type=int, default=6)
+    parser.add_argument("--callers", type=int, help="connections; three for each entry if left out")
+    parser.add_argument("--replace", action="store_true", help="also replace control replicas")
+    parser.add_argument(
+        "--lost", type=int, help="most replicas lost at once; drawn by the seed if left out"
+    )
     parser.add_argument("--keep", metavar="FOLDER", help="keep settings and logs of broken seeds")
-    args = parser.parse_args(argv)
+    return parser.parse_args(argv)
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the command; returns 1 when a promise was broken."""
+    args = _parse(argv)
+    counts = (args.entries, args.controls, args.endpoints)
     failed = False
     for seed in range(args.seed, args.seed + args.seeds):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         try:
-            broken = play(seed, args.seconds, args.entries, args.controls, args.endpoints, folder)
-            for line in broken:
+            broken = play(
+                seed, args.seconds, *counts, folder, args.replace, args.lost, args.callers
+            )
+            for line in broken[:MOST_LINES]:
                 print(f"seed {seed}: {line}", flush=True)
+            if len(broken) > MOST_LINES:
+                print(f"seed {seed}: and {len(broken) - MOST_LINES} more", flush=True)
             failed = failed or bool(broken)
             if broken and args.keep:
+                (folder / "broken.txt").write_text("\n".join(broken) + "\n")
                 shutil.copytree(folder, pathlib.Path(args.keep) / f"seed-{seed}")
         finally:
             shutil.rmtree(folder, ignore_errors=True)
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -1,5 +1,8 @@
 """The checks of the soak catch each broken promise, and the plan depends on the seed alone."""
 
+import dataclasses
+import hashlib
+
 import pytest
 
 from tests.soak import ledger, plan
@@ -77,3 +80,24 @@
     assert plan.make(7, 30.0) == plan.make(7, 30.0)
     assert plan.make(7, 30.0) != plan.make(8, 30.0)
     assert all(fault.kind in plan.KINDS for fault in plan.make(9, 200.0))
+
+
+def test_the_plan_of_a_seed_is_the_same_as_ever():
+    """Seeds that failed once must go on playing what failed."""
+    text = repr([dataclasses.astuple(fault) for fault in plan.make(8318, 10.0)])
+    assert hashlib.sha256(text.encode()).hexdigest().startswith("298509068ca73b77")
+
+
+@pytest.mark.parametrize("controls", [3, 5, 11])
+def test_never_more_than_a_minority_of_control_is_planned_to_be_lost(controls):
+    for seed in range(20):
+        most, faults = plan.make_replacing(seed, 60.0, controls, 4.0)
+        assert (most, faults) == plan.make_replacing(seed, 60.0, controls, 4.0)
+        assert 1 <= most <= (controls - 1) // 2
+        assert not {fault.kind for fault in faults} & {"kill-control", "kill-everything"}
+        losses = [fault for fault in faults if isinstance(fault, plan.Loss)]
+        # In a planned replacement the successor starts at once.
+        ends_s = [4.0 + s.at_s + (s.kind != "replace-planned") * s.for_s for s in losses]
+        for loss in losses:
+            spans = zip(losses, ends_s, strict=True)
+            assert sum(s.at_s <= loss.at_s < end_s - 1e-6 for s, end_s in spans) <= most
--- a/tests/soak/test_short.py
+++ b/tests/soak/test_short.py
@@ -13,3 +13,10 @@
 @pytest.mark.timeout(180)
 def test_promises_hold(seed, tmp_path):
     assert main.play(seed, 8.0, 3, 3, 6, tmp_path) == []
+
+
+# 9030: after the second of two leaders that were replaced, control stood still for good.
+@pytest.mark.parametrize("seed", (9030,))
+@pytest.mark.timeout(180)
+def test_promises_hold_while_control_replicas_are_replaced(seed, tmp_path):
+    assert main.play(seed, 12.0, 3, 3, 6, tmp_path, replacing=True) == []
