--- a/oriolelock/control/replica.py
+++ b/oriolelock/control/replica.py
@@ -14,10 +14,12 @@
 from oriolelock.consensus import node_settings
 from oriolelock.control import (
     call_router,
+    group_watch,
     hand_over,
     host,
     host_settings,
     host_status,
+    majority,
     messages,
     peer_link,
     peer_links,
@@ -65,6 +67,11 @@
         make_hello = peer_link.hello_factory(cfg, self._stores["config"].incarnation)
         self._links = peer_links.PeerLinks(cfg, make_hello)
         self._call_router = call_router.CallRouter(cfg.name, self._hosts, self.send)
+        own = {
+            group: consensus_messages.Replica(cfg.name, group_store.incarnation, False)
+            for group, group_store in self._stores.items()
+        }
+        self._watch = group_watch.GroupWatch(self._hosts, own, self.last_heard)
         self.take_reports: collections.abc.Callable = lambda batch: None
         # See ``pauses.PauseDetector.lag_s``.
         self.lag_s: collections.abc.Callable[[], float] = lambda: 0.0
@@ -94,6 +101,7 @@
                 self._fail,
                 self._notify_listeners,
                 cfg.min_voters if cfg.seeds else None,
+                self.last_heard,
             ),
             group_store,
             state_machines.make_state_machine(group),
@@ -105,6 +113,7 @@
         self._links.start()
         for group_host in self._hosts.values():
             group_host.start()
+        self._watch.start()
 
     def hand_over(self) -> None:
         """Transfer leadership of all groups to other replicas; gives up after 2 s."""
@@ -112,6 +121,7 @@
 
     def stop(self) -> None:
         """Stop all threads of the replica."""
+        self._watch.stop()
         self._call_router.stop()
         for group_host in self._hosts.values():
             group_host.stop()
@@ -122,6 +132,8 @@
         self._listeners.append(listener)
 
     def _notify_listeners(self, group):
+        # A follower that becomes leader needs the links at once, and knows who has been silent.
+        self._links.connect(self._hosts[group].member_names())
         for listener in self._listeners:
             listener(group)
 
@@ -131,6 +143,7 @@
 
     def broadcast(self, msg: object) -> None:
         """Send a message to all other replicas."""
+        self._links.connect(self.member_names())
         for link in self._links.all().values():
             link.send(msg)
 
@@ -143,9 +156,17 @@
         """Return the names of the replicas in the group ``config``."""
         return self._hosts["config"].member_names()
 
-    def drop_links(self, kept: collections.abc.Collection[str]) -> None:
-        """Close links to replicas that are not in ``kept``."""
-        self._links.retain(kept)
+    def drop_unused_links(self, kept: collections.abc.Collection[str], now: float) -> None:
+        """See ``peer_links.PeerLinks.drop_unused``."""
+        self._links.drop_unused(kept, now)
+
+    def last_heard(self) -> dict[str, float]:
+        """Return the monotonic times at which the other replicas last sent anything, by name.
+
+        Replicas that were never connected are left out; see ``peer_link.PeerLink.last_heard_s``.
+        """
+        links = self._links.all().items()
+        return {name: heard_s for name, link in links if (heard_s := link.last_heard_s) is not None}
 
     def configuration(self) -> configuration.Configuration:
         """Return the latest configuration applied on this replica."""
@@ -163,11 +184,23 @@
         """Return the state of a group as this replica sees it."""
         return self._hosts[group].status()
 
+    def assess(self, group: str = "config") -> majority.Assessment:
+        """Return what this replica knows of the members and the majority of a group."""
+        return self._watch.assess(group)
+
+    def assess_all(self) -> dict[str, majority.Assessment]:
+        """Return what this replica knows of the members and the majorities of all groups."""
+        return {group: self._watch.assess(group) for group in self._hosts}
+
     def dump(self) -> dict:
         """Return the states of groups and links as JSON data."""
         return {
             "groups": {
-                group: vars(group_host.status()) for group, group_host in self._hosts.items()
+                group: {
+                    **vars(group_host.status()),
+                    "majority": majority.to_json(self.assess(group)),
+                }
+                for group, group_host in self._hosts.items()
             },
             "connected": sorted(name for name, link in self._links.all().items() if link.connected),
         }
@@ -211,6 +244,7 @@
     def _handle_message(self, sender, msg):
         if isinstance(msg, messages.GroupMessage):
             if msg.group in self._hosts and isinstance(msg.msg, CONSENSUS_MESSAGES):
+                self._watch.record_incarnation(msg.group, sender, msg.incarnation)
                 self._hosts[msg.group].receive(sender, msg.incarnation, msg.msg)
         elif isinstance(msg, messages.Join):
             self._handle_join(msg)
@@ -224,6 +258,9 @@
             self.take_reports(report_packing.unpack(msg))
 
     def _handle_join(self, msg):
+        if self.lag_s():
+            # The request may be of a process that has ended; others are repeated.
+            return
         config = self._hosts["config"]
         leader = config.status().leader
         if leader == self.cfg.name:
