--- a/tests/soak/control_group.py
+++ b/tests/soak/control_group.py
@@ -3,19 +3,23 @@
 import collections.abc
 import concurrent.futures
 import re
+import signal
+import subprocess
 import time
 
 from tests.soak import callers, fleet, ledger
 
-__all__ = ["ACK_S", "CATCH_UP_S", "CONFIG_APPLY_S", "MOST_STRETCH_S", "Broken", "ControlGroup"]
+__all__ = ["ACK_S", "CATCH_UP_S", "CONFIG_APPLY_S", "Broken", "ControlGroup"]
 
-# Bounds of the users' pages: an order is acknowledged, a read shows it, a new machine counts, and
-# what lost machines may add to these.
+# Bounds of the users' pages: an order is acknowledged, a read shows it, a new machine counts, a
+# planned stop ends.
 ACK_S = 4.0
 CONFIG_APPLY_S = 2.5
 CATCH_UP_S = 4.0
-MOST_STRETCH_S = 5.0
+GRACE_S = 6.0
 POLL_S = 0.05
+# A process writes the stacks of its threads in this time.
+ABORT_S = 1.0
 
 
 class Broken(Exception):
@@ -50,6 +54,18 @@
             time.sleep(POLL_S)
         return leader
 
+    def stop(self, host: str) -> None:
+        """Stop a replica as planned, which ends within the grace period, with 0."""
+        try:
+            code = self._fleet.stop(host, GRACE_S)
+        except subprocess.TimeoutExpired:
+            self._fleet.signal(host, signal.SIGABRT)
+            time.sleep(ABORT_S)
+            self._fleet.kill(host)
+            raise Broken(f"{host} did not stop within {GRACE_S} s") from None
+        if code:
+            raise Broken(f"{host} ended a planned stop with {code}")
+
     def check_service(self, where: str, lost: tuple[str, ...] = ()) -> None:
         """A change is acknowledged in time, and all replicas but ``lost`` tell it in time."""
         began_s = time.monotonic()
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -135,7 +135,12 @@
                     stderr=log,
                     stdin=subprocess.DEVNULL,
                     cwd=self.builds.get(host),
-                    env={**os.environ, "ORIOLELOCK_SETTINGS": str(self._folder / f"{host}.conf")},
+                    env={
+                        **os.environ,
+                        "ORIOLELOCK_SETTINGS": str(self._folder / f"{host}.conf"),
+                        # SIGABRT then logs the stacks of all threads.
+                        "PYTHONFAULTHANDLER": "1",
+                    },
                 )
 
     def voters(self, host: str) -> dict[str, bool]:
@@ -169,10 +174,10 @@
         """Remove the data of a process that does not run."""
         shutil.rmtree(self._folder / host, ignore_errors=True)
 
-    def stop(self, host: str) -> int:
-        """Stop a process as planned and return its exit code."""
+    def stop(self, host: str, limit_s: float = STOP_LIMIT_S) -> int:
+        """Stop a process as planned and return its exit code; raises TimeoutExpired."""
         self.signal(host, signal.SIGTERM)
-        return self._processes[host].wait(STOP_LIMIT_S)
+        return self._processes[host].wait(limit_s)
 
     def ended(self) -> dict[str, int]:
         """Return the exit codes of processes that do not run."""
--- a/tests/soak/losses.py
+++ b/tests/soak/losses.py
@@ -3,7 +3,6 @@
 import pathlib
 import random
 import signal
-import subprocess
 import threading
 import time
 
@@ -111,13 +110,9 @@
 
     def _stop(self, host):
         try:
-            code = self._fleet.stop(host)
-        except subprocess.TimeoutExpired:
-            self.broken.append(f"{host} did not stop within {fleet.STOP_LIMIT_S} s")
-            self._fleet.kill(host)
-            return
-        if code:
-            self.broken.append(f"{host} ended a planned stop with {code}")
+            self._control.stop(host)
+        except control_group.Broken as exc:
+            self.broken.append(str(exc))
 
     def _note(self, text):
         with self._lock, open(self._log, "a", encoding="utf-8") as file:
--- a/tests/soak/replacements.py
+++ b/tests/soak/replacements.py
@@ -63,7 +63,7 @@
         if series.how == "stop":
             self._add(old, seeds)
             time.sleep(series.gap_s)
-            group.stop(old)
+            self._control.stop(old)
         else:
             group.signal(old, signal.SIGSTOP if series.how == "freeze" else signal.SIGKILL)
             time.sleep(series.gap_s)
