--- a/oriolelock/control/replica.py
+++ b/oriolelock/control/replica.py
@@ -72,7 +72,8 @@
             for group, group_store in self._stores.items()
         }
         self._watch = group_watch.GroupWatch(self._hosts, own, self.last_heard)
-        self.take_reports: collections.abc.Callable = lambda batch: None
+        # Called with reports and the name of the replica that relayed them.
+        self.take_reports: collections.abc.Callable = lambda batch, sender: None
         # See ``pauses.PauseDetector.lag_s``.
         self.lag_s: collections.abc.Callable[[], float] = lambda: 0.0
 
@@ -102,6 +103,8 @@
                 self._notify_listeners,
                 cfg.min_voters if cfg.seeds else None,
                 self.last_heard,
+                # Replicas from seeds ask to be admitted to ``config`` only.
+                self.member_names if cfg.seeds and group != "config" else tuple,
             ),
             group_store,
             state_machines.make_state_machine(group),
@@ -157,8 +160,12 @@
         return self._hosts["config"].member_names()
 
     def drop_unused_links(self, kept: collections.abc.Collection[str], now: float) -> None:
-        """See ``peer_links.PeerLinks.drop_unused``."""
-        self._links.drop_unused(kept, now)
+        """See ``peer_links.PeerLinks.drop_unused``; links to members of any group are kept.
+
+        A new leader judges the members of its group by when their links were last alive.
+        """
+        members = {name for item in self._hosts.values() for name in item.member_names()}
+        self._links.drop_unused({*kept, *members}, now)
 
     def last_heard(self) -> dict[str, float]:
         """Return the monotonic times at which the other replicas last sent anything, by name.
@@ -212,6 +219,14 @@
         """
         return self._call_router.call(group, payload, timeout_s)
 
+    def propose(self, group: str, payload: object) -> concurrent.futures.Future:
+        """Propose a command if this replica leads ``group`` and return a future of its result.
+
+        The result is ``Unavailable`` if it does not lead. After a loss of leadership the future may
+        complete late.
+        """
+        return self._hosts[group].propose(payload)
+
     def confirm(self, timeout_s: float) -> concurrent.futures.Future:
         """Return a future of ``Confirmed`` once this replica's configuration is current.
 
@@ -253,9 +268,9 @@
         elif isinstance(msg, messages.ForwardReply):
             self._call_router.handle_reply(msg)
         elif isinstance(msg, distribution_messages.StatusBatch):
-            self.take_reports(msg)
+            self.take_reports(msg, sender)
         elif isinstance(msg, report_packing.PackedReports):
-            self.take_reports(report_packing.unpack(msg))
+            self.take_reports(report_packing.unpack(msg), sender)
 
     def _handle_join(self, msg):
         if self.lag_s():
