--- a/oriolelock/consensus/replacement.py
+++ b/oriolelock/consensus/replacement.py
@@ -85,15 +85,17 @@
         changes = [_promotion(name) for name in ready]
         return Plan((*changes, *_admissions(node)), _lagging(node, ready))
     lost = _lost_voters(node, silences)
-    removals = _voter_removals(node, min_voters, silences, lost, ready)
     waiting = _lagging(node, ready)
-    if lost and not removals:
-        waiting += tuple((name, "lost, no successor is ready") for name in lost)
-    promotions = []
-    if not removals:
-        promotions, undecided = _promotions(node, ready, lost)
+    if ready and _has_free_seat(node):
+        voter_changes = [_promotion(ready[0])]
+    else:
+        voter_changes = _voter_removals(node, min_voters, silences, lost, ready)
+        if lost and not voter_changes:
+            waiting += tuple((name, "lost, no successor is ready") for name in lost)
+    if not voter_changes:
+        voter_changes, undecided = _promotions(node, ready, lost)
         waiting += undecided
-    changes = [*removals, *promotions, *_admissions(node), *_learner_removals(node, silences)]
+    changes = [*voter_changes, *_admissions(node), *_learner_removals(node, silences)]
     return Plan(tuple(changes), waiting)
 
 
@@ -104,6 +106,18 @@
     return sorted(lost, key=lambda name: -silences[name])
 
 
+def _has_free_seat(node):
+    """Return whether the latest change of the voters removed one from a group of odd size.
+
+    Known from the log, so that no second voter, which may come back, is removed for the same
+    successor, by a new leader either. A group that has become odd lost a voter that was one too
+    many.
+    """
+    counts = [len(quorum.voters(members)) for _, members in node.memberships]
+    changed = [count for count in counts[:-1] if count != counts[-1]]
+    return bool(changed) and changed[-1] > counts[-1] and counts[-1] % 2 == 0
+
+
 def _voter_removals(node, min_voters, silences, lost, ready):
     """Return the removal of one lost voter, if there is a reason for it and a majority is left.
 
--- a/tests/consensus/test_replacement.py
+++ b/tests/consensus/test_replacement.py
@@ -99,6 +99,30 @@
     assert requested(make_leader(voters, learners, silent_s)) == expected
 
 
+def with_history(leader, *voters):
+    """Return a leader that led groups of these voters before, the latest one last."""
+    current = leader.memberships.pop()[1]
+    for index, names in enumerate(voters):
+        members = (messages.Replica(name, "i", True) for name in ("own", *names))
+        leader.memberships.append((index, messages.Membership(tuple(members))))
+    leader.memberships.append((len(voters), current))
+    return leader
+
+
+def test_one_voter_is_removed_for_one_successor():
+    """Guards against the removal of a voter that is only out for some seconds."""
+    leader = make_leader("bcd", "x", {"b": 3.0})
+    assert requested(with_history(leader, "abcd")) == [promotion("x")]
+    leader = make_leader("bcdx", "y", {"b": 3.0})
+    assert requested(with_history(leader, "abcd", "bcd")) == [removal("b")]
+
+
+def test_a_seat_that_was_one_too_many_is_not_filled_again():
+    """Guards against a promotion beside a lost voter of three after a planned replacement."""
+    leader = make_leader("ab", "x", {"a": 1.5})
+    assert requested(with_history(leader, "abc")) == [removal("a")]
+
+
 def test_replicas_with_fixed_names_are_never_removed():
     leader = make_leader("abcd", "x", {"a": 20.0})
     assert requested(leader, min_voters=None) == [promotion("x")]
