--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -30,6 +30,9 @@
 PORT_LIST = 18642
 NETS = 200
 MOST_LINES = 30
+MOST_PROCESSES = 250
+# Some 35 MB a process. The callers and endpoints share one process, which must keep up.
+LARGE = {"entries": 180, "controls": 11, "endpoints": 40, "callers": 40, "replace": True}
 
 
 class _List:
@@ -216,7 +219,15 @@
         "--lost", type=int, help="most replicas lost at once; drawn by the seed if left out"
     )
     parser.add_argument("--keep", metavar="FOLDER", help="keep settings and logs of broken seeds")
-    return parser.parse_args(argv)
+    parser.add_argument(
+        "--large", action="store_true", help="many entries and 11 control replicas, replaced too"
+    )
+    args = parser.parse_args(argv)
+    if args.large:
+        vars(args).update(LARGE)
+    if args.entries + args.controls > MOST_PROCESSES:
+        parser.error(f"more than {MOST_PROCESSES} processes")
+    return args
 
 
 def main(argv: list[str] | None = None) -> int:
