Count readings of the list as consecutive where the settings ask for few of them

Callers would see: an endpoint that is gone is never removed where the list is read every 5 s or 60 s, as the settings allow. Found in review. Cause: since readings over 3 s apart are not consecutive. The gap now counts from the end of one reading to the beginning of the next and may last three intervals.

test_what_is_gone_from_a_list_that_is_seldom_read_is_removed[5.0] and [60.0] failed before.

--- a/oriolelock/control/instance_list.py
+++ b/oriolelock/control/instance_list.py
@@ -21,7 +21,8 @@
 # The list lags and may omit an instance once, so an instance is removed only after it has been
 # missing from this many consecutive readings.
 READINGS_UNTIL_REMOVED = 3
-# Readings that are further apart are not consecutive, as other replicas have read in between.
+# Readings that are further apart are not consecutive, as other replicas have read in between,
+# unless the settings ask for fewer readings.
 MAX_GAP_S = 3.0
 STATES = ("live", "leaving")
 MAX_PORT = 65535
@@ -148,11 +149,14 @@
     """Compares readings of the list with the configuration.
 
     Counts for how many consecutive readings each instance was missing. ``names_members``: the list
-    contains entries and control replicas too, not only endpoints. ``now``: monotonic seconds.
+    contains entries and control replicas too, not only endpoints. ``max_gap_s``: readings are
+    consecutive if no more time passes between them. ``now`` and ``began_s``, when a reading began
+    (``now`` by default), are monotonic seconds.
     """
 
-    def __init__(self, names_members: bool = True) -> None:
+    def __init__(self, names_members: bool = True, max_gap_s: float = MAX_GAP_S) -> None:
         self._names_members = names_members
+        self._max_gap_s = max_gap_s
         self._missed_readings: dict[str, int] = {}
         self._counted_s = float("-inf")
 
@@ -191,11 +195,12 @@
         listed: dict,
         seen: collections.abc.Set[str],
         now: float,
+        began_s: float | None = None,
     ) -> list[changes.Change]:
         """Return the removals that follow from ``listed``, the whole list; none if it is empty."""
         if not listed:
             return []
-        if now - self._counted_s > MAX_GAP_S:
+        if (now if began_s is None else began_s) - self._counted_s > self._max_gap_s:
             self._missed_readings = {}
         self._counted_s = now
         configured: dict = dict(cfg.endpoints)
--- a/oriolelock/control/instance_poller.py
+++ b/oriolelock/control/instance_poller.py
@@ -28,6 +28,8 @@
 MAX_WAIT_S = 0.1
 # A page that was asked for earlier may list instances that have left since.
 MAX_PAGE_AGE_S = 3.0
+# What was missing is remembered over so many readings that failed.
+MAX_MISSED_POLLS = 3
 # Readings that changed nothing are logged only if they took longer.
 SLOW_READING_S = 1.0
 
@@ -86,7 +88,8 @@
             self._turn.record_heard(clock.monotonic_s())
 
     def _make_diff(self):
-        return instance_list.InstanceDiff(names_members=bool(self._cfg.instance_list))
+        max_gap_s = max(instance_list.MAX_GAP_S, MAX_MISSED_POLLS * self._cfg.instance_poll_s)
+        return instance_list.InstanceDiff(bool(self._cfg.instance_list), max_gap_s)
 
     def run(self) -> None:
         """Read the list when it is this replica's turn."""
@@ -149,7 +152,7 @@
         self._tell_replicas()
         now = clock.monotonic_s()
         removals = self._diff.find_removals(
-            self._replica.configuration(), listed, self._reports.seen(now), now
+            self._replica.configuration(), listed, self._reports.seen(now), now, self._started_s
         )
         self._proposals.propose(removals, now)
         return len(listed), changed + len(removals)
@@ -179,7 +182,7 @@
         self._tell_replicas()
         now = clock.monotonic_s()
         self._diff.find_removals(
-            self._replica.configuration(), listed, self._reports.seen(now), now
+            self._replica.configuration(), listed, self._reports.seen(now), now, self._started_s
         )
         return len(listed), leaving_count
 
