--- a/oriolelock/consensus/membership.py
+++ b/oriolelock/consensus/membership.py
@@ -16,10 +16,12 @@
 
 __all__ = [
     "CAUGHT_UP_ENTRIES",
+    "DEPARTED",
     "REMOVE_AFTER_S",
     "activate",
     "add_learner",
     "in_effect_at",
+    "is_better_without_one",
     "is_caught_up",
     "promote",
     "recent_non_members",
@@ -29,6 +31,10 @@
 
 # Under steady load a learner always lags behind by the entries in flight.
 CAUGHT_UP_ENTRIES = 64
+# The incarnation of a member that gave up its vote and stopped; no data folder has it.
+DEPARTED = "departed"
+# Voters that remain at least when one gives up its vote; of two, none may be lost.
+MIN_REMAINING_VOTERS = 3
 # A replica that was replaced never replies again. One that was only partitioned rejoins after its
 # removal, so a wrong removal costs no more than a catch-up.
 REMOVE_AFTER_S = 12.0
@@ -85,6 +91,12 @@
     }
 
 
+def is_better_without_one(members: messages.Membership) -> bool:
+    """Return whether a group survives as many losses with one voter less, three at least."""
+    count = len(quorum.voters(members))
+    return count % 2 == 0 and count > MIN_REMAINING_VOTERS
+
+
 def add_learner(node: state.Node, event, now: float) -> None:
     """Add a non-voting replica, which replaces an older incarnation of the same name.
 
@@ -96,10 +108,18 @@
     if quorum.is_member(node.membership, learner.name, learner.incarnation):
         return
     reason = "own-name" if learner.name == node.cfg.name else ""
+    if learner.incarnation == DEPARTED and not _may_depart(node, learner.name):
+        reason = "vote-needed"
     others = [replica for replica in node.membership.replicas if replica.name != learner.name]
     _propose_change(node, learner.name, reason, [*others, learner], now)
 
 
+def _may_depart(node, name):
+    """Return whether a voter may give up its vote; several may ask at the same time."""
+    replica = quorum.find(node.membership, name)
+    return replica is not None and replica.voter and is_better_without_one(node.membership)
+
+
 def promote(node: state.Node, event, now: float) -> None:
     """Make a learner a voter if it has caught up."""
     replica = quorum.find(node.membership, event.name)
--- a/oriolelock/control/departure.py
+++ b/oriolelock/control/departure.py
@@ -13,27 +13,24 @@
 import time
 
 from oriolelock import logs
-from oriolelock.control import majority, messages
+from oriolelock.consensus import membership, messages
+from oriolelock.control import host_status
+from oriolelock.control import messages as control_messages
 from oriolelock.settings import control as settings
 
-__all__ = ["DEPARTED", "give_up_vote", "is_better_without"]
+__all__ = ["give_up_vote", "may_depart"]
 
-# Without three voters no loss is survived.
-MIN_REMAINING_VOTERS = 3
 # The leader rejects a change while another one is in progress.
 ATTEMPTS = 3
 ATTEMPT_INTERVAL_S = 0.1
-# The incarnation of a member whose process has stopped; no data folder has it.
-DEPARTED = "departed"
 
 log = logs.get_logger("control.replica")
 
 
-def is_better_without(group: majority.Assessment, name: str) -> bool:
-    """Return whether the group survives as many losses without the voter ``name``."""
-    count = len(group.voters)
-    is_follower = group.role == "voter" and group.leader not in ("", name)
-    return is_follower and count % 2 == 0 and count - 1 >= MIN_REMAINING_VOTERS
+def may_depart(group: host_status.HostStatus, members: messages.Membership, name: str) -> bool:
+    """Return whether the voter ``name`` may ask the leader, another replica, to go without it."""
+    is_follower = group.voter and group.leader not in ("", name)
+    return is_follower and membership.is_better_without_one(members)
 
 
 def give_up_vote(
@@ -48,7 +45,7 @@
     request is one for admission, which all builds know, under an incarnation that no folder has;
     the leader removes the learner when it stays silent, or admits the replica when it returns.
     """
-    msg = messages.Join(cfg.name, DEPARTED, cfg.region, cfg.failure_domain)
+    msg = control_messages.Join(cfg.name, membership.DEPARTED, cfg.region, cfg.failure_domain)
     for _ in range(ATTEMPTS):
         send(leader, msg)
         wait(ATTEMPT_INTERVAL_S)
--- a/oriolelock/control/replica.py
+++ b/oriolelock/control/replica.py
@@ -136,10 +136,11 @@
 
     def depart(self) -> None:
         """Stop taking part in the groups, as planned; ``stop`` follows."""
-        group = self.assess()
+        config = self._hosts["config"]
+        status, members = config.status(), config.membership()
         self._stop_groups()
-        if self.cfg.seeds and departure.is_better_without(group, self.cfg.name):
-            departure.give_up_vote(self.cfg, group.leader, self.send)
+        if self.cfg.seeds and departure.may_depart(status, members, self.cfg.name):
+            departure.give_up_vote(self.cfg, status.leader, self.send)
 
     def listen(self, listener: collections.abc.Callable) -> None:
         """Call ``listener(group)`` after each commit and each change of leader."""
--- a/tests/control/test_departure.py
+++ b/tests/control/test_departure.py
@@ -2,35 +2,43 @@
 
 import pytest
 
-from oriolelock.control import departure, majority, messages
+from oriolelock.consensus import membership
+from oriolelock.consensus import messages as consensus_messages
+from oriolelock.control import departure, host_status, messages
 from tests.control import cluster, test_replaced_addresses, test_seeds
 
 replicas = test_replaced_addresses.replicas
 
 
-def make_group(voters, role="voter", leader="a"):
-    members = [majority.Member(name, True, True, 0.1, False) for name in voters]
-    return majority.Assessment(role, leader, 0.0, (*members,))
+def make_status(is_voter=True, leader="a"):
+    return host_status.HostStatus(leader, 1, False, 1, is_voter, 4, False, True)
+
+
+def make_members(names):
+    return consensus_messages.Membership(
+        tuple(consensus_messages.Replica(name, "i", True) for name in names)
+    )
 
 
 @pytest.mark.parametrize(
-    ("voters", "role", "leader", "expected"),
+    ("voters", "is_voter", "leader", "expected"),
     [
-        ("abcd", "voter", "a", True),
-        ("abcdef", "voter", "a", True),
+        ("abcd", True, "a", True),
+        ("abcdef", True, "a", True),
         # An odd group keeps a voter that may only be restarted.
-        ("abc", "voter", "a", False),
-        ("abcde", "voter", "a", False),
+        ("abc", True, "a", False),
+        ("abcde", True, "a", False),
         # One of the remaining two could not be lost.
-        ("ab", "voter", "a", False),
+        ("ab", True, "a", False),
         # Leadership could not be handed over, or there is nobody to ask.
-        ("abcd", "voter", "d", False),
-        ("abcd", "voter", "", False),
-        ("abcd", "learner", "a", False),
+        ("abcd", True, "d", False),
+        ("abcd", True, "", False),
+        ("abcd", False, "a", False),
     ],
 )
-def test_only_a_voter_of_an_even_group_gives_up_its_vote(voters, role, leader, expected):
-    assert departure.is_better_without(make_group(voters, role, leader), "d") is expected
+def test_only_a_voter_of_an_even_group_gives_up_its_vote(voters, is_voter, leader, expected):
+    status, members = make_status(is_voter, leader), make_members(voters)
+    assert departure.may_depart(status, members, "d") is expected
 
 
 def test_the_request_names_no_living_incarnation_and_is_repeated(tmp_path):
@@ -38,7 +46,7 @@
     cfg = test_seeds.make_settings(tmp_path, 7001, 7002, (7001,))
     departure.give_up_vote(cfg, "a", lambda name, msg: sent.append((name, msg)), waits.append)
     assert sent == 3 * [
-        ("a", messages.Join(cfg.name, departure.DEPARTED, cfg.region, cfg.failure_domain))
+        ("a", messages.Join(cfg.name, membership.DEPARTED, cfg.region, cfg.failure_domain))
     ]
     assert waits == 3 * [departure.ATTEMPT_INTERVAL_S]
 
