--- a/oriolelock/consensus/replacement.py
+++ b/oriolelock/consensus/replacement.py
@@ -4,10 +4,10 @@
 
     The leader's decisions on membership: which replicas are admitted, promoted and removed.
 
-    A successor takes the seat of a voter that is lost: the lost voter is removed first and the
-    successor promoted next, each as a single-server change. Removing a voter that does not reply
-    never lowers the number of further losses that the group survives, while adding one before
-    removing the other would let voters that are gone pile up until they are half of the group.
+    A successor takes the seat of a voter that is lost: the lost voter is removed and the successor
+    promoted, each as a single-server change, so that voters that are gone never pile up. The
+    removal comes first, since a majority that needs the successor is lost with it, except in the
+    smallest groups, where too few voters with a disk would be left for a moment.
 """
 
 import collections.abc
@@ -121,25 +121,33 @@
 def _voter_removals(node, min_voters, silences, lost, ready):
     """Return the removal of one lost voter, if there is a reason for it and a majority is left.
 
+    With fewer than ``min_voters``, the group could not lose a disk while the lost voter, which may
+    have kept its own, is out. Then the successor is promoted first.
+
     An even group survives as many losses with one voter less, and any majority of its machines
     still contains a majority of the voters.
     """
     voter_count = len(quorum.voters(node.membership))
     remaining_count = voter_count - 1
-    if not lost or 2 * (voter_count - len(lost)) <= remaining_count:
+    has_majority = 2 * (voter_count - len(lost)) > remaining_count
+    if not lost or remaining_count < min_voters or not has_majority:
         return []
     name = lost[0]
     if ready:
         return [_removal(name, "lost, a successor is ready", silences)]
-    if remaining_count < min_voters:
-        return []
-    if voter_count % 2 == 0 and silences[name] >= node.cfg.election_max_s:
+    if voter_count % 2 == 0 and silences[name] >= _even_group_limit_s(node, min_voters):
         return [_removal(name, "lost, in a group of even size", silences)]
     if silences[name] >= membership.REMOVE_AFTER_S:
         return [_removal(name, "lost for long", silences)]
     return []
 
 
+def _even_group_limit_s(node, min_voters):
+    """Return after which silence an even group loses a voter; at once if one was promoted first."""
+    is_smallest = len(quorum.voters(node.membership)) - 1 == min_voters
+    return node.cfg.election_min_s if is_smallest else node.cfg.election_max_s
+
+
 def _promotions(node, ready, lost):
     """Return the promotions, and the learners that wait until each voter is known to live.
 
--- a/oriolelock/control/instance_monitor.py
+++ b/oriolelock/control/instance_monitor.py
@@ -113,11 +113,12 @@
     def _detect_failures(self, now):
         status, cfg = self._replica.status(), self._replica.configuration()
         is_leader = status.is_leader and status.is_caught_up
-        entries = [m.name for m in cfg.members.values() if m.role == "entry"]
+        entries = {m.name for m in cfg.members.values() if m.role == "entry"}
         members = self._replica.member_names()
         self._silence.advance(entries, self._reports, self._relayed_by, members, is_leader, now)
         for name in set(self._relayed_by).difference(entries, members):
             self._relayed_by.pop(name, None)
+        self._proposed = {n: found for n, found in self._proposed.items() if n in entries}
         # After a pause all entries seem silent, and another replica may lead by now.
         if not is_leader or self.lag_s():
             self.held_back = ()
