Stop a control replica whichever of its threads takes the signal

Suspected cause: signal handlers run in the main thread, which waited without a limit; a signal that the kernel gives to another thread does not wake it.

--- a/oriolelock/control/main.py
+++ b/oriolelock/control/main.py
@@ -9,9 +9,8 @@
 import os
 import signal
 import sys
-import threading
 
-from oriolelock import logs
+from oriolelock import logs, stop_signals
 from oriolelock.control import daemon, recovery, replica
 from oriolelock.settings import control as settings
 from oriolelock.settings import loader
@@ -68,12 +67,10 @@
 
 
 def _run(cfg):
-    stopping = threading.Event()
-    for signum in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(signum, lambda *_: stopping.set())
+    wait_for_stop = stop_signals.catch((signal.SIGTERM, signal.SIGINT))
     replica_daemon = daemon.Daemon(cfg, _fail)
     replica_daemon.start()
-    stopping.wait()
+    wait_for_stop()
     replica_daemon.stop()
     return 0
 
--- a/oriolelock/platform/programs.py
+++ b/oriolelock/platform/programs.py
@@ -11,7 +11,7 @@
 import sys
 import threading
 
-from oriolelock import events
+from oriolelock import events, stop_signals
 from oriolelock.platform import fields
 from oriolelock.settings import errors
 
@@ -88,12 +88,11 @@
         found.number("cloud.ratePerS", instances.CALLS_PER_S),
     )
     listens = [found.address("listen.control"), (found.text("ip"), fields.METRICS_PORT)]
-    stopping = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: stopping.set())
+    wait_for_stop = stop_signals.catch()
     item = hosted.Hosted(cfg, listens, _fail, reader, calls.make_handler)
     _watch(path, lambda changed: item.use_seeds(changed.seeds()))
     item.start()
-    stopping.wait()
+    wait_for_stop()
     item.stop()
     os._exit(0)
 
