--- a/oriolelock/control/replica.py
+++ b/oriolelock/control/replica.py
@@ -14,6 +14,7 @@
 from oriolelock.consensus import node_settings
 from oriolelock.control import (
     call_router,
+    departure,
     group_watch,
     hand_over,
     host,
@@ -126,9 +127,20 @@
         """Stop all threads of the replica."""
         self._watch.stop()
         self._call_router.stop()
+        self._stop_groups()
+        self._links.stop()
+
+    def _stop_groups(self):
         for group_host in self._hosts.values():
             group_host.stop()
-        self._links.stop()
+
+    def depart(self) -> None:
+        """Stop taking part in the groups, as planned; ``stop`` follows."""
+        config = self._hosts["config"]
+        status, members = config.status(), config.membership()
+        self._stop_groups()
+        if self.cfg.seeds and departure.may_depart(status, members, self.cfg.name):
+            departure.give_up_vote(self.cfg, status.leader, self.send)
 
     def listen(self, listener: collections.abc.Callable) -> None:
         """Call ``listener(group)`` after each commit and each change of leader."""
@@ -159,9 +171,15 @@
         """Return the names of the replicas in the group ``config``."""
         return self._hosts["config"].member_names()
 
-    def drop_unused_links(self, kept: collections.abc.Collection[str], now: float) -> None:
-        """See ``peer_links.PeerLinks.drop_unused``."""
-        self._links.drop_unused(kept, now)
+    def drop_unused_links(self, now: float) -> None:
+        """Close links that were not used recently, except to members of any group.
+
+        ``now`` is of the monotonic clock.
+
+        A new leader judges the members of its group by when their links were last alive.
+        """
+        members = {name for item in self._hosts.values() for name in item.member_names()}
+        self._links.drop_unused(members, now)
 
     def last_heard(self) -> dict[str, float]:
         """Return the monotonic times at which the other replicas last sent anything, by name.
