--- a/oriolelock/consensus/replacement.py
+++ b/oriolelock/consensus/replacement.py
@@ -6,8 +6,7 @@
 
     A successor takes the seat of a voter that is lost: the lost voter is removed and the successor
     promoted, each as a single-server change, so that voters that are gone never pile up. The
-    removal comes first, since a majority that needs the successor is lost with it, except in the
-    smallest groups, where too few voters with a disk would be left for a moment.
+    removal comes first, since a majority that needs the successor is lost with it.
 """
 
 import collections.abc
@@ -121,20 +120,19 @@
 def _voter_removals(node, min_voters, silences, lost, ready):
     """Return the removal of one lost voter, if there is a reason for it and a majority is left.
 
-    With fewer than ``min_voters``, the group could not lose a disk while the lost voter, which may
-    have kept its own, is out. Then the successor is promoted first.
-
     An even group survives as many losses with one voter less, and any majority of its machines
     still contains a majority of the voters.
     """
     voter_count = len(quorum.voters(node.membership))
     remaining_count = voter_count - 1
     has_majority = 2 * (voter_count - len(lost)) > remaining_count
-    if not lost or remaining_count < min_voters or not has_majority:
+    if not lost or not has_majority:
         return []
     name = lost[0]
     if ready:
         return [_removal(name, "lost, a successor is ready", silences)]
+    if remaining_count < min_voters:
+        return []
     if voter_count % 2 == 0 and silences[name] >= _even_group_limit_s(node, min_voters):
         return [_removal(name, "lost, in a group of even size", silences)]
     if silences[name] >= membership.REMOVE_AFTER_S:
@@ -143,7 +141,7 @@
 
 
 def _even_group_limit_s(node, min_voters):
-    """Return after which silence an even group loses a voter; at once if one was promoted first."""
+    """Return after which silence an even group loses a voter, the smallest one at once."""
     is_smallest = len(quorum.voters(node.membership)) - 1 == min_voters
     return node.cfg.election_min_s if is_smallest else node.cfg.election_max_s
 
