--- a/tests/control/replacements.py
+++ b/tests/control/replacements.py
@@ -120,11 +120,15 @@
         )[0]
 
     def wait_for_voters(self, timeout_s=cluster.WAIT_S):
-        """Wait until all running replicas are voters."""
+        """Wait until all running replicas are voters, as they and the leader know."""
 
         def are_voters():
-            statuses = [item.replica.status() for item in self.running.values()]
-            return all(s.voter for s in statuses) and self.leader() is not None
+            leader = self.leader()
+            if leader is None:
+                return False
+            running = {item.cfg.name: item.replica for item in self.running.values()}
+            voters = {member.name for member in self.running[leader].replica.assess().voters}
+            return voters >= set(running) and all(r.status().voter for r in running.values())
 
         cluster.wait_for(are_voters, f"{len(self.running)} voters", timeout_s)
 
