Don't count the time of a short election as silence of entries

Cause: a read that begins 0.4 s after the loss and is confirmed by the next leader 0.6 s later bridged the time without a leader (1.3 s), in which entries find no parent.

Now reads that took over 0.4 s, or began over 0.8 s after the one before, do not bridge. test_a_read_that_waited_for_a_leader_does_not_bridge_a_short_election failed before.

--- a/oriolelock/control/silence.py
+++ b/oriolelock/control/silence.py
@@ -18,6 +18,10 @@
 
 # Subscribers are disconnected when reads are not confirmed for longer.
 MAX_GAP_S = publisher.CONFIRMED_MAX_AGE_S
+# Reads that are confirmed begin at most this far apart, and take at most so long, while there is a
+# leader.
+MAX_READ_GAP_S = publisher.CONFIRM_INTERVAL_S + 0.3
+MAX_READ_S = 0.4
 # Replicas relay reports, and send one of their own, every half a second.
 REPLICA_SILENT_S = 1.5
 
@@ -42,7 +46,10 @@
         """Record that a read begun at ``started_s`` was confirmed."""
         with self._lock:
             until_s = self._heard_until_s
-            if until_s is None or started_s - until_s > MAX_GAP_S:
+            if until_s is None or started_s - until_s > MAX_READ_GAP_S:
+                self._heard_until_s = now
+            elif now - started_s > MAX_READ_S:
+                # It waited for a leader.
                 self._heard_until_s = now
             elif started_s > until_s:
                 self._uncounted_s += started_s - until_s
--- a/tests/control/test_silence.py
+++ b/tests/control/test_silence.py
@@ -51,6 +51,18 @@
     assert listener.run(1.0, is_leader=True) <= 2.0
 
 
+def test_a_read_that_waited_for_a_leader_does_not_bridge_a_short_election():
+    """Guards against living entries that are set down because their parent was the leader."""
+    listener = Listener({"e": "c2"})
+    listener.hear("e")
+    assert listener.run(1.0) == 1.0
+    # The leader is lost; a read that begins after half a second is confirmed by the next one.
+    listener.now += 1.1
+    listener.silence.record_confirmed(listener.now - 0.7, listener.now)
+    listener.silence.record_confirmed(listener.now, listener.now)
+    assert listener.run(1.0, is_leader=True) <= 2.0
+
+
 def test_pause_of_this_replica_does_not_count():
     listener = Listener({"e": "c2"})
     listener.hear("e")
@@ -100,4 +112,5 @@
     listener.hear("e")
     assert listener.run(1.0) == 1.0
     listener.silence.record_confirmed(listener.now - 0.7, listener.now)
+    listener.silence.record_confirmed(listener.now, listener.now)
     assert listener.run(0.5) == 1.5
