Ask all replicas to let a voter go, as the leader may change meanwhile

Suspected, not shown: the leader that was asked had changed, or had a change in progress for the three attempts. Now all other replicas are asked, who forward to the leader, five times.

--- a/oriolelock/control/departure.py
+++ b/oriolelock/control/departure.py
@@ -21,7 +21,7 @@
 __all__ = ["give_up_vote", "may_depart"]
 
 # The leader rejects a change while another one is in progress.
-ATTEMPTS = 3
+ATTEMPTS = 5
 ATTEMPT_INTERVAL_S = 0.1
 
 log = logs.get_logger("control.replica")
@@ -35,18 +35,20 @@
 
 def give_up_vote(
     cfg: settings.ControlSettings,
-    leader: str,
+    others: collections.abc.Iterable[str],
     send: collections.abc.Callable[[str, object], bool],
     wait: collections.abc.Callable[[float], None] = time.sleep,
 ) -> None:
     """Ask the leader to replace this voter by a learner that has no data folder.
 
-    Its consensus group must have stopped, as it would be admitted again when it replies. The
-    request is one for admission, which all builds know, under an incarnation that no folder has;
-    the leader removes the learner when it stays silent, or admits the replica when it returns.
+    Its consensus group must have stopped, as it would be admitted again when it replies. All
+    ``others`` are asked, who forward to the leader, which may change meanwhile. The request is one
+    for admission, which all builds know, under an incarnation that no folder has; the leader
+    removes the learner when it stays silent, or admits the replica when it returns.
     """
     msg = control_messages.Join(cfg.name, membership.DEPARTED, cfg.region, cfg.failure_domain)
     for _ in range(ATTEMPTS):
-        send(leader, msg)
+        for name in others:
+            send(name, msg)
         wait(ATTEMPT_INTERVAL_S)
     log.info("Gave up the vote in group config before stopping.")
--- a/oriolelock/control/replica.py
+++ b/oriolelock/control/replica.py
@@ -140,7 +140,8 @@
         status, members = config.status(), config.membership()
         self._stop_groups()
         if self.cfg.seeds and departure.may_depart(status, members, self.cfg.name):
-            departure.give_up_vote(self.cfg, status.leader, self.send)
+            others = [member.name for member in members.replicas if member.name != self.cfg.name]
+            departure.give_up_vote(self.cfg, others, self.send)
 
     def listen(self, listener: collections.abc.Callable) -> None:
         """Call ``listener(group)`` after each commit and each change of leader."""
--- a/tests/control/test_departure.py
+++ b/tests/control/test_departure.py
@@ -44,11 +44,10 @@
 def test_the_request_names_no_living_incarnation_and_is_repeated(tmp_path):
     sent, waits = [], []
     cfg = test_seeds.make_settings(tmp_path, 7001, 7002, (7001,))
-    departure.give_up_vote(cfg, "a", lambda name, msg: sent.append((name, msg)), waits.append)
-    assert sent == 3 * [
-        ("a", messages.Join(cfg.name, membership.DEPARTED, cfg.region, cfg.failure_domain))
-    ]
-    assert waits == 3 * [departure.ATTEMPT_INTERVAL_S]
+    departure.give_up_vote(cfg, "ab", lambda name, msg: sent.append((name, msg)), waits.append)
+    request = messages.Join(cfg.name, membership.DEPARTED, cfg.region, cfg.failure_domain)
+    assert sent == departure.ATTEMPTS * [("a", request), ("b", request)]
+    assert waits == departure.ATTEMPTS * [departure.ATTEMPT_INTERVAL_S]
 
 
 def test_a_loss_right_after_a_planned_replacement_of_one_in_three(replicas):
--- a/tests/scenarios/test_control_frozen.py
+++ b/tests/scenarios/test_control_frozen.py
@@ -52,9 +52,8 @@
         group.signal(frozen, signal.SIGCONT)
 
         def counts(frozen=frozen):
-            voters = [
-                control.gauges(host).get("voters") for host in (frozen, control.find_leader())
-            ]
+            leader = control.find_leader(group.control_hosts)
+            voters = [control.gauges(host).get("voters") for host in (frozen, leader) if host]
             expected = len(group.control_hosts)
             return voters == [expected] * 2 and operator.read(frozen) is not None
 
