Tell elections from slow reads by the term when silence of entries is counted

Suspected, not shown: took reads that were slow, or far apart, on a busy machine for an election, so that little time counted.

Now a read bridges no time if the term has changed since it began or since the one before, however long it took; slow reads under one leader count again.

--- a/oriolelock/control/instance_monitor.py
+++ b/oriolelock/control/instance_monitor.py
@@ -90,9 +90,9 @@
             if self._reports.find(name) is not previous:
                 self._relayed_by[name] = relayed_by
 
-    def record_confirmed(self, started_s: float) -> None:
+    def record_confirmed(self, started_s: float, began_term: int, term: int) -> None:
         """Record that a read that this replica began at ``started_s`` was confirmed."""
-        self._silence.record_confirmed(started_s, clock.monotonic_s())
+        self._silence.record_confirmed(started_s, clock.monotonic_s(), began_term, term)
 
     def _run_status_rounds(self):
         while not self._stopping.wait(CHECK_INTERVAL_S):
--- a/oriolelock/control/silence.py
+++ b/oriolelock/control/silence.py
@@ -18,10 +18,6 @@
 
 # Subscribers are disconnected when reads are not confirmed for longer.
 MAX_GAP_S = publisher.CONFIRMED_MAX_AGE_S
-# Reads that are confirmed begin at most this far apart, and take at most so long, while there is a
-# leader.
-MAX_READ_GAP_S = publisher.CONFIRM_INTERVAL_S + 0.3
-MAX_READ_S = 0.4
 # Replicas relay reports, and send one of their own, every half a second.
 REPLICA_SILENT_S = 1.5
 
@@ -37,20 +33,23 @@
         self._lock = threading.Lock()
         # The end of the time in which reads were confirmed, and its part not counted so far.
         self._heard_until_s: float | None = None
+        self._term = 0
         self._uncounted_s = 0.0
         # By entry: the time of its latest report, and seconds of silence since.
         self._measured_s: dict[str, float] = {}
         self._silent_s: dict[str, float] = {}
 
-    def record_confirmed(self, started_s: float, now: float) -> None:
-        """Record that a read begun at ``started_s`` was confirmed."""
+    def record_confirmed(self, started_s: float, now: float, began_term: int, term: int) -> None:
+        """Record that a read begun at ``started_s`` was confirmed.
+
+        ``began_term``: the term then, ``term``: the term now. Another one began with an election,
+        which a read that waited for the leader must not bridge.
+        """
         with self._lock:
             until_s = self._heard_until_s
-            if until_s is None or started_s - until_s > MAX_READ_GAP_S:
-                self._heard_until_s = now
-            elif now - started_s > MAX_READ_S:
-                # It waited for a leader.
-                self._heard_until_s = now
+            is_same_leader = began_term == term == self._term
+            if until_s is None or not is_same_leader or started_s - until_s > MAX_GAP_S:
+                self._heard_until_s, self._term = now, term
             elif started_s > until_s:
                 self._uncounted_s += started_s - until_s
                 self._heard_until_s = started_s
