Let a new leader wait a second before it sets entries down

Instead a leader judges nobody in its first second, in which entries that lost their parent find another one and are heard.

test_a_new_leader_waits_for_entries_that_lost_their_parent fails without the wait.

--- a/oriolelock/control/components.py
+++ b/oriolelock/control/components.py
@@ -112,13 +112,11 @@
     def _make_publisher_source(self):
         def confirm(timeout_s):
             result, started_s = concurrent.futures.Future(), clock.monotonic_s()
-            began_term = self.replica.status().term
 
             def answered(read):
                 is_confirmed = isinstance(read.result(), messages.Confirmed)
                 if is_confirmed:
-                    term = self.replica.status().term
-                    self.instance_monitor.record_confirmed(started_s, began_term, term)
+                    self.instance_monitor.record_confirmed(started_s)
                 result.set_result(is_confirmed)
 
             fut = self.replica.call("config", messages.ConfirmRead(), timeout_s)
--- a/oriolelock/control/instance_monitor.py
+++ b/oriolelock/control/instance_monitor.py
@@ -23,6 +23,9 @@
 RELAY_INTERVAL_S = 0.5
 # Between two looks for failures.
 CHECK_INTERVAL_S = 0.25
+# A new leader sets no entry down for so long: entries whose parent was lost find another one that
+# confirms, and their reports are relayed.
+SETTLE_S = 1.0
 # A change without a result is proposed again afterwards, if it still follows from the reports.
 COMMIT_TIMEOUT_S = 3.0
 
@@ -46,6 +49,7 @@
         self._reports = status_reports
         self._stopping = threading.Event()
         self._relay_due_s = 0.0
+        self._leading_since_s: float | None = None
         self._silence = silence.Silence(cfg.name)
         # By instance: the replica that relayed its latest report, its own name for subscribers.
         self._relayed_by: dict[str, str] = {}
@@ -90,9 +94,9 @@
             if self._reports.find(name) is not previous:
                 self._relayed_by[name] = relayed_by
 
-    def record_confirmed(self, started_s: float, began_term: int, term: int) -> None:
+    def record_confirmed(self, started_s: float) -> None:
         """Record that a read that this replica began at ``started_s`` was confirmed."""
-        self._silence.record_confirmed(started_s, clock.monotonic_s(), began_term, term)
+        self._silence.record_confirmed(started_s, clock.monotonic_s())
 
     def _run_status_rounds(self):
         while not self._stopping.wait(CHECK_INTERVAL_S):
@@ -121,10 +125,14 @@
         self._proposed = {n: found for n, found in self._proposed.items() if n in entries}
         # After a pause all entries seem silent, and another replica may lead by now.
         if not is_leader or self.lag_s():
-            self.held_back = ()
+            self._leading_since_s, self.held_back = None, ()
             return
+        if self._leading_since_s is None:
+            self._leading_since_s = now
+        is_settled = now - self._leading_since_s >= SETTLE_S
+        silent_s = self._silence.seconds(now) if is_settled else {}
         detection = failure_detector.find_state_changes(
-            cfg, self._reports.ages(now), self._silence.seconds(now), self._reports.leaving()
+            cfg, self._reports.ages(now), silent_s, self._reports.leaving()
         )
         if set(detection.held_back) - set(self.held_back):
             log.warning("{} entries are silent at once and stay live.", len(detection.held_back))
--- a/oriolelock/control/silence.py
+++ b/oriolelock/control/silence.py
@@ -33,23 +33,17 @@
         self._lock = threading.Lock()
         # The end of the time in which reads were confirmed, and its part not counted so far.
         self._heard_until_s: float | None = None
-        self._term = 0
         self._uncounted_s = 0.0
         # By entry: the time of its latest report, and seconds of silence since.
         self._measured_s: dict[str, float] = {}
         self._silent_s: dict[str, float] = {}
 
-    def record_confirmed(self, started_s: float, now: float, began_term: int, term: int) -> None:
-        """Record that a read begun at ``started_s`` was confirmed.
-
-        ``began_term``: the term then, ``term``: the term now. Another one began with an election,
-        which a read that waited for the leader must not bridge.
-        """
+    def record_confirmed(self, started_s: float, now: float) -> None:
+        """Record that a read begun at ``started_s`` was confirmed."""
         with self._lock:
             until_s = self._heard_until_s
-            is_same_leader = began_term == term == self._term
-            if until_s is None or not is_same_leader or started_s - until_s > MAX_GAP_S:
-                self._heard_until_s, self._term = now, term
+            if until_s is None or started_s - until_s > MAX_GAP_S:
+                self._heard_until_s = now
             elif started_s > until_s:
                 self._uncounted_s += started_s - until_s
                 self._heard_until_s = started_s
