--- a/oriolelock/distribution/publisher.py
+++ b/oriolelock/distribution/publisher.py
@@ -11,7 +11,7 @@
 import dataclasses
 import threading
 
-from oriolelock import clock, logs, pauses
+from oriolelock import clock, events, logs, pauses
 from oriolelock.distribution import messages, report_packing, reports, subscriber
 from oriolelock.wire import channel, codec, errors
 
@@ -27,6 +27,7 @@
 MAX_SUBSCRIBERS = 1000
 
 log = logs.get_logger("distribution.publisher")
+publish_events = events.Events("publisher")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -219,9 +220,12 @@
         with self._lock:
             subscribers = list(self._subscribers)
         if not confirmed and self._confirmed_s is not None:
-            for sub in subscribers:
-                if sub.was_confirmed:
-                    sub.close()
+            closed = [sub for sub in subscribers if sub.was_confirmed]
+            for sub in closed:
+                sub.close()
+            if closed:
+                age_s = now - self._confirmed_s
+                publish_events.notable("subscribers-closed", count=len(closed), control_age_s=age_s)
         encoded_by_position: dict[tuple[int, bool], tuple[int, bytes]] = {}
         current_index = self._source.index() if subscribers else 0
         for sub in subscribers:
--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -106,6 +106,7 @@
         self._loaded_stored_copy = False
         self._is_resyncing = False
         self._confirmed_s: float | None = None
+        self._parentless_s = clock.monotonic_s()
         self._parent: Address | None = None
         self._outbox: send_queue.SendQueue | None = None
         self._link: channel.Channel | None = None
@@ -315,14 +316,16 @@
         writer.start()
         try:
             self._parent, self._outbox = address, outbox
-            log.info("connected to {}:{}", *address)
+            self._log_parent(address)
             self._is_resyncing = False
             return self._receive_until_disconnected(link, connected.received)
-        except (wire_errors.WireError, errors.DistributionError):
+        except (wire_errors.WireError, errors.DistributionError) as exc:
             self._avoid(address)
+            self._log_lost_parent(address, str(exc))
             raise
         finally:
             self._parent = self._outbox = None
+            self._parentless_s = clock.monotonic_s()
             closed_totals = self.traffic(), self.messages()
             (self._closed_link_bytes, self._closed_link_messages), self._link = closed_totals, None
             self._pending_calls.fail_all("connection to the parent ended")
@@ -330,6 +333,24 @@
             outbox.close()
             writer.join()
 
+    def _log_parent(self, address):
+        now = clock.monotonic_s()
+        config_events.notable(
+            "parent",
+            parent=f"{address[0]}:{address[1]}",
+            index=self._holder.cfg.index,
+            without_s=now - self._parentless_s,
+            control_age_s=self.control_age_s(now),
+        )
+
+    def _log_lost_parent(self, address, reason):
+        config_events.notable(
+            "parent-lost",
+            parent=f"{address[0]}:{address[1]}",
+            reason=reason,
+            control_age_s=self.control_age_s(clock.monotonic_s()),
+        )
+
     def _subscribe(self):
         self._enqueue(messages.Subscribe(self._hello.name, self._holder.cfg.index))
 
@@ -378,6 +399,11 @@
                 search.cancel()
             return None
         if search is None:
+            config_events.notable(
+                "parent-suspect",
+                parent=f"{self._parent[0]}:{self._parent[1]}",
+                control_age_s=unconfirmed_s,
+            )
             others = [a for a in self._search_order(clock.monotonic_s()) if a != self._parent]
             search = parent_search.ParentSearch(self._make_race(), others)
         return search
@@ -437,7 +463,7 @@
         config_events.notable(
             "configuration",
             index=cfg.index,
-            parent=":".join(map(str, self._parent)) if self._parent else "",
+            parent=f"{self._parent[0]}:{self._parent[1]}" if self._parent else "",
             changes=len(committed),
             # By the leader's clock, which may differ.
             age_s=clock.wall_s() - committed[-1].wall_s if committed else None,
