--- a/oriolelock/distribution/messages.py
+++ b/oriolelock/distribution/messages.py
@@ -14,6 +14,7 @@
     "ConfirmIndex",
     "ConfirmedIndex",
     "Delta",
+    "Ping",
     "Snapshot",
     "StatusBatch",
     "StatusReport",
@@ -26,10 +27,25 @@
 @codec.register("subscribe")
 @dataclasses.dataclass(frozen=True)
 class Subscribe:
-    """Asks for the changes after ``index``, or for the whole configuration if it is 0."""
+    """Asks for the changes after ``index``, or for the whole configuration if it is 0.
+
+    ``sent_s``: as in ``Ping``; 0 if the subscriber sends none.
+    """
 
     name: str
     index: int
+    sent_s: float = 0.0
+
+
+@codec.register("ping")
+@dataclasses.dataclass(frozen=True)
+class Ping:
+    """Asks the parent to return ``sent_s``, a time by the subscriber's own clock, in deltas.
+
+    It shows how long a delta may have been on its way, without clocks that agree.
+    """
+
+    sent_s: float
 
 
 @codec.register("snapshot")
@@ -44,12 +60,20 @@
 @codec.register("delta")
 @dataclasses.dataclass(frozen=True)
 class Delta:
-    """The changes after ``from_index`` up to ``to_index``. An empty one only confirms."""
+    """The changes after ``from_index`` up to ``to_index``. An empty one only confirms.
+
+    ``control_age_s``: seconds since the read of the leader's state began that confirms it, over
+    all hops. ``echo_s``: ``sent_s`` of the subscriber's latest ping, ``held_s`` seconds after its
+    arrival; 0 if the delta is for several subscribers.
+    """
 
     from_index: int
     to_index: int
     changes: tuple[delta.CommittedChange, ...]
     confirmed: bool
+    control_age_s: float = 0.0
+    echo_s: float = 0.0
+    held_s: float = 0.0
 
 
 @codec.register("status")
--- a/oriolelock/distribution/parent_race.py
+++ b/oriolelock/distribution/parent_race.py
@@ -26,7 +26,7 @@
 CONNECT_LIMIT_S = 0.6
 # So that a thread soon notices that another parent was faster.
 POLL_INTERVAL_S = 0.1
-MAX_PARALLEL_ATTEMPTS = 5
+MAX_PARALLEL_ATTEMPTS = 8
 
 Address = tuple[str, int]
 log = logs.get_logger("uplink")
@@ -34,11 +34,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Connected:
-    """A subscription; ``received``: its messages, the last of which confirms the configuration."""
+    """A subscription; ``received``: its messages, the last of which confirms the configuration.
+
+    ``subscribed_s``: monotonic time before it; the configuration was current after that.
+    """
 
     address: Address
     link: channel.Channel
     received: list[object]
+    subscribed_s: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,16 +54,22 @@
     """One search for a parent.
 
     ``index``: to subscribe from; ``confirm_limit_s``: from a connection to the first confirmation;
-    ``interval_s``: until the next address is tried as well.
+    ``interval_s``: until the next address is tried as well; ``first``: tried at once.
     """
 
     def __init__(
-        self, greeting: hello.Hello, index: int, confirm_limit_s: float, interval_s: float
+        self,
+        greeting: hello.Hello,
+        index: int,
+        confirm_limit_s: float,
+        interval_s: float,
+        first: int = 1,
     ):
         self._hello = greeting
         self._index = index
         self._confirm_limit_s = confirm_limit_s
         self._interval_s = interval_s
+        self._first = first
         self._lock = threading.Lock()
         self._is_over = False
         self._outcomes: queue.Queue[Connected | _Failed] = queue.Queue()
@@ -72,15 +82,16 @@
         self, addresses: collections.abc.Iterable[Address], stopping: threading.Event
     ) -> Connected:
         """Return the first connection that is confirmed; raises Disconnected if there is none."""
-        untried, running = collections.deque(addresses), 0
+        untried, running, started = collections.deque(addresses), 0, 0
         next_start_s = clock.monotonic_s()
         try:
             while (untried or running) and not stopping.is_set():
                 now = clock.monotonic_s()
                 if untried and running < MAX_PARALLEL_ATTEMPTS and now >= next_start_s:
                     self._start(untried.popleft())
-                    running += 1
-                    next_start_s = now + self._interval_s
+                    running, started = running + 1, started + 1
+                    next_start_s = now + (self._interval_s if started >= self._first else 0.0)
+                    continue
                 outcome = self._wait()
                 if isinstance(outcome, Connected):
                     self.unfit.discard(outcome.address)
@@ -121,8 +132,9 @@
             # half a second.
             link = channel.connect(address, self._hello, CONNECT_LIMIT_S, offer_compression=True)
             try:
-                self._subscribe(link, received)
-                outcome = Connected(address, link, received)
+                subscribed_s = clock.monotonic_s()
+                self._subscribe(link, received, subscribed_s)
+                outcome = Connected(address, link, received, subscribed_s)
             except (wire_errors.WireError, errors.DistributionError):
                 link.close()
                 raise
@@ -136,10 +148,10 @@
         if isinstance(outcome, Connected):
             outcome.link.close()
 
-    def _subscribe(self, link, received):
+    def _subscribe(self, link, received, now):
         """Add messages to ``received`` up to the first that confirms the configuration."""
-        deadline_s = clock.monotonic_s() + self._confirm_limit_s
-        link.send(messages.Subscribe(self._hello.name, self._index))
+        deadline_s = now + self._confirm_limit_s
+        link.send(messages.Subscribe(self._hello.name, self._index, now))
         while not self._is_over:
             left_s = deadline_s - clock.monotonic_s()
             if left_s <= 0.0:
--- a/oriolelock/distribution/parent_search.py
+++ b/oriolelock/distribution/parent_search.py
@@ -2,56 +2,92 @@
 oriolelock.distribution.parent_search
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-    Looks for another parent beside a connection that may have failed.
+    Looks for a parent, beside a connection that may still be in use.
 """
 
 import collections.abc
+import dataclasses
 import itertools
+import queue
 import threading
 
-from oriolelock.distribution import errors, parent_race
+from oriolelock import logs
+from oriolelock.distribution import parent_race
 
-__all__ = ["ParentSearch", "interleave"]
+__all__ = ["ParentSearch", "Round", "interleave"]
 
 Address = tuple[str, int]
+log = logs.get_logger("uplink")
+
+
+@dataclasses.dataclass(frozen=True)
+class Round:
+    """The result of one race; ``unconfirmed``: messages of parents that could not confirm."""
+
+    connected: parent_race.Connected | None
+    unfit: frozenset[Address]
+    unconfirmed: tuple[object, ...]
 
 
 class ParentSearch:
-    """Runs a race in a thread. ``found`` is its result once it has one."""
+    """Runs races in a thread until one has a winner or the search is cancelled.
 
-    def __init__(self, race: parent_race.ParentRace, addresses: collections.abc.Iterable[Address]):
-        self._race = race
-        self._addresses = addresses
+    ``run_race(stopping)`` returns the round of one race; ``pause_s(rounds)`` the seconds until the
+    next one, or None to give up.
+    """
+
+    def __init__(
+        self,
+        run_race: collections.abc.Callable[[threading.Event], Round],
+        pause_s: collections.abc.Callable[[int], float | None],
+    ):
+        self._run_race = run_race
+        self._pause_s = pause_s
         self._lock = threading.Lock()
         self._stopping = threading.Event()
-        self.found: parent_race.Connected | None = None
+        self._rounds: queue.SimpleQueue[Round] = queue.SimpleQueue()
+        self.is_over = False
         threading.Thread(target=self._run, name="uplink-search", daemon=True).start()
 
     def _run(self):
-        try:
-            connected = self._race.run(self._addresses, self._stopping)
-        except errors.Disconnected:
-            # The connection at hand may recover; else the next search follows its end.
-            return
-        with self._lock:
-            if not self._stopping.is_set():
-                self.found = connected
+        count = 0
+        while not self._stopping.is_set():
+            try:
+                result = self._run_race(self._stopping)
+            except Exception:
+                # If this thread ended, an entry without a parent would never find one.
+                log.exception("a search for a parent failed")
+                result = Round(None, frozenset(), ())
+            count += 1
+            is_last = result.connected is not None or self._pause_s(count) is None
+            with self._lock:
+                if self._stopping.is_set():
+                    _close(result)
+                    return
+                self._rounds.put(result)
+                self.is_over = is_last
+            if is_last:
                 return
-        connected.link.close()
+            self._stopping.wait(self._pause_s(count))
 
     def cancel(self) -> None:
         """End the search and close what it has found."""
         with self._lock:
             self._stopping.set()
-            found, self.found = self.found, None
-        if found is not None:
-            found.link.close()
+        while (result := self.take()) is not None:
+            _close(result)
 
-    def take(self) -> parent_race.Connected | None:
-        """Return the connection that was found, which now belongs to the caller, or None."""
-        with self._lock:
-            found, self.found = self.found, None
-            return found
+    def take(self, timeout_s: float = 0.0) -> Round | None:
+        """Return the next round, the connection of which now belongs to the caller, or None."""
+        try:
+            return self._rounds.get(timeout_s > 0.0, timeout_s or None)
+        except queue.Empty:
+            return None
+
+
+def _close(result):
+    if result.connected is not None:
+        result.connected.link.close()
 
 
 def interleave(
--- a/oriolelock/distribution/publisher.py
+++ b/oriolelock/distribution/publisher.py
@@ -17,11 +17,13 @@
 
 __all__ = ["Publisher", "Source"]
 
-# Subscribers receive a message at least every second, even without changes.
-CONFIRM_INTERVAL_S = 0.5
+# Subscribers doubt a parent that has not confirmed for about twice as long.
+CONFIRM_INTERVAL_S = 0.4
 CONFIRM_TIMEOUT_S = 0.7
+# So that one lost reply does not delay the next confirmation.
+MAX_PENDING_CONFIRMATIONS = 3
 # A delta counts as confirmed for this long after the start of the last read confirmation: one
-# interval, a round trip between distant regions, and a reserve.
+# interval, a round trip between distant regions, and a reserve. It holds over all hops.
 CONFIRMED_MAX_AGE_S = 1.2
 # Two head entries in each of 57 failure domains need 114. Starting entries connect here first.
 MAX_SUBSCRIBERS = 1000
@@ -38,9 +40,9 @@
     ``changes_since(index)`` returns the configuration and the changes that lead to it, or None
     in place of the changes if they are no longer kept; ``confirm(timeout_s)`` returns a future
     that always completes, with True if the configuration is current; ``call(payload)`` returns a
-    future of (result, error text); ``take_reports(batch)`` receives status reports;
-    ``confirm_recent``, if given, replaces ``confirm`` for the periodic confirmation, and may return
-    a recent result.
+    future of (result, error text); ``take_reports(batch)`` receives status reports.
+    ``is_relay``: confirmations arrive by ``Publisher.pass_on``, and only those of new subscribers
+    are asked for.
     """
 
     index: collections.abc.Callable[[], int]
@@ -48,7 +50,7 @@
     confirm: collections.abc.Callable[[float], concurrent.futures.Future]
     call: collections.abc.Callable[[object], concurrent.futures.Future]
     take_reports: collections.abc.Callable[[messages.StatusBatch], None]
-    confirm_recent: collections.abc.Callable[[float], concurrent.futures.Future] | None = None
+    is_relay: bool = False
 
 
 class Publisher:
@@ -63,7 +65,7 @@
         self.pauses = pauses.PauseDetector(clock.monotonic_s())
         self._stopping = False
         self._confirmed_s: float | None = None
-        self._confirming = False
+        self._pending_confirmations = 0
         self._heartbeat_due = False
         self._last_snapshot: tuple[tuple[int, bool], bytes] = ((0, False), b"")
         self._thread = threading.Thread(target=self._run, name="publisher", daemon=True)
@@ -90,6 +92,15 @@
         with self._lock:
             return sorted(sub.name for sub in self._subscribers)
 
+    def pass_on(self, confirmed_s: float) -> None:
+        """Tell the subscribers of a confirmation that a parent has sent.
+
+        ``confirmed_s``: monotonic time at which the read began that confirms the configuration.
+        """
+        self._record_confirmation(confirmed_s)
+        self._heartbeat_due = True
+        self._wakeup.set()
+
     def confirmed(self, now: float) -> bool:
         """Return whether the leader has confirmed the configuration recently.
 
@@ -116,7 +127,9 @@
             sub.close()
 
     def _handle(self, sub, msg):
-        if isinstance(msg, messages.Subscribe):
+        if isinstance(msg, messages.Ping):
+            sub.take_ping(msg.sent_s, clock.monotonic_s())
+        elif isinstance(msg, messages.Subscribe):
             self._subscribe(sub, msg)
         elif isinstance(msg, messages.StatusReport):
             self._take_reports(messages.StatusBatch((msg,)))
@@ -143,6 +156,8 @@
             self._wakeup.set()
 
         started_s = clock.monotonic_s()
+        if msg.sent_s:
+            sub.take_ping(msg.sent_s, started_s)
         with self._lock:
             is_accepted = sub in self._subscribers
             if is_accepted or len(self._subscribers) < self._max_subscribers:
@@ -186,7 +201,8 @@
             self.pauses.tick(now)
             if now >= next_confirm_s:
                 next_confirm_s = now + CONFIRM_INTERVAL_S
-                self._start_confirm(now)
+                if not self._source.is_relay:
+                    self._start_confirm(now)
             try:
                 self._publish(now)
             except Exception:
@@ -194,19 +210,22 @@
                 log.exception("Publishing to subscribers failed.")
 
     def _start_confirm(self, now):
-        if self._confirming:
+        if self._pending_confirmations >= MAX_PENDING_CONFIRMATIONS:
             return
-        self._confirming = True
+        self._count_pending(1)
 
         def answered(fut):
+            self._count_pending(-1)
             if fut.result():
                 self._record_confirmation(now)
-            self._confirming = False
             self._heartbeat_due = True
             self._wakeup.set()
 
-        confirm_recent = self._source.confirm_recent or self._source.confirm
-        confirm_recent(CONFIRM_TIMEOUT_S).add_done_callback(answered)
+        self._source.confirm(CONFIRM_TIMEOUT_S).add_done_callback(answered)
+
+    def _count_pending(self, change):
+        with self._lock:
+            self._pending_confirmations += change
 
     def _record_confirmation(self, started_s):
         # A confirmation that started during an election may end after a later one, so that the
@@ -216,16 +235,14 @@
 
     def _publish(self, now):
         is_heartbeat_due, self._heartbeat_due = self._heartbeat_due, False
-        confirmed = self.confirmed(now)
+        # Read before the index: a later index is as current, an earlier one need not be.
+        confirmed_s = self._confirmed_s
+        age_s = None if confirmed_s is None else now - confirmed_s
+        is_confirmed = age_s is not None and age_s <= CONFIRMED_MAX_AGE_S
         with self._lock:
             subscribers = list(self._subscribers)
-        if not confirmed and self._confirmed_s is not None:
-            closed = [sub for sub in subscribers if sub.was_confirmed]
-            for sub in closed:
-                sub.close()
-            if closed:
-                age_s = now - self._confirmed_s
-                publish_events.notable("subscribers-closed", count=len(closed), control_age_s=age_s)
+        if age_s is not None and not is_confirmed:
+            self._close_unconfirmed(subscribers, age_s)
         encoded_by_position: dict[tuple[int, bool], tuple[int, bytes]] = {}
         current_index = self._source.index() if subscribers else 0
         for sub in subscribers:
@@ -233,18 +250,31 @@
                 self._confirm_subscriber(sub)
             if not sub.is_due(is_heartbeat_due, current_index):
                 continue
-            position = sub.next_position(confirmed)
+            position = sub.next_position(is_confirmed)
+            if is_heartbeat_due and sub.sends_pings:
+                echo = sub.make_echo(now)
+                sub.publish(position[0], *self._encode(*position, age_s or 0.0, *echo))
+                continue
             if position not in encoded_by_position:
-                encoded_by_position[position] = self._encode(*position)
+                encoded_by_position[position] = self._encode(*position, age_s or 0.0)
             sub.publish(position[0], *encoded_by_position[position])
 
-    def _encode(self, index, confirmed):
+    def _close_unconfirmed(self, subscribers, age_s):
+        """Disconnect those that would count the next message as a new confirmation."""
+        closed = [sub for sub in subscribers if sub.was_confirmed and not sub.sends_pings]
+        for sub in closed:
+            sub.close()
+        if closed:
+            publish_events.notable("subscribers-closed", count=len(closed), control_age_s=age_s)
+
+    def _encode(self, index, confirmed, age_s, echo_s=0.0, held_s=0.0):
         cfg, changes = self._source.changes_since(index)
         if index == 0 or changes is None:
             return cfg.index, self._encode_snapshot(cfg, confirmed)
         # A subscriber that is ahead of this replica keeps its index, which never decreases.
         to_index = max(index, cfg.index)
-        return to_index, codec.encode(messages.Delta(index, to_index, changes, confirmed))
+        msg = messages.Delta(index, to_index, changes, confirmed, age_s, echo_s, held_s)
+        return to_index, codec.encode(msg)
 
     def _encode_snapshot(self, cfg, confirmed):
         key = (cfg.index, confirmed)
--- a/oriolelock/distribution/relay.py
+++ b/oriolelock/distribution/relay.py
@@ -20,8 +20,6 @@
 CALL_WORKERS = 32
 # Longer than the limit in control, so that its error reply arrives before a timeout here.
 CALL_TIMEOUT_S = 4.5
-# A confirmation of the parent is passed on to the children up to this age.
-CONFIRMED_MAX_AGE_S = 1.0
 THREAD_NAME = "relay"
 
 
@@ -45,6 +43,7 @@
         self._config_changed = threading.Condition()
         self._executor = concurrent.futures.ThreadPoolExecutor(CALL_WORKERS, THREAD_NAME)
         self._publisher = publisher.Publisher(self._make_source(), tree.MAX_CHILDREN)
+        parent.on_confirmed = self._publisher.pass_on
         self._server = None
 
     def _make_source(self):
@@ -54,7 +53,7 @@
             confirm=lambda timeout_s: self._executor.submit(self._confirm, timeout_s),
             call=lambda payload: self._executor.submit(self._call, payload),
             take_reports=lambda batch: self._reports.take(batch, clock.monotonic_s(), relay=True),
-            confirm_recent=self._confirm_recent,
+            is_relay=True,
         )
 
     def start(self, address: tuple[str, int]) -> None:
@@ -108,12 +107,6 @@
                 self._config_changed.wait(left_s)
         return True
 
-    def _confirm_recent(self, timeout_s):
-        fut = concurrent.futures.Future()
-        age_s = self._uplink.control_age_s(clock.monotonic_s())
-        fut.set_result(age_s is not None and age_s <= CONFIRMED_MAX_AGE_S)
-        return fut
-
     def _call(self, payload):
         try:
             return self._uplink.call(payload, CALL_TIMEOUT_S), ""
--- a/oriolelock/distribution/subscriber.py
+++ b/oriolelock/distribution/subscriber.py
@@ -32,6 +32,8 @@
         self._confirming = False
         self.name = conn.peer.name
         self.index = 0
+        # Its latest ping, and when that arrived.
+        self._ping: tuple[float, float] | None = None
         self._thread = threading.Thread(target=self._run, name=f"to-{self.name}", daemon=True)
         self._thread.start()
 
@@ -40,6 +42,22 @@
         """Whether a confirmation that started after the subscription has succeeded."""
         return self._confirmed
 
+    @property
+    def sends_pings(self) -> bool:
+        """Whether it can tell how old a confirmation is."""
+        return self._ping is not None
+
+    def take_ping(self, sent_s: float, now: float) -> None:
+        """Keep a ping, to be returned in the next delta."""
+        self._ping = sent_s, now
+
+    def make_echo(self, now: float) -> tuple[float, float]:
+        """Return ``echo_s`` and ``held_s`` of a delta that is made now."""
+        if self._ping is None:
+            return 0.0, 0.0
+        sent_s, arrived_s = self._ping
+        return sent_s, max(0.0, now - arrived_s)
+
     def admit(self, index: int, confirmed: bool) -> None:
         """Start publishing the changes after ``index``."""
         with self._lock:
--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -29,13 +29,15 @@
 __all__ = ["Uplink"]
 
 REPORT_INTERVAL_S = 1.0
+PING_INTERVAL_S = 1.0
 # Descendants' reports wait at most this long at each hop. When they waited for the entry's next
 # own report, they were 3.2 s old after three hops, over control's limit for live entries.
 FORWARD_INTERVAL_S = 0.25
-UNCONFIRMED_LIMIT_S = 1.5
-# Parents confirm every half a second. Another one is searched meanwhile, since a change must be in
-# use 2.5 s after its acknowledgement, however the parent fails.
+# Age of the leader's last word, over all hops, from which on another parent is searched beside the
+# current one: a change must be in use 2.5 s after its acknowledgement, however the parents fail.
 SUSPECT_AFTER_S = 0.9
+# Below another entry, which has so much time to find a parent of its own.
+SUSPECT_RELAY_AFTER_S = 1.1
 # A parent that reaches the leader confirms a new subscription within a few round trips.
 FIRST_CONFIRMATION_LIMIT_S = 1.2
 # The limit once a configuration is held. It is shorter, so that parents that can't confirm delay
@@ -43,8 +45,14 @@
 NEXT_CONFIRMATION_LIMIT_S = 0.8
 # Until the next parent is tried as well. A starting fleet must not connect several times over.
 FIRST_RACE_INTERVAL_S = 0.6
-NEXT_RACE_INTERVAL_S = 0.25
+NEXT_RACE_INTERVAL_S = 0.15
+# An entry and a control replica are asked at once.
+NEXT_RACE_FIRST = 2
 RECV_TIMEOUT_S = 0.2
+# While another parent is searched.
+SEARCH_POLL_S = 0.03
+# A connection that ends sooner is followed by a pause, so that no parent is asked without end.
+SHORT_CONNECTION_S = 3.0
 BACKOFF_MIN_S = 0.1
 BACKOFF_MAX_S = 0.6
 # When so much is queued, further calls fail at once.
@@ -106,7 +114,12 @@
         self._loaded_stored_copy = False
         self._is_resyncing = False
         self._confirmed_s: float | None = None
+        # Called in the uplink's thread with the time of each new confirmation, as ``_confirmed_s``.
+        self.on_confirmed: collections.abc.Callable[[float], None] = lambda confirmed_s: None
         self._parentless_s = clock.monotonic_s()
+        # For any parent that confirms, and for the best one beside a connection that works.
+        self._search: parent_search.ParentSearch | None = None
+        self._move: parent_search.ParentSearch | None = None
         self._parent: Address | None = None
         self._outbox: send_queue.SendQueue | None = None
         self._link: channel.Channel | None = None
@@ -143,6 +156,7 @@
     def control_age_s(self, now: float) -> float | None:
         """Return the seconds since the leader last confirmed the configuration, or None.
 
+        It is counted from the begin of the leader's read, however many parents are between.
         ``now`` is of the monotonic clock. While the age is large or None, no traffic shift starts.
         """
         return None if self._confirmed_s is None else max(0.0, now - self._confirmed_s)
@@ -211,71 +225,113 @@
         return outbox is not None and outbox.put(codec.encode(msg))
 
     def _run(self):
-        failures, connected = 0, None
-        while True:
-            # Cleared before the check, since ``stop`` sets them in the other order.
-            self._interrupted.clear()
-            if self._stopping.is_set():
-                return
+        connected, short_connections = None, 0
+        while not self._stopping.is_set():
             started_s = clock.monotonic_s()
             try:
-                connected = connected or self._find_parent(started_s)
+                connected = connected or self._await_parent()
                 current, connected = connected, None
-                connected = self._serve_connection(current)
-                if connected is not None:
+                if current is not None:
+                    started_s = clock.monotonic_s()
+                    connected = self._serve_connection(current)
                     continue
             except (wire_errors.WireError, errors.DistributionError) as exc:
                 log.warning("disconnected from control: {}", exc)
             except Exception:
                 # If this thread ended, the entry would receive no further changes.
                 log.exception("uplink failed, reconnecting")
-            if clock.monotonic_s() - started_s > 2 * UNCONFIRMED_LIMIT_S:
-                failures = 0
-            failures += 1
-            max_delay_s = min(BACKOFF_MAX_S, BACKOFF_MIN_S * 2 ** min(failures, 10))
-            self._interrupted.wait(self._rng.uniform(BACKOFF_MIN_S / 2, max_delay_s))
+            is_short = clock.monotonic_s() - started_s < SHORT_CONNECTION_S
+            short_connections = short_connections + 1 if is_short else 0
+            if short_connections > 1:
+                self._stopping.wait(self._pause_s(short_connections))
+        self._end_search()
+
+    def _pause_s(self, failures):
+        max_delay_s = min(BACKOFF_MAX_S, BACKOFF_MIN_S * 2 ** min(failures, 10))
+        return self._rng.uniform(BACKOFF_MIN_S / 2, max_delay_s)
+
+    def _await_parent(self):
+        """Return a connection to a parent that confirms, or None when the uplink stops."""
+        while not self._stopping.is_set():
+            if self._interrupted.is_set():
+                self._interrupted.clear()
+                self._end_search()
+            self._search = self._search or self._start_search()
+            found = self._take_found(RECV_TIMEOUT_S)
+            if found is not None:
+                return found
+        return None
+
+    def _start_search(self):
+        return parent_search.ParentSearch(self._run_race, self._pause_s)
+
+    def _end_search(self):
+        for search in (self._search, self._move):
+            if search is not None:
+                search.cancel()
+        self._search = self._move = None
+
+    def _take_found(self, timeout_s=0.0):
+        """Return the connection that the search has found, if any; process what it learned."""
+        search = self._search or self._move
+        result = search.take(timeout_s) if search else None
+        if result is None:
+            return None
+        for address in result.unfit:
+            self._avoid(address, FAILED_PARENT_PENALTY_S)
+        # Changes that a parent holds are committed, whether it can confirm them or not.
+        for msg in result.unconfirmed:
+            self._handle(msg, None)
+        if search.is_over:
+            self._search = self._move = None
+        return result.connected
 
     def _order_parents(self, now):
         """Return the parents that have not failed recently, then the others, earliest first."""
         addresses = list(self._parents(self._holder.cfg))
         return sorted(addresses, key=lambda a: max(now, self._avoid_until_s.get(a, 0.0)))
 
-    def _search_order(self, now):
-        replicas = {
+    def _replica_addresses(self):
+        return {
             address
             for peer in self._holder.cfg.members.values()
             if peer.role == "control"
             for address in _link_addresses(peer)
         }
-        return parent_search.interleave(self._order_parents(now), replicas)
+
+    def _search_order(self, now):
+        return parent_search.interleave(self._order_parents(now), self._replica_addresses())
 
     def _make_race(self):
         index = self._holder.cfg.index
         limits = (
-            (NEXT_CONFIRMATION_LIMIT_S, NEXT_RACE_INTERVAL_S)
+            (NEXT_CONFIRMATION_LIMIT_S, NEXT_RACE_INTERVAL_S, NEXT_RACE_FIRST)
             if index
             else (FIRST_CONFIRMATION_LIMIT_S, FIRST_RACE_INTERVAL_S)
         )
         return parent_race.ParentRace(self._hello, index, *limits)
 
-    def _find_parent(self, now):
-        """Return a connection to a parent that confirms the configuration."""
+    def _run_race(self, stopping):
+        """Ask all parents, and other entries if none of them answers. Runs in a search's thread."""
+        addresses, current = self._search_order(clock.monotonic_s()), self._parent
+        # A connection may be dead while new ones to the same address work.
+        addresses.sort(key=lambda address: address == current)
+        result = self._race_for(addresses, stopping)
+        if result.connected is None and not result.unconfirmed and current is None:
+            learned = self._ask_other_entries(stopping)
+            return dataclasses.replace(result, unconfirmed=learned)
+        return result
+
+    def _race_for(self, addresses, stopping):
         race = self._make_race()
         try:
-            return race.run(self._search_order(now), self._interrupted)
+            connected = race.run(addresses, stopping)
         except errors.Disconnected:
-            # Changes that a parent holds are committed, whether it can confirm them or not.
-            for msg in race.unconfirmed:
-                self._handle(msg)
-            if not race.unconfirmed:
-                self._ask_other_entries()
-            raise
-        finally:
-            for address in race.unfit:
-                self._avoid(address)
+            return parent_search.Round(None, frozenset(race.unfit), tuple(race.unconfirmed))
+        return parent_search.Round(connected, frozenset(race.unfit), ())
 
-    def _ask_other_entries(self):
-        """Take over the configuration of another entry, which may name replicas unknown here.
+    def _ask_other_entries(self, stopping):
+        """Return the configuration of another entry, which may name replicas unknown here.
 
         It is not kept as a parent, whose place in the tree it may not have: entries that subscribe
         to each other would confirm their configurations in a circle.
@@ -287,25 +343,27 @@
             for address in _link_addresses(peer)
         ]
         asked = self._rng.sample(others, min(MAX_ASKED_ENTRIES, len(others)))
-        race = self._make_race()
-        try:
-            found = race.run(asked, self._interrupted)
-        except errors.Disconnected:
-            received = race.unconfirmed
-        else:
-            found.link.close()
-            received = found.received
-        for msg in received:
-            if isinstance(msg, messages.Snapshot | messages.Delta):
-                self._handle(dataclasses.replace(msg, confirmed=False))
+        result = self._race_for(asked, stopping)
+        received = result.unconfirmed
+        if result.connected is not None:
+            result.connected.link.close()
+            received = result.connected.received
+        return tuple(
+            dataclasses.replace(msg, confirmed=False)
+            for msg in received
+            if isinstance(msg, messages.Snapshot | messages.Delta)
+        )
 
-    def _avoid(self, address, penalty_s=FAILED_PARENT_PENALTY_S):
+    def _avoid(self, address, penalty_s):
         now = clock.monotonic_s()
         self._avoid_until_s = {a: t for a, t in self._avoid_until_s.items() if t > now}
         self._avoid_until_s[address] = now + penalty_s
 
     def _serve_connection(self, connected):
-        """Use a connection until it ends. Returns the one to use next if there is one already."""
+        """Use a connection until another one is found, which is returned, or until it ends.
+
+        Returns None when the uplink stops.
+        """
         address, link = connected.address, connected.link
         self._link = link
         outbox = send_queue.SendQueue(MAX_QUEUED_SENDS, MAX_QUEUED_BYTES)
@@ -318,9 +376,9 @@
             self._parent, self._outbox = address, outbox
             self._log_parent(address)
             self._is_resyncing = False
-            return self._receive_until_disconnected(link, connected.received)
+            return self._receive_until_disconnected(connected)
         except (wire_errors.WireError, errors.DistributionError) as exc:
-            self._avoid(address)
+            self._avoid(address, FAILED_PARENT_PENALTY_S)
             self._log_lost_parent(address, str(exc))
             raise
         finally:
@@ -354,59 +412,79 @@
     def _subscribe(self):
         self._enqueue(messages.Subscribe(self._hello.name, self._holder.cfg.index))
 
-    def _receive_until_disconnected(self, link, received):
-        """Return a connection to another parent, or None if the parent must be chosen again."""
-        confirmed_s = clock.monotonic_s()
-        for msg in received:
-            self._handle(msg)
-        rebalance_s = confirmed_s + self._rng.uniform(1.0, 2.0) * REBALANCE_INTERVAL_S
-        report_due_s = forward_due_s = 0.0
-        search = None
-        try:
-            while not self._stopping.is_set():
-                now = clock.monotonic_s()
-                if now >= min(report_due_s, forward_due_s):
-                    is_report_due = now >= report_due_s
-                    self._queue_reports(is_report_due)
-                    forward_due_s = now + FORWARD_INTERVAL_S
-                    report_due_s = now + REPORT_INTERVAL_S if is_report_due else report_due_s
-                search = self._search_if_suspect(search, now - confirmed_s)
-                found = search.take() if search else None
-                if found is not None:
+    def _receive_until_disconnected(self, connected):
+        link = connected.link
+        for msg in connected.received:
+            self._handle(msg, connected.subscribed_s)
+        rebalance_s = clock.monotonic_s() + self._rng.uniform(1.0, 2.0) * REBALANCE_INTERVAL_S
+        report_due_s = forward_due_s = ping_due_s = 0.0
+        while not self._stopping.is_set():
+            now = clock.monotonic_s()
+            if now >= min(report_due_s, forward_due_s):
+                is_report_due = now >= report_due_s
+                self._queue_reports(is_report_due)
+                forward_due_s = now + FORWARD_INTERVAL_S
+                report_due_s = now + REPORT_INTERVAL_S if is_report_due else report_due_s
+            if link.revision >= 1 and now >= ping_due_s:
+                ping_due_s = now + PING_INTERVAL_S
+                self._enqueue(messages.Ping(now))
+            if now >= rebalance_s:
+                rebalance_s = now + REBALANCE_INTERVAL_S
+                self._search_better(now)
+            suspect_s = self._search_if_suspect(now)
+            is_suspect = now >= suspect_s
+            found = self._take_found()
+            if found is not None:
+                if is_suspect:
                     log.info("another parent confirms, {}:{} does not", *self._parent)
                     self._avoid(self._parent, SUSPECT_PENALTY_S)
-                    return found
-                if now - confirmed_s > UNCONFIRMED_LIMIT_S:
-                    raise errors.Disconnected(f"not confirmed for {UNCONFIRMED_LIMIT_S} s")
-                if now >= rebalance_s:
-                    rebalance_s = now + REBALANCE_INTERVAL_S
-                    if self._order_parents(now)[0] != self._parent:
-                        log.info("moving to a better parent")
-                        return None
-                wait_s = min(report_due_s, forward_due_s) - now
-                msg = link.recv(max(0.0, min(RECV_TIMEOUT_S, wait_s)))
-                if msg is not None and self._handle(msg):
-                    confirmed_s = clock.monotonic_s()
-        finally:
-            if search is not None:
-                search.cancel()
+                return found
+            due_s = min(report_due_s, forward_due_s, suspect_s if not is_suspect else now + 1.0)
+            poll_s = SEARCH_POLL_S if self._search or self._move else RECV_TIMEOUT_S
+            msg = link.recv(max(0.0, min(poll_s, due_s - now)))
+            if msg is not None:
+                self._handle(msg, self._confirmation_time(link, msg, clock.monotonic_s()))
         return None
 
-    def _search_if_suspect(self, search, unconfirmed_s):
-        """Return the search beside the current connection, begun or ended as is necessary."""
-        if unconfirmed_s <= SUSPECT_AFTER_S:
-            if search is not None:
-                search.cancel()
+    def _confirmation_time(self, link, msg, now):
+        """Return the time at which the read began that ``msg`` confirms, None if it isn't known.
+
+        It may have been on its way for any time since the ping that it returns.
+        """
+        if link.revision < 1:
+            return now
+        if not isinstance(msg, messages.Delta) or not msg.echo_s:
             return None
-        if search is None:
+        return min(now, msg.echo_s + msg.held_s) - msg.control_age_s
+
+    def _search_if_suspect(self, now):
+        """Begin or end a search as is necessary; return when the parent becomes suspect."""
+        is_relayed = self._parent not in self._replica_addresses()
+        limit_s = SUSPECT_RELAY_AFTER_S if is_relayed else SUSPECT_AFTER_S
+        suspect_s = self._confirmed_s + limit_s
+        if now < suspect_s:
+            if self._search is not None:
+                self._search.cancel()
+                self._search = None
+        elif self._search is None:
+            self._end_search()
             config_events.notable(
                 "parent-suspect",
                 parent=f"{self._parent[0]}:{self._parent[1]}",
-                control_age_s=unconfirmed_s,
+                control_age_s=now - self._confirmed_s,
             )
-            others = [a for a in self._search_order(clock.monotonic_s()) if a != self._parent]
-            search = parent_search.ParentSearch(self._make_race(), others)
-        return search
+            self._search = self._start_search()
+        return suspect_s
+
+    def _search_better(self, now):
+        """Connect to the best parent, if it is another one, beside the current connection."""
+        best = self._order_parents(now)[0]
+        if self._search or self._move or best == self._parent:
+            return
+        log.info("a better parent is tried")
+        self._move = parent_search.ParentSearch(
+            lambda stopping: self._race_for([best], stopping), lambda rounds: None
+        )
 
     def _queue_reports(self, include_own):
         own_report = self._make_report() if include_own else None
@@ -417,26 +495,25 @@
         elif reports:
             self._enqueue(report_packing.pack(reports))
 
-    def _handle(self, msg):
-        """Process a message; return True if it confirms the held configuration."""
+    def _handle(self, msg, confirmed_s):
+        """Process a message; ``confirmed_s``: see ``_confirmation_time``."""
         if isinstance(msg, messages.UplinkReply):
             self._pending_calls.resolve(msg)
-            return False
+            return
         if not isinstance(msg, messages.Snapshot | messages.Delta):
             log.info("unexpected message from the parent: {}", type(msg).__name__)
-            return False
+            return
         verdict, cfg = self._holder.evaluate(msg)
         if verdict is held_configuration.Verdict.APPLIED:
             self._is_resyncing = False
-            self._install(cfg, msg)
-            return msg.confirmed
-        self._resync(verdict, msg)
-        return False
+            self._install(cfg, msg, confirmed_s if msg.confirmed else None)
+        else:
+            self._resync(verdict, msg)
 
-    def _install(self, cfg, msg):
+    def _install(self, cfg, msg, confirmed_s):
         was_ready, held = self.is_ready, self._holder.cfg
         is_changed = (cfg.index, cfg.version) != (held.index, held.version)
-        is_used = msg.confirmed or was_ready
+        is_used = confirmed_s is not None or was_ready
         is_new = is_used and (is_changed or not was_ready)
         if is_new and self._store:
             # Stored before use, so that a restart never returns to an older configuration.
@@ -444,8 +521,10 @@
         if is_changed:
             self._hold(cfg, msg)
             self._log_received(cfg, msg)
-        if msg.confirmed:
-            self._confirmed_s = clock.monotonic_s()
+        if confirmed_s is not None:
+            self._confirmed_s = max(confirmed_s, self._confirmed_s or confirmed_s)
+            # Before the change is published, so that one message carries both.
+            self.on_confirmed(self._confirmed_s)
         if is_new:
             self._on_config(cfg)
         elif is_changed:
--- a/oriolelock/wire/channel.py
+++ b/oriolelock/wire/channel.py
@@ -40,6 +40,8 @@
         self._last_sent_s = clock.monotonic_s()
         self._last_received_s = clock.monotonic_s()
         self.peer = peer
+        # Of the peer's protocol, as far as its reply to the greeting told.
+        self.revision = 0
         self.bytes_sent = 0
         self.bytes_received = 0
         self.messages_sent = 0
@@ -182,6 +184,7 @@
             else f"unexpected reply to the greeting: {reply!r}"
         )
         raise errors.HandshakeRefused(reason)
+    channel.revision = reply.revision
     return channel
 
 
@@ -200,11 +203,11 @@
     try:
         greeting = channel.recv(CONNECT_TIMEOUT_S)
         error = _handshake_error(greeting, cluster, token)
-        channel.send(hello.HelloReply(name, error))
+        channel.send(hello.HelloReply(name, error, hello.REVISION))
     except errors.ChannelClosed:
         return None
     except errors.DecodeError as exc:
-        channel.send(hello.HelloReply(name, str(exc)))
+        channel.send(hello.HelloReply(name, str(exc), hello.REVISION))
         error = str(exc)
         count("wire.bad_message")
     if error:
--- a/oriolelock/wire/hello.py
+++ b/oriolelock/wire/hello.py
@@ -9,9 +9,11 @@
 
 from oriolelock.wire import codec
 
-__all__ = ["PROTOCOL_VERSION", "Hello", "HelloReply"]
+__all__ = ["PROTOCOL_VERSION", "REVISION", "Hello", "HelloReply"]
 
 PROTOCOL_VERSION = 1
+# 1: subscribers may send pings.
+REVISION = 1
 
 
 @codec.register("hello")
@@ -30,7 +32,11 @@
 @codec.register("hello-reply")
 @dataclasses.dataclass(frozen=True)
 class HelloReply:
-    """Accepts the connection if ``error`` is empty, else refuses it."""
+    """Accepts the connection if ``error`` is empty, else refuses it.
+
+    ``revision``: of the protocol version, each understands the messages of all before it.
+    """
 
     name: str
     error: str = ""
+    revision: int = 0
--- a/tests/fake_parent.py
+++ b/tests/fake_parent.py
@@ -1,6 +1,7 @@
 """A parent that a test drives: it keeps subscriptions, reports and calls, and sends on demand."""
 
 import threading
+import time
 
 from oriolelock.distribution import messages, report_packing
 from oriolelock.model import (
@@ -55,6 +56,7 @@
         self.packed = []
         self.calls = []
         self.links = []
+        self.pings = {}
         self.changed = threading.Condition()
         self.closing = threading.Event()
         self.server = channel.serve(("127.0.0.1", 0), self.handle)
@@ -79,9 +81,17 @@
             return
 
     def confirm(self, link):
-        link.send(messages.Delta(self.cfg.index, self.cfg.index, (), True))
+        sent_s, arrived_s = self.pings.get(link, (0.0, 0.0))
+        held_s = time.monotonic() - arrived_s
+        index = self.cfg.index
+        link.send(messages.Delta(index, index, (), True, 0.0, sent_s, held_s))
 
     def receive(self, link, msg):
+        sent_s = getattr(msg, "sent_s", 0.0)
+        if sent_s:
+            self.pings[link] = sent_s, time.monotonic()
+        if isinstance(msg, messages.Ping):
+            return
         kept = {
             messages.Subscribe: self.subscriptions,
             messages.StatusReport: self.reports,
