--- a/oriolelock/distribution/parent_race.py
+++ b/oriolelock/distribution/parent_race.py
@@ -26,6 +26,8 @@
 CONNECT_LIMIT_S = 0.6
 # So that a thread soon notices that another parent was faster.
 POLL_INTERVAL_S = 0.1
+# A parent that is well confirms within a few round trips.
+FAIR_CHANCE_S = 0.5
 MAX_PARALLEL_ATTEMPTS = 8
 
 Address = tuple[str, int]
@@ -47,6 +49,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Failed:
+    address: Address
     received: list[object]
 
 
@@ -73,7 +76,9 @@
         self._lock = threading.Lock()
         self._is_over = False
         self._outcomes: queue.Queue[Connected | _Failed] = queue.Queue()
-        # Addresses that failed or were asked before the one that confirmed.
+        self._started_s: dict[Address, float] = {}
+        # Addresses that failed, or did not confirm although they were asked long before the one
+        # that did.
         self.unfit: set[Address] = set()
         # Messages of the parents that failed.
         self.unconfirmed: list[object] = []
@@ -94,16 +99,24 @@
                     continue
                 outcome = self._wait()
                 if isinstance(outcome, Connected):
-                    self.unfit.discard(outcome.address)
+                    self._count_slow(outcome.address, clock.monotonic_s())
                     return outcome
                 if outcome is not None:
                     running -= 1
+                    self.unfit.add(outcome.address)
                     self.unconfirmed += outcome.received
                     next_start_s = now
         finally:
             self._end()
+        self.unfit.update(self._started_s)
         raise errors.Disconnected("no parent confirms the configuration")
 
+    def _count_slow(self, winner, now):
+        """Count those as unfit that had time to confirm."""
+        asked = self._started_s.items()
+        self.unfit |= {address for address, at_s in asked if now - at_s > FAIR_CHANCE_S}
+        self.unfit.discard(winner)
+
     def _wait(self):
         try:
             return self._outcomes.get(timeout=POLL_INTERVAL_S / 2)
@@ -119,14 +132,14 @@
                 late.link.close()
 
     def _start(self, address):
-        self.unfit.add(address)
+        self._started_s[address] = clock.monotonic_s()
         threading.Thread(
             target=self._attempt, args=(address,), name="uplink-attempt", daemon=True
         ).start()
 
     def _attempt(self, address):
         received = []
-        outcome = _Failed(received)
+        outcome = _Failed(address, received)
         try:
             # A configuration of hundreds of endpoints would fill the link of a small instance for
             # half a second.
--- a/oriolelock/distribution/parent_search.py
+++ b/oriolelock/distribution/parent_search.py
@@ -64,8 +64,9 @@
                 if self._stopping.is_set():
                     _close(result)
                     return
-                self._rounds.put(result)
+                # Before the result can be taken.
                 self.is_over = is_last
+                self._rounds.put(result)
             if is_last:
                 return
             self._stopping.wait(self._pause_s(count))
--- a/oriolelock/distribution/publisher.py
+++ b/oriolelock/distribution/publisher.py
@@ -66,7 +66,7 @@
         self._stopping = False
         self._confirmed_s: float | None = None
         self._pending_confirmations = 0
-        self._heartbeat_due = False
+        self._heartbeat = threading.Event()
         self._last_snapshot: tuple[tuple[int, bool], bytes] = ((0, False), b"")
         self._thread = threading.Thread(target=self._run, name="publisher", daemon=True)
 
@@ -98,8 +98,7 @@
         ``confirmed_s``: monotonic time at which the read began that confirms the configuration.
         """
         self._record_confirmation(confirmed_s)
-        self._heartbeat_due = True
-        self._wakeup.set()
+        self._publish_confirmation()
 
     def confirmed(self, now: float) -> bool:
         """Return whether the leader has confirmed the configuration recently.
@@ -172,8 +171,7 @@
     def _confirm_subscriber(self, sub):
         def answered(fut):
             sub.end_confirmation(fut.result())
-            self._heartbeat_due = True
-            self._wakeup.set()
+            self._publish_confirmation()
 
         self._source.confirm(CONFIRM_TIMEOUT_S).add_done_callback(answered)
 
@@ -218,8 +216,7 @@
             self._count_pending(-1)
             if fut.result():
                 self._record_confirmation(now)
-            self._heartbeat_due = True
-            self._wakeup.set()
+            self._publish_confirmation()
 
         self._source.confirm(CONFIRM_TIMEOUT_S).add_done_callback(answered)
 
@@ -227,6 +224,10 @@
         with self._lock:
             self._pending_confirmations += change
 
+    def _publish_confirmation(self):
+        self._heartbeat.set()
+        self._wakeup.set()
+
     def _record_confirmation(self, started_s):
         # A confirmation that started during an election may end after a later one, so that the
         # time must not go back.
@@ -234,7 +235,8 @@
             self._confirmed_s = max(started_s, self._confirmed_s or started_s)
 
     def _publish(self, now):
-        is_heartbeat_due, self._heartbeat_due = self._heartbeat_due, False
+        is_heartbeat_due = self._heartbeat.is_set()
+        self._heartbeat.clear()
         # Read before the index: a later index is as current, an earlier one need not be.
         confirmed_s = self._confirmed_s
         age_s = None if confirmed_s is None else now - confirmed_s
--- /dev/null
+++ b/tests/distribution/test_parent_race.py
@@ -0,0 +1,46 @@
+"""Guards against parents that count as unfit although they had no time to confirm."""
+
+import threading
+
+from oriolelock.distribution import parent_race
+from oriolelock.wire import hello
+from tests import fake_parent
+from tests.distribution import held_link
+
+GREETING = hello.Hello(1, fake_parent.CLUSTER, fake_parent.TOKEN, "a", "entry", "i")
+
+
+def run_race(addresses, interval_s):
+    race = parent_race.ParentRace(GREETING, 5, 2.0, interval_s, first=2)
+    found = race.run(addresses, threading.Event())
+    found.link.close()
+    return found.address, race.unfit
+
+
+def test_a_parent_that_is_asked_at_the_same_time_and_is_slower_is_not_unfit():
+    parent = fake_parent.FakeParent(fake_parent.make_config())
+    slow = held_link.HeldLink(parent.address)
+    slow.delay_s = 0.1
+    try:
+        assert run_race([slow.address, parent.address], 1.0) == (parent.address, set())
+    finally:
+        slow.close()
+        parent.close()
+
+
+def test_parents_that_refuse_or_had_long_to_answer_are_unfit():
+    parent = fake_parent.FakeParent(fake_parent.make_config())
+    silent = held_link.HeldLink(parent.address)
+    silent.hold()
+    gone = held_link.HeldLink(parent.address)
+    gone.close()
+    late = held_link.HeldLink(parent.address)
+    late.delay_s = 0.15
+    try:
+        found, unfit = run_race([silent.address, gone.address, late.address], 0.1)
+        assert found == late.address
+        assert unfit == {silent.address, gone.address}
+    finally:
+        silent.close()
+        late.close()
+        parent.close()
