--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -1,6 +1,7 @@
 """A cluster of three control replicas that run as processes on loopback."""
 
 import contextlib
+import http.client
 import json
 import os
 import pathlib
@@ -132,7 +133,7 @@
                 return res.status, json.load(res)
         except urllib.error.HTTPError as exc:
             return exc.code, json.load(exc)
-        except (OSError, ValueError):
+        except (OSError, ValueError, http.client.HTTPException):
             return 0, None
 
     def change(self, name, change_id, kind, expect_version=None, /, **fields):
