--- a/tests/distribution/test_stale_ancestors.py
+++ b/tests/distribution/test_stale_ancestors.py
@@ -164,3 +164,25 @@
         check_in_use(tree, *tree.commit())
     finally:
         tree.close()
+
+
+def test_confirmations_that_waited_are_as_old_as_they_are():
+    """As after a pause of the process or of its parent, when what was sent before is read."""
+    tree = tree_rig.Tree(["r0"], {"e0": ["r0"]})
+    try:
+        time.sleep(SETTLE_S)
+        link = tree.link("e0", "r0")
+        link.hold()
+        time.sleep(0.5)
+        tree.replicas["r0"].is_cut = True
+        cut_s = clock.monotonic_s()
+        time.sleep(0.6)
+        link.release()
+        end_s = time.monotonic() + 1.0
+        while time.monotonic() < end_s:
+            now = clock.monotonic_s()
+            # A read that was confirmed after the cut had begun before it.
+            assert tree.entries["e0"].uplink.control_age_s(now) >= now - cut_s
+            time.sleep(0.01)
+    finally:
+        tree.close()
