--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -109,6 +109,8 @@
         self._pending_calls = pending_calls.PendingCalls()
         self._holder = held_configuration.HeldConfiguration()
         self.recent = recent_changes.RecentChanges()
+        # Members, and the addresses of the control replicas among them.
+        self._replicas: tuple[collections.abc.Mapping, set[Address]] = ({}, set())
         # The monotonic time until which other addresses are preferred to one that failed.
         self._avoid_until_s: dict[Address, float] = {}
         self._loaded_stored_copy = False
@@ -292,12 +294,13 @@
         return sorted(addresses, key=lambda a: max(now, self._avoid_until_s.get(a, 0.0)))
 
     def _replica_addresses(self):
-        return {
-            address
-            for peer in self._holder.cfg.members.values()
-            if peer.role == "control"
-            for address in _link_addresses(peer)
-        }
+        members, addresses = self._replicas
+        if members is not self._holder.cfg.members:
+            members = self._holder.cfg.members
+            replicas = (peer for peer in members.values() if peer.role == "control")
+            addresses = {address for peer in replicas for address in _link_addresses(peer)}
+            self._replicas = members, addresses
+        return addresses
 
     def _search_order(self, now):
         return parent_search.interleave(self._order_parents(now), self._replica_addresses())
@@ -431,7 +434,7 @@
             if now >= rebalance_s:
                 rebalance_s = now + REBALANCE_INTERVAL_S
                 self._search_better(now)
-            suspect_s = self._search_if_suspect(now)
+            suspect_s = self._search_if_suspect(now, connected.subscribed_s)
             is_suspect = now >= suspect_s
             found = self._take_found()
             if found is not None:
@@ -457,11 +460,13 @@
             return None
         return min(now, msg.echo_s + msg.held_s) - msg.control_age_s
 
-    def _search_if_suspect(self, now):
+    def _search_if_suspect(self, now, subscribed_s):
         """Begin or end a search as is necessary; return when the parent becomes suspect."""
+        # None while only a stored copy is in use that the parent's first messages don't follow.
+        confirmed_s = subscribed_s if self._confirmed_s is None else self._confirmed_s
         is_relayed = self._parent not in self._replica_addresses()
         limit_s = SUSPECT_RELAY_AFTER_S if is_relayed else SUSPECT_AFTER_S
-        suspect_s = self._confirmed_s + limit_s
+        suspect_s = confirmed_s + limit_s
         if now < suspect_s:
             if self._search is not None:
                 self._search.cancel()
@@ -471,7 +476,7 @@
             config_events.notable(
                 "parent-suspect",
                 parent=f"{self._parent[0]}:{self._parent[1]}",
-                control_age_s=now - self._confirmed_s,
+                control_age_s=now - confirmed_s,
             )
             self._search = self._start_search()
         return suspect_s
--- a/tests/distribution/test_uplink.py
+++ b/tests/distribution/test_uplink.py
@@ -190,6 +190,19 @@
     assert restarted.control_age_s(0.0) is None
 
 
+def test_parent_that_is_behind_the_stored_copy_is_kept_until_it_follows(connect, parent, tmp_path):
+    """Guards against a failure of the uplink's thread, which then connects again and again."""
+    store = stored_copy.StoredCopy(str(tmp_path))
+    store.save(fake_parent.make_config(index=6, version=3))
+    link = connect(parent, store=store)
+    waiting.until(lambda: link.parent)
+    time.sleep(0.5)
+    assert len(parent.subscriptions) == 1
+    assert link.configuration.index == 6
+    parent.send(messages.Delta(6, 7, (make_change(7),), True))
+    waiting.until(index_is(link, 7))
+
+
 @pytest.mark.parametrize("corrupt", [lambda d: d[:-1], lambda d: d[:-1] + b"\xff", lambda d: b""])
 def test_damaged_stored_copy_is_ignored(tmp_path, corrupt):
     store = stored_copy.StoredCopy(str(tmp_path))
