--- a/oriolelock/distribution/messages.py
+++ b/oriolelock/distribution/messages.py
@@ -11,6 +11,7 @@
 from oriolelock.wire import codec
 
 __all__ = [
+    "AgedDelta",
     "ConfirmIndex",
     "ConfirmedIndex",
     "Delta",
@@ -27,20 +28,16 @@
 @codec.register("subscribe")
 @dataclasses.dataclass(frozen=True)
 class Subscribe:
-    """Asks for the changes after ``index``, or for the whole configuration if it is 0.
-
-    ``sent_s``: as in ``Ping``; 0 if the subscriber sends none.
-    """
+    """Asks for the changes after ``index``, or for the whole configuration if it is 0."""
 
     name: str
     index: int
-    sent_s: float = 0.0
 
 
 @codec.register("ping")
 @dataclasses.dataclass(frozen=True)
 class Ping:
-    """Asks the parent to return ``sent_s``, a time by the subscriber's own clock, in deltas.
+    """Asks the parent to return ``sent_s``, a time by the subscriber's own clock, in aged deltas.
 
     It shows how long a delta may have been on its way, without clocks that agree.
     """
@@ -60,20 +57,28 @@
 @codec.register("delta")
 @dataclasses.dataclass(frozen=True)
 class Delta:
-    """The changes after ``from_index`` up to ``to_index``. An empty one only confirms.
-
-    ``control_age_s``: seconds since the read of the leader's state began that confirms it, over
-    all hops. ``echo_s``: ``sent_s`` of the subscriber's latest ping, ``held_s`` seconds after its
-    arrival; 0 if the delta is for several subscribers.
-    """
+    """The changes after ``from_index`` up to ``to_index``. An empty one only confirms."""
 
     from_index: int
     to_index: int
     changes: tuple[delta.CommittedChange, ...]
     confirmed: bool
-    control_age_s: float = 0.0
-    echo_s: float = 0.0
-    held_s: float = 0.0
+
+
+@codec.register("aged-delta")
+@dataclasses.dataclass(frozen=True)
+class AgedDelta:
+    """A delta for one subscriber, which tells how old its confirmation is.
+
+    ``control_age_s``: seconds since the read of the leader's state began that confirms it, over
+    all hops. ``echo_s``: ``sent_s`` of the subscriber's latest ping, ``held_s`` seconds after its
+    arrival.
+    """
+
+    content: Delta
+    control_age_s: float
+    echo_s: float
+    held_s: float
 
 
 @codec.register("status")
--- a/oriolelock/distribution/parent_race.py
+++ b/oriolelock/distribution/parent_race.py
@@ -164,12 +164,16 @@
     def _subscribe(self, link, received, now):
         """Add messages to ``received`` up to the first that confirms the configuration."""
         deadline_s = now + self._confirm_limit_s
-        link.send(messages.Subscribe(self._hello.name, self._index, now))
+        if link.knows_ages:
+            link.send(messages.Ping(now))
+        link.send(messages.Subscribe(self._hello.name, self._index))
         while not self._is_over:
             left_s = deadline_s - clock.monotonic_s()
             if left_s <= 0.0:
                 raise errors.Disconnected(f"not confirmed for {self._confirm_limit_s} s")
             msg = link.recv(min(POLL_INTERVAL_S, left_s))
+            if isinstance(msg, messages.AgedDelta):
+                msg = msg.content
             if msg is not None:
                 received.append(msg)
             if isinstance(msg, messages.Snapshot | messages.Delta) and msg.confirmed:
--- a/oriolelock/distribution/publisher.py
+++ b/oriolelock/distribution/publisher.py
@@ -155,8 +155,6 @@
             self._wakeup.set()
 
         started_s = clock.monotonic_s()
-        if msg.sent_s:
-            sub.take_ping(msg.sent_s, started_s)
         with self._lock:
             is_accepted = sub in self._subscribers
             if is_accepted or len(self._subscribers) < self._max_subscribers:
@@ -255,10 +253,10 @@
             position = sub.next_position(is_confirmed)
             if is_heartbeat_due and sub.sends_pings:
                 echo = sub.make_echo(now)
-                sub.publish(position[0], *self._encode(*position, age_s or 0.0, *echo))
+                sub.publish(position[0], *self._encode(*position, (age_s or 0.0, *echo)))
                 continue
             if position not in encoded_by_position:
-                encoded_by_position[position] = self._encode(*position, age_s or 0.0)
+                encoded_by_position[position] = self._encode(*position)
             sub.publish(position[0], *encoded_by_position[position])
 
     def _close_unconfirmed(self, subscribers, age_s):
@@ -269,14 +267,18 @@
         if closed:
             publish_events.notable("subscribers-closed", count=len(closed), control_age_s=age_s)
 
-    def _encode(self, index, confirmed, age_s, echo_s=0.0, held_s=0.0):
+    def _encode(self, index, confirmed, ages=None):
+        """Return the index that the message leads to and its bytes.
+
+        ``ages``: of an aged delta, None for a message to several subscribers.
+        """
         cfg, changes = self._source.changes_since(index)
         if index == 0 or changes is None:
             return cfg.index, self._encode_snapshot(cfg, confirmed)
         # A subscriber that is ahead of this replica keeps its index, which never decreases.
         to_index = max(index, cfg.index)
-        msg = messages.Delta(index, to_index, changes, confirmed, age_s, echo_s, held_s)
-        return to_index, codec.encode(msg)
+        msg = messages.Delta(index, to_index, changes, confirmed)
+        return to_index, codec.encode(messages.AgedDelta(msg, *ages) if ages else msg)
 
     def _encode_snapshot(self, cfg, confirmed):
         key = (cfg.index, confirmed)
--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -428,7 +428,7 @@
                 self._queue_reports(is_report_due)
                 forward_due_s = now + FORWARD_INTERVAL_S
                 report_due_s = now + REPORT_INTERVAL_S if is_report_due else report_due_s
-            if link.revision >= 1 and now >= ping_due_s:
+            if link.knows_ages and now >= ping_due_s:
                 ping_due_s = now + PING_INTERVAL_S
                 self._enqueue(messages.Ping(now))
             if now >= rebalance_s:
@@ -446,7 +446,9 @@
             poll_s = SEARCH_POLL_S if self._search or self._move else RECV_TIMEOUT_S
             msg = link.recv(max(0.0, min(poll_s, due_s - now)))
             if msg is not None:
-                self._handle(msg, self._confirmation_time(link, msg, clock.monotonic_s()))
+                confirmed_s = self._confirmation_time(link, msg, clock.monotonic_s())
+                is_aged = isinstance(msg, messages.AgedDelta)
+                self._handle(msg.content if is_aged else msg, confirmed_s)
         return None
 
     def _confirmation_time(self, link, msg, now):
@@ -454,9 +456,9 @@
 
         It may have been on its way for any time since the ping that it returns.
         """
-        if link.revision < 1:
+        if not link.knows_ages:
             return now
-        if not isinstance(msg, messages.Delta) or not msg.echo_s:
+        if not isinstance(msg, messages.AgedDelta):
             return None
         return min(now, msg.echo_s + msg.held_s) - msg.control_age_s
 
--- a/oriolelock/wire/channel.py
+++ b/oriolelock/wire/channel.py
@@ -28,6 +28,9 @@
 SEND_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 2.0
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+# Negotiated in the WebSocket handshake (RFC 6455, 1.9), since messages of landed builds can't be
+# extended: they reject further fields.
+AGES_SUBPROTOCOL = "oriolelock-ages"
 
 
 class Channel:
@@ -40,8 +43,8 @@
         self._last_sent_s = clock.monotonic_s()
         self._last_received_s = clock.monotonic_s()
         self.peer = peer
-        # Of the peer's protocol, as far as its reply to the greeting told.
-        self.revision = 0
+        # Whether both ends know pings and aged deltas; older builds negotiate no subprotocol.
+        self.knows_ages = conn.subprotocol == AGES_SUBPROTOCOL
         self.bytes_sent = 0
         self.bytes_received = 0
         self.messages_sent = 0
@@ -164,6 +167,7 @@
             close_timeout=1,
             ping_interval=None,
             compression="deflate" if offer_compression else None,
+            subprotocols=[AGES_SUBPROTOCOL],
             max_size=MAX_MESSAGE_BYTES,
             proxy=None,
         )
@@ -184,7 +188,6 @@
             else f"unexpected reply to the greeting: {reply!r}"
         )
         raise errors.HandshakeRefused(reason)
-    channel.revision = reply.revision
     return channel
 
 
@@ -203,11 +206,11 @@
     try:
         greeting = channel.recv(CONNECT_TIMEOUT_S)
         error = _handshake_error(greeting, cluster, token)
-        channel.send(hello.HelloReply(name, error, hello.REVISION))
+        channel.send(hello.HelloReply(name, error))
     except errors.ChannelClosed:
         return None
     except errors.DecodeError as exc:
-        channel.send(hello.HelloReply(name, str(exc), hello.REVISION))
+        channel.send(hello.HelloReply(name, str(exc)))
         error = str(exc)
         count("wire.bad_message")
     if error:
@@ -230,6 +233,10 @@
     return ""
 
 
+def _select_subprotocol(_conn, offered):
+    return AGES_SUBPROTOCOL if AGES_SUBPROTOCOL in offered else None
+
+
 def serve(
     address: tuple[str, int], handle: collections.abc.Callable[[object], None]
 ) -> websockets.sync.server.Server:
@@ -241,6 +248,7 @@
         open_timeout=CONNECT_TIMEOUT_S,
         close_timeout=1,
         ping_interval=None,
+        select_subprotocol=_select_subprotocol,
         # Used on connections of which the client offers it.
         compression="deflate",
         max_size=MAX_MESSAGE_BYTES,
--- a/oriolelock/wire/hello.py
+++ b/oriolelock/wire/hello.py
@@ -9,11 +9,9 @@
 
 from oriolelock.wire import codec
 
-__all__ = ["PROTOCOL_VERSION", "REVISION", "Hello", "HelloReply"]
+__all__ = ["PROTOCOL_VERSION", "Hello", "HelloReply"]
 
 PROTOCOL_VERSION = 1
-# 1: subscribers may send pings.
-REVISION = 1
 
 
 @codec.register("hello")
@@ -32,11 +30,7 @@
 @codec.register("hello-reply")
 @dataclasses.dataclass(frozen=True)
 class HelloReply:
-    """Accepts the connection if ``error`` is empty, else refuses it.
-
-    ``revision``: of the protocol version, each understands the messages of all before it.
-    """
+    """Accepts the connection if ``error`` is empty, else refuses it."""
 
     name: str
     error: str = ""
-    revision: int = 0
