--- a/oriolelock/control/config_state.py
+++ b/oriolelock/control/config_state.py
@@ -15,7 +15,7 @@
 from oriolelock import logs
 from oriolelock.control import change_numbers, commands
 from oriolelock.distribution import recent_changes
-from oriolelock.model import changes, configuration, delta, errors, results
+from oriolelock.model import changes, configuration, delta, errors, results, route_table
 from oriolelock.wire import codec
 
 __all__ = ["ID_REUSED", "MAX_RESULTS", "RESULT_RETENTION_S", "ConfigState"]
@@ -104,8 +104,9 @@
     def _apply_change(self, index, change, size):
         if not isinstance(change, changes.Change):
             return results.Refused(f"not a change: {type(change).__name__}")
+        before = self.view()
         try:
-            updated = configuration.apply(self.view(), change, index, self.wall_s)
+            updated = configuration.apply(before, change, index, self.wall_s)
         except errors.ModelError as exc:
             return results.Refused(str(exc))
         except (MemoryError, RecursionError):
@@ -116,6 +117,8 @@
             # The command is in every replica's log: raising would end them all, at every start.
             log.exception("Change {} at index {} failed.", type(change).__name__, index)
             return results.Refused(f"internal error: {type(exc).__name__}")
+        if isinstance(change, changes.PutRoutes):
+            change, size = _shortened(change, size, before.table)
         committed = delta.CommittedChange(index, self.wall_s, change)
         self._recent_changes.advance(updated, (committed,), (size,))
         return results.Applied(updated.version, updated.index)
@@ -162,3 +165,13 @@
         for change_id in self._stored_results:
             self._numbers.record(change_id)
         self.wall_s = snapshot.wall_s
+
+
+def _shortened(change, size, before):
+    """Return the change to distribute, the same but for what stays in the table, and its size.
+
+    A whole table would fill the link of a small instance that passes it on to several others.
+    """
+    patch = changes.PatchRoutes(change.base, route_table.difference(before, change.table))
+    patch_size = len(codec.encode(patch))
+    return (patch, patch_size) if patch_size < size else (change, size)
--- a/oriolelock/model/route_table.py
+++ b/oriolelock/model/route_table.py
@@ -10,7 +10,7 @@
 from oriolelock.model import errors, request_limits, route, service
 from oriolelock.wire import codec
 
-__all__ = ["RoutePatch", "RouteTable", "check", "patched"]
+__all__ = ["RoutePatch", "RouteTable", "check", "difference", "patched"]
 
 
 @codec.register("route-table")
@@ -49,6 +49,22 @@
     )
 
 
+def difference(before: RouteTable, after: RouteTable) -> RoutePatch:
+    """Return the patch that leads from one table to the other."""
+    return RoutePatch(
+        after.revision,
+        _changed(before.routes, after.routes),
+        _changed(before.services, after.services),
+        tuple(name for name in before.routes if name not in after.routes),
+        tuple(name for name in before.services if name not in after.services),
+        after.limits if after.limits != before.limits else None,
+    )
+
+
+def _changed(before, after):
+    return {name: item for name, item in after.items() if before.get(name) != item}
+
+
 def _require(condition, text):
     if not condition:
         raise errors.InvalidData(text)
--- a/tests/control/samples.py
+++ b/tests/control/samples.py
@@ -1,8 +1,8 @@
 """Sample presets for tests."""
 
-from oriolelock.model import from_json
+from oriolelock.model import from_json, route
 
-__all__ = ["make_preset", "preset_json"]
+__all__ = ["make_preset", "make_route", "preset_json"]
 
 
 def preset_json(name: str) -> dict:
@@ -30,3 +30,12 @@
 def make_preset(name: str):
     """Return a valid preset."""
     return from_json.preset_from(preset_json(name))
+
+
+def make_route(name: str, service: str):
+    """Return a route of a path of its own to one service."""
+    parts = (route.Part(service, 1.0),)
+    document = f'{{"host":"h.example","pathPrefix":"/{name}/","service":"{service}"}}'
+    return route.Route(
+        name, "h.example", f"/{name}/", True, 1000.0, 500.0, 1, parts, 2, False, (), document
+    )
--- a/tests/control/test_config_state.py
+++ b/tests/control/test_config_state.py
@@ -4,7 +4,16 @@
 
 from oriolelock.control import commands, config_state
 from oriolelock.distribution import recent_changes
-from oriolelock.model import changes, configuration, delta, member, results
+from oriolelock.model import (
+    changes,
+    configuration,
+    delta,
+    member,
+    results,
+    route_table,
+    service,
+)
+from oriolelock.wire import codec
 from tests.control import samples
 
 WALL_S = 1_000.0
@@ -109,3 +118,33 @@
     cfg, recent = machine.changes_since(2)
     assert len(recent) == recent_changes.RECENT_CHANGES
     assert dataclasses.replace(cfg, index=0) != configuration.EMPTY
+
+
+def make_put(revision, changed=()):
+    routes = {}
+    for n in range(300):
+        to = f"s{revision if n in changed else 0}"
+        routes[f"r{n}"] = samples.make_route(f"r{n}", to)
+    services = {f"s{n}": service.Service(f"s{n}", "/", 0, 0.0, 0.0) for n in (0, revision)}
+    table = route_table.RouteTable(revision, routes, services)
+    return commands.OperatorChange(f"{revision}", None, "", changes.PutRoutes(revision - 1, table))
+
+
+def test_a_whole_table_is_distributed_as_what_changes_in_it():
+    """Guards against small links that are filled by the routes that stay as they are."""
+    machine = config_state.ConfigState()
+    apply_all(machine, make_put(1))
+    before, _ = machine.changes_since(0)
+    apply_all(machine, make_put(2, changed=(7, 8)), index=2)
+    cfg, recent = machine.changes_since(1)
+    assert len(codec.encode(recent[0])) < len(codec.encode(make_put(2))) / 20
+    assert delta.apply_all(before, 2, recent) == cfg
+    assert cfg.table == make_put(2, changed=(7, 8)).change.table
+
+
+def test_all_changes_since_the_first_index_lead_to_the_table():
+    machine = config_state.ConfigState()
+    apply_all(machine, make_put(1), make_put(2, (3, 4)), make_put(3, (4, 5)), make_put(4))
+    cfg, recent = machine.changes_since(0)
+    assert delta.apply_all(configuration.EMPTY, 4, recent) == cfg
+    assert cfg.table == make_put(4).change.table
--- a/tests/distribution/held_link.py
+++ b/tests/distribution/held_link.py
@@ -3,25 +3,27 @@
 import contextlib
 import queue
 import socket
+import struct
 import threading
 import time
 
-__all__ = ["HeldLink"]
+__all__ = ["BOTH", "DOWN", "UP", "HeldLink"]
 
 CHUNK_BYTES = 65536
+UP, DOWN = "up", "down"
+BOTH = (UP, DOWN)
 
 
 class HeldLink:
     """Forwards connections to ``target``; nothing is lost while it is held.
 
-    ``delay_s`` is added to each chunk, in both directions.
+    ``delay_s`` is added to each chunk, in both directions. ``UP`` is the direction to the target.
     """
 
     def __init__(self, target):
         self._target = target
         self.delay_s = 0.0
-        self._open = threading.Event()
-        self._open.set()
+        self._open = self._make_gates()
         self._held = []
         self._closed = False
         self._sockets = []
@@ -29,18 +31,35 @@
         self.address = self._listener.getsockname()
         threading.Thread(target=self._accept, daemon=True).start()
 
-    def hold(self):
-        self._open.clear()
+    def _make_gates(self):
+        gates = {UP: threading.Event(), DOWN: threading.Event()}
+        for gate in gates.values():
+            gate.set()
+        return gates
+
+    def hold(self, directions=BOTH):
+        for direction in directions:
+            self._open[direction].clear()
 
     def release(self):
-        self._open.set()
+        for gate in self._open.values():
+            gate.set()
 
     def hold_open_connections(self):
         """Hold back what is open now, for good; new connections work."""
-        held, self._open = self._open, threading.Event()
-        held.clear()
-        self._open.set()
-        self._held.append(held)
+        held, self._open = self._open, self._make_gates()
+        for gate in held.values():
+            gate.clear()
+            self._held.append(gate)
+
+    def reset(self):
+        """Reset what is open now; new connections work."""
+        sockets, self._sockets = self._sockets, []
+        for sock in sockets:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                sock.shutdown(socket.SHUT_RD)
+            sock.close()
 
     def close(self):
         for held in self._held:
@@ -60,9 +79,9 @@
             except OSError:
                 continue
             self._sockets += [near, far]
-            for source, sink in ((near, far), (far, near)):
+            for direction, source, sink in ((UP, near, far), (DOWN, far, near)):
                 sink.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                chunks, is_open = queue.Queue(), self._open
+                chunks, is_open = queue.Queue(), self._open[direction]
                 threading.Thread(target=self._read, args=(source, chunks), daemon=True).start()
                 threading.Thread(
                     target=self._write, args=(sink, chunks, is_open), daemon=True
--- a/tests/distribution/random_faults.py
+++ b/tests/distribution/random_faults.py
@@ -9,7 +9,7 @@
 import sys
 import time
 
-from tests.distribution import tree_rig
+from tests.distribution import held_link, tree_rig
 
 __all__ = ["Outcome", "run"]
 
@@ -30,6 +30,10 @@
     "link-silent",
     "link-slow",
     "link-dead",
+    "replica-killed",
+    "entry-killed",
+    "link-reset",
+    "link-one-way",
 )
 
 
@@ -87,9 +91,9 @@
     def end(self, now):
         for item in [item for item in self._ends if item[0] <= now]:
             _, subject, undo = item
-            undo()
             self._faulty.discard(subject)
             self._ends.remove(item)
+            undo()
 
     def _subject(self, kind):
         tree, faulty = self._tree, self._faulty
@@ -143,9 +147,40 @@
     def _entry_cut(self, name):
         return self._hold([self._tree.link(name, replica) for replica in REPLICAS])
 
+    def _replica_killed(self, name):
+        replica = self._tree.replicas[name]
+        replica.close()
+        behind_s = self._rng.uniform(0.2, 1.0)
+
+        def follow():
+            replica.is_cut = False
+
+        def undo():
+            replica.start_again()
+            self._faulty.add(name)
+            self._ends.append((time.monotonic() + behind_s, name, follow))
+
+        return undo
+
+    def _entry_killed(self, name):
+        entry = self._tree.entries[name]
+        for link in self._tree.links_of(name):
+            link.reset()
+        entry.close()
+        return entry.start_again
+
     _entry_silent = _replica_silent
     _entry_slow = _replica_slow
 
+    def _link_reset(self, pair):
+        self._tree.link(*pair).reset()
+        return lambda: None
+
+    def _link_one_way(self, pair):
+        link = self._tree.link(*pair)
+        link.hold([self._rng.choice(held_link.BOTH)])
+        return link.release
+
     def _link_silent(self, pair):
         return self._hold([self._tree.link(*pair)])
 
@@ -200,7 +235,8 @@
             if used_s is None or used_s > IN_USE_S:
                 late.append((name, index, round(acked_s, 2), used_s))
     for entry in tree.entries.values():
-        assert list(entry.seen) == sorted(entry.seen), "the index went back"
+        for order in entry.orders:
+            assert order == sorted(order), "the index went back"
     return Outcome(tuple(late), checked, slowest_s, tuple(faults.log))
 
 
--- a/tests/distribution/tree_rig.py
+++ b/tests/distribution/tree_rig.py
@@ -29,9 +29,13 @@
     def __init__(self, tree, name):
         self.name = name
         self._tree = tree
-        self._recent = recent_changes.RecentChanges()
-        self._recent.reset(tree.cfg)
         self._is_cut = False
+        self.address = ("127.0.0.1", 0)
+        self._start(tree.cfg)
+
+    def _start(self, cfg):
+        self._recent = recent_changes.RecentChanges()
+        self._recent.reset(cfg)
         self._publisher = publisher.Publisher(
             publisher.Source(
                 index=lambda: self._recent.view().index,
@@ -41,11 +45,16 @@
                 take_reports=lambda batch: None,
             )
         )
-        self._server = channel.serve(("127.0.0.1", 0), self._serve)
+        self._server = channel.serve(self.address, self._serve)
         self.address = self._server.socket.getsockname()[:2]
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
         self._publisher.start()
 
+    def start_again(self):
+        """Start with the first state, which it keeps until it is no longer cut off."""
+        self._is_cut = True
+        self._start(self._tree.first_cfg)
+
     @property
     def is_cut(self):
         return self._is_cut
@@ -94,24 +103,42 @@
 
 
 class Entry:
-    """An uplink and a relay. ``seen`` holds when each index came into use."""
+    """An uplink and a relay.
+
+    ``seen`` holds when each index came into use, ``orders`` the indexes of each start.
+    """
 
     def __init__(self, tree, name, seed):
         self.name = name
+        self._tree = tree
+        self._seed = seed
         self.seen = {}
+        self.orders = []
+        self.address = ("127.0.0.1", 0)
+        self._make()
+
+    def _make(self):
+        tree, name = self._tree, self.name
+        self.orders.append([])
         self.uplink = uplink.Uplink(
             lambda cfg: tree.parents(name),
             hello.Hello(1, fake_parent.CLUSTER, fake_parent.TOKEN, name, "entry", name),
             lambda: messages.StatusReport(name, 0, 0, "live", 0.0, 0),
             on_config=self._on_config,
-            rng=random.Random(seed),
+            rng=random.Random(self._seed),
         )
         self._relay = relay.Relay(name, fake_parent.CLUSTER, fake_parent.TOKEN, self.uplink)
-        self._relay.start(("127.0.0.1", 0))
+        self._relay.start(self.address)
         self.address = self._relay._server.socket.getsockname()[:2]
 
+    def start_again(self):
+        """Start without anything that it has received."""
+        self._make()
+        self.uplink.start()
+
     def _on_config(self, cfg):
         self.seen.setdefault(cfg.index, time.monotonic())
+        self.orders[-1].append(cfg.index)
         self._relay.on_config(cfg)
 
     def used_after(self, index, since_s):
@@ -132,7 +159,7 @@
 
     def __init__(self, replicas, order, seed=1):
         self._lock = threading.Lock()
-        self.cfg = fake_parent.make_config()
+        self.cfg = self.first_cfg = fake_parent.make_config()
         self._changes = []
         self._links = {}
         self.order = order
