--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -14,6 +14,7 @@
 from oriolelock.distribution import (
     errors,
     held_configuration,
+    leader_query,
     messages,
     parent_race,
     parent_search,
@@ -421,6 +422,7 @@
             self._handle(msg, connected.subscribed_s)
         rebalance_s = clock.monotonic_s() + self._rng.uniform(1.0, 2.0) * REBALANCE_INTERVAL_S
         report_due_s = forward_due_s = ping_due_s = 0.0
+        query = leader_query.LeaderQuery(self._pending_calls, self._enqueue)
         while not self._stopping.is_set():
             now = clock.monotonic_s()
             if now >= min(report_due_s, forward_due_s):
@@ -431,6 +433,8 @@
             if link.knows_ages and now >= ping_due_s:
                 ping_due_s = now + PING_INTERVAL_S
                 self._enqueue(messages.Ping(now))
+            if not link.knows_ages:
+                self._confirm_by_leader(query, now)
             if now >= rebalance_s:
                 rebalance_s = now + REBALANCE_INTERVAL_S
                 self._search_better(now)
@@ -446,18 +450,21 @@
             poll_s = SEARCH_POLL_S if self._search or self._move else RECV_TIMEOUT_S
             msg = link.recv(max(0.0, min(poll_s, due_s - now)))
             if msg is not None:
-                confirmed_s = self._confirmation_time(link, msg, clock.monotonic_s())
+                confirmed_s = self._confirmation_time(msg, clock.monotonic_s())
                 is_aged = isinstance(msg, messages.AgedDelta)
                 self._handle(msg.content if is_aged else msg, confirmed_s)
         return None
 
-    def _confirmation_time(self, link, msg, now):
+    def _confirm_by_leader(self, query, now):
+        confirmed_s = query.poll(self._holder.cfg.index, now)
+        if confirmed_s is not None:
+            self._install(self._holder.cfg, None, confirmed_s)
+
+    def _confirmation_time(self, msg, now):
         """Return the time at which the read began that ``msg`` confirms, None if it isn't known.
 
         It may have been on its way for any time since the ping that it returns.
         """
-        if not link.knows_ages:
-            return now
         if not isinstance(msg, messages.AgedDelta):
             return None
         return min(now, msg.echo_s + msg.held_s) - msg.control_age_s
--- a/tests/distribution/test_stale_ancestors.py
+++ b/tests/distribution/test_stale_ancestors.py
@@ -13,6 +13,8 @@
 # 2.5 s from the acknowledgement, less a fifth for agreement and distant regions.
 IN_USE_S = 2.5 * 4 / 5
 SETTLE_S = 1.2
+# Until an entry of cf3006d stopped to confirm its children without a word from its parent.
+OLDER_TRUST_S = 0.9 + 1.0
 
 
 def make_chain(hops):
@@ -152,13 +154,14 @@
         tree.close()
 
 
-def test_parents_of_an_older_build_confirm_by_arrival(monkeypatch):
-    """They return no pings, and tell no ages."""
+@pytest.mark.parametrize("hops", [1, 2, 3])
+def test_parents_of_an_older_build_tell_no_ages(monkeypatch, hops):
+    """They return no pings either, so that their confirmations count by arrival or not at all."""
     monkeypatch.setattr(channel, "_select_subprotocol", lambda conn, offered: None)
-    tree = make_chain(1)
+    tree = make_chain(hops)
     try:
         time.sleep(2.0)
-        assert [tree.parent_of(name) for name in tree.entries] == ["r0", "e0"]
+        assert [tree.parent_of(name) for name in tree.entries] == ["r0", *list(tree.entries)[:-1]]
         tree.link("e0", "r0").hold()
         time.sleep(0.05)
         check_in_use(tree, *tree.commit())
@@ -166,6 +169,24 @@
         tree.close()
 
 
+@pytest.mark.parametrize("hops", [1, 2])
+def test_an_entry_of_an_older_build_is_cut_off_from_control(monkeypatch, hops):
+    """As during an upgrade, when the entries below it are of this build."""
+    monkeypatch.setattr(channel, "_select_subprotocol", lambda conn, offered: None)
+    tree = make_chain(hops)
+    head = tree.entries["e0"]
+    head.trust_like_an_older_build(OLDER_TRUST_S)
+    try:
+        time.sleep(SETTLE_S)
+        for parent in ("r0", "r1"):
+            tree.link("e0", parent).hold()
+        time.sleep(0.05)
+        index, acked_s = tree.commit()
+        check_in_use(tree, index, acked_s, list(tree.entries)[1:])
+    finally:
+        tree.close()
+
+
 def test_confirmations_that_waited_are_as_old_as_they_are():
     """As after a pause of the process or of its parent, when what was sent before is read."""
     tree = tree_rig.Tree(["r0"], {"e0": ["r0"]})
--- a/tests/distribution/tree_rig.py
+++ b/tests/distribution/tree_rig.py
@@ -114,6 +114,7 @@
         self._seed = seed
         self.seen = {}
         self.orders = []
+        self._stopping = threading.Event()
         self.address = ("127.0.0.1", 0)
         self._make()
 
@@ -141,12 +142,24 @@
         self.orders[-1].append(cfg.index)
         self._relay.on_config(cfg)
 
+    def trust_like_an_older_build(self, trust_s):
+        """Pass on each confirmation as a new one until it is ``trust_s`` old."""
+
+        def pass_on():
+            while not self._stopping.wait(0.1):
+                now = time.monotonic()
+                if (self.uplink.control_age_s(now) or 0.0) < trust_s:
+                    self._relay._publisher.pass_on(now)
+
+        threading.Thread(target=pass_on, daemon=True).start()
+
     def used_after(self, index, since_s):
         """Return the seconds from ``since_s`` until ``index`` or a later one was used, or None."""
         times = [seen_s for seen, seen_s in list(self.seen.items()) if seen >= index]
         return min(times) - since_s if times else None
 
     def close(self):
+        self._stopping.set()
         self._relay.stop()
         self.uplink.stop()
 
