--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -59,7 +59,7 @@
         cfg: settings.GatewaySettings,
         loop: loops.Loop,
         words: dialects.Dialect,
-        report_crash: collections.abc.Callable[[str, str], None],
+        report_crash: collections.abc.Callable[[str, str], object],
         rng: random.Random,
     ):
         self._settings = cfg
--- a/oriolelock/gateway/daemon.py
+++ b/oriolelock/gateway/daemon.py
@@ -14,7 +14,7 @@
 from oriolelock import clock, events
 from oriolelock.distribution import errors, relay, tree, uplink
 from oriolelock.distribution import messages as distribution
-from oriolelock.gateway import core, delegated_flow, delegation, flow
+from oriolelock.gateway import core, crash_reports, delegated_flow, delegation, flow
 from oriolelock.gateway import dialect as dialects
 from oriolelock.http1 import body_budget, messages, server, server_rules, shutdown
 from oriolelock.http1 import loop as loops
@@ -27,10 +27,6 @@
 
 REGISTER_INTERVAL_S = 0.3
 REGISTER_TIMEOUT_S = 2.0
-CRASH_REPORT_TIMEOUT_S = 0.9
-CRASH_REPORT_WORKERS = 4
-# More reports at once are dropped.
-MAX_CRASH_REPORTS = 64
 # Shutdown phases relative to the grace period after SIGTERM. Until the first, requests are accepted
 # while callers refresh their lists of entries; until the second, requests in flight are finished.
 ACCEPT_RATIO = 0.25
@@ -58,12 +54,11 @@
         self._refuses_requests = False
         self.loop = loops.Loop()
         self._control_calls = concurrent.futures.ThreadPoolExecutor(1, "control-call")
-        self._crash_reports = concurrent.futures.ThreadPoolExecutor(
-            CRASH_REPORT_WORKERS, "crash-report"
+        self._crash_reports = crash_reports.CrashReports(
+            lambda change, timeout_s: self._uplink.call(change, timeout_s)
         )
-        self._pending_crash_reports = 0
         self._registering = False
-        self.core = core.Core(cfg, self.loop, dialect, self._report_crash, random.Random())
+        self.core = core.Core(cfg, self.loop, dialect, self._crash_reports.send, random.Random())
         self._control = cfg.control
         self._uplink = uplink.Uplink(
             self._parents,
@@ -150,23 +145,6 @@
         if not self.core.is_confirmed or cfg is not self.core.cfg_in_force:
             self.core.configure(cfg)
 
-    def _report_crash(self, key, endpoint):
-        if self._pending_crash_reports >= MAX_CRASH_REPORTS:
-            log.notable("crash-report-dropped", mark=key, endpoint=endpoint)
-            return
-        self._pending_crash_reports += 1
-
-        def report():
-            try:
-                self._call_control(changes.ReportCrash(key, endpoint), CRASH_REPORT_TIMEOUT_S)
-            finally:
-                self.loop.call_soon(self._end_crash_report)
-
-        self._crash_reports.submit(report)
-
-    def _end_crash_report(self):
-        self._pending_crash_reports -= 1
-
     def _call_control(self, change, timeout_s):
         try:
             self._uplink.call(change, timeout_s)
@@ -260,6 +238,7 @@
         self._uplink.start()
         log.notable("started", name=cfg.name, address=cfg.listen[0], domain=cfg.failure_domain)
         self.loop.run()
+        self._crash_reports.stop()
         log.notable("stopped", name=cfg.name)
 
     def leave(self) -> None:
