--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -266,6 +266,8 @@
         return None
 
     def _start_search(self):
+        # It asks the addresses of now.
+        self._interrupted.clear()
         return parent_search.ParentSearch(self._run_race, self._pause_s)
 
     def _end_search(self):
--- a/tests/distribution/test_uplink.py
+++ b/tests/distribution/test_uplink.py
@@ -380,3 +380,18 @@
     waiting.until(lambda: link.is_ready)
     assert link.parent == other.address
     link.stop()
+
+
+def test_new_addresses_while_connected_do_not_end_a_later_search(connect, parent, other):
+    """Guards against a search that begins again when the old connection ends."""
+    link = connect(parent, other)
+    waiting.until(lambda: link.parent)
+    link.search_anew()
+    other.confirms = parent.confirms = False
+    waiting.until(lambda: link._search is not None)
+    search = link._search
+    for conn in (*parent.links, *other.links):
+        conn.close()
+    waiting.until(lambda: link.parent is None)
+    time.sleep(0.5)
+    assert link._search is search
