--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -31,6 +31,10 @@
 
 REPORT_INTERVAL_S = 1.0
 PING_INTERVAL_S = 1.0
+# An answered ping shows the time on the way for later messages as well, but a slow one makes them
+# look older than they are.
+QUIET_PING_INTERVAL_S = 4.0
+SLOW_WAY_S = 0.25
 # Descendants' reports wait at most this long at each hop. When they waited for the entry's next
 # own report, they were 3.2 s old after three hops, over control's limit for live entries.
 FORWARD_INTERVAL_S = 0.25
@@ -117,6 +121,8 @@
         self._loaded_stored_copy = False
         self._is_resyncing = False
         self._confirmed_s: float | None = None
+        # Upper limit on how long the latest aged delta and the ping that it returns took.
+        self._way_s = 0.0
         # Called in the uplink's thread with the time of each new confirmation, as ``_confirmed_s``.
         self.on_confirmed: collections.abc.Callable[[float], None] = lambda confirmed_s: None
         self._parentless_s = clock.monotonic_s()
@@ -423,7 +429,7 @@
         for msg in connected.received:
             self._handle(msg, connected.subscribed_s)
         rebalance_s = clock.monotonic_s() + self._rng.uniform(1.0, 2.0) * REBALANCE_INTERVAL_S
-        report_due_s = forward_due_s = ping_due_s = 0.0
+        report_due_s = forward_due_s = pinged_s = 0.0
         query = leader_query.LeaderQuery(self._pending_calls, self._enqueue)
         while not self._stopping.is_set():
             now = clock.monotonic_s()
@@ -432,8 +438,8 @@
                 self._queue_reports(is_report_due)
                 forward_due_s = now + FORWARD_INTERVAL_S
                 report_due_s = now + REPORT_INTERVAL_S if is_report_due else report_due_s
-            if link.knows_ages and now >= ping_due_s:
-                ping_due_s = now + PING_INTERVAL_S
+            if link.knows_ages and now >= pinged_s + self._ping_interval_s():
+                pinged_s = now
                 self._enqueue(messages.Ping(now))
             if not link.knows_ages:
                 self._confirm_by_leader(query, now)
@@ -469,7 +475,12 @@
         """
         if not isinstance(msg, messages.AgedDelta):
             return None
-        return min(now, msg.echo_s + msg.held_s) - msg.control_age_s
+        made_s = min(now, msg.echo_s + msg.held_s)
+        self._way_s = now - made_s
+        return made_s - msg.control_age_s
+
+    def _ping_interval_s(self):
+        return PING_INTERVAL_S if self._way_s >= SLOW_WAY_S else QUIET_PING_INTERVAL_S
 
     def _search_if_suspect(self, now, subscribed_s):
         """Begin or end a search as is necessary; return when the parent becomes suspect."""
--- a/tests/distribution/test_uplink.py
+++ b/tests/distribution/test_uplink.py
@@ -15,6 +15,7 @@
 from oriolelock.once import messages as once
 from oriolelock.wire import channel, hello
 from tests import fake_parent, waiting
+from tests.distribution import held_link
 
 
 def make_change(index, name="day"):
@@ -382,6 +383,35 @@
     link.stop()
 
 
+def test_pings_are_rare_while_messages_arrive_at_once(connect, parent):
+    """Guards against links of small instances that carry a ping of each child a second."""
+    link = connect(parent)
+    waiting.until(lambda: link.parent)
+    pings = []
+    parent.on_ping = pings.append
+    time.sleep(uplink.PING_INTERVAL_S * 3.5)
+    assert len(pings) <= 2
+    assert link.control_age_s(time.monotonic()) < 0.5
+
+
+def test_pings_are_sent_each_second_while_messages_are_slow(connect, parent):
+    slow = held_link.HeldLink(parent.address)
+    try:
+        link = connect(slow)
+        waiting.until(lambda: link.parent)
+        slow.delay_s = uplink.SLOW_WAY_S
+        time.sleep(uplink.PING_INTERVAL_S)
+        pings = []
+        parent.on_ping = pings.append
+        time.sleep(uplink.PING_INTERVAL_S * 4.5)
+        assert len(pings) >= 4
+        slow.delay_s = 0.0
+        time.sleep(uplink.PING_INTERVAL_S * 1.5)
+        assert link.control_age_s(time.monotonic()) < 0.5
+    finally:
+        slow.close()
+
+
 def test_new_addresses_while_connected_do_not_end_a_later_search(connect, parent, other):
     """Guards against a search that begins again when the old connection ends."""
     link = connect(parent, other)
--- a/tests/fake_parent.py
+++ b/tests/fake_parent.py
@@ -57,6 +57,7 @@
         self.calls = []
         self.links = []
         self.pings = {}
+        self.on_ping = lambda msg: None
         self.changed = threading.Condition()
         self.closing = threading.Event()
         self.server = channel.serve(("127.0.0.1", 0), self.handle)
@@ -90,6 +91,7 @@
     def receive(self, link, msg):
         if isinstance(msg, messages.Ping):
             self.pings[link] = msg.sent_s, time.monotonic()
+            self.on_ping(msg)
             return
         kept = {
             messages.Subscribe: self.subscriptions,
