--- a/oriolelock/distribution/parent_search.py
+++ b/oriolelock/distribution/parent_search.py
@@ -59,7 +59,8 @@
                 log.exception("a search for a parent failed")
                 result = Round(None, frozenset(), ())
             count += 1
-            is_last = result.connected is not None or self._pause_s(count) is None
+            pause_s = self._pause_s(count)
+            is_last = result.connected is not None or pause_s is None
             with self._lock:
                 if self._stopping.is_set():
                     _close(result)
@@ -69,7 +70,7 @@
                 self._rounds.put(result)
             if is_last:
                 return
-            self._stopping.wait(self._pause_s(count))
+            self._stopping.wait(pause_s)
 
     def cancel(self) -> None:
         """End the search and close what it has found."""
--- a/oriolelock/distribution/publisher.py
+++ b/oriolelock/distribution/publisher.py
@@ -105,8 +105,11 @@
 
         ``now`` is of the monotonic clock.
         """
+        return _is_recent(self._control_age_s(now))
+
+    def _control_age_s(self, now):
         started_s = self._confirmed_s
-        return started_s is not None and now - started_s <= CONFIRMED_MAX_AGE_S
+        return None if started_s is None else now - started_s
 
     def serve(self, conn: channel.Channel) -> None:
         """Serve the subscriber at ``conn`` until the connection ends."""
@@ -236,9 +239,8 @@
         is_heartbeat_due = self._heartbeat.is_set()
         self._heartbeat.clear()
         # Read before the index: a later index is as current, an earlier one need not be.
-        confirmed_s = self._confirmed_s
-        age_s = None if confirmed_s is None else now - confirmed_s
-        is_confirmed = age_s is not None and age_s <= CONFIRMED_MAX_AGE_S
+        age_s = self._control_age_s(now)
+        is_confirmed = _is_recent(age_s)
         with self._lock:
             subscribers = list(self._subscribers)
         if age_s is not None and not is_confirmed:
@@ -285,3 +287,7 @@
         if not self._last_snapshot[1] or self._last_snapshot[0] != key:
             self._last_snapshot = key, codec.encode(messages.Snapshot(cfg, confirmed))
         return self._last_snapshot[1]
+
+
+def _is_recent(control_age_s):
+    return control_age_s is not None and control_age_s <= CONFIRMED_MAX_AGE_S
