--- /dev/null
+++ b/tests/distribution/test_sum_of_bounds.py
@@ -0,0 +1,45 @@
+"""Sums what a change can wait for on its way to an entry, from the limits that the code uses."""
+
+import pytest
+
+from oriolelock.distribution import parent_race, publisher, tree, uplink
+
+# From the acknowledgement until all entries in touch use the change.
+IN_USE_S = 2.5
+ROUND_TRIP_S = 0.07
+# Connection, upgrade, greeting, and a subscription with the leader's read behind it.
+SUBSCRIPTION_ROUND_TRIPS = 7
+# Entries and replicas are asked by turns, and two replicas may be lost: the third one is the sixth.
+UNFIT = 5
+TARGET_ENTRIES_OF_A_DOMAIN = 95
+
+
+def search_s():
+    """Return the longest time until the first parent that is well has confirmed."""
+    races_s = (UNFIT + 1 - uplink.NEXT_RACE_FIRST) * uplink.NEXT_RACE_INTERVAL_S
+    subscription_s = SUBSCRIPTION_ROUND_TRIPS * ROUND_TRIP_S
+    return races_s + parent_race.POLL_INTERVAL_S / 2 + subscription_s + uplink.SEARCH_POLL_S
+
+
+@pytest.mark.parametrize("limit_s", [uplink.SUSPECT_AFTER_S, uplink.SUSPECT_RELAY_AFTER_S])
+def test_a_change_is_used_in_time_when_a_parent_falls_silent(limit_s):
+    assert limit_s + search_s() <= IN_USE_S
+
+
+def test_a_change_is_used_in_time_when_connections_end_again_and_again():
+    assert uplink.BACKOFF_MAX_S + search_s() <= IN_USE_S
+
+
+def test_all_that_may_be_unfit_are_asked_beside_the_first_that_is_well():
+    assert parent_race.MAX_PARALLEL_ATTEMPTS > UNFIT
+
+
+def test_a_parent_that_is_well_is_not_suspected():
+    """The oldest word of the leader: an interval, its read, and each hop, with one slow ping."""
+    word_s = publisher.CONFIRM_INTERVAL_S + 2 * ROUND_TRIP_S
+    below_replica_s = word_s + ROUND_TRIP_S / 2
+    hops = tree.depth(TARGET_ENTRIES_OF_A_DOMAIN)
+    assert below_replica_s < uplink.SUSPECT_AFTER_S
+    assert (
+        below_replica_s + hops * ROUND_TRIP_S / 2 + uplink.SLOW_WAY_S < uplink.SUSPECT_RELAY_AFTER_S
+    )
