--- a/oriolelock/distribution/parent_race.py
+++ b/oriolelock/distribution/parent_race.py
@@ -60,7 +60,8 @@
     """One search for a parent.
 
     ``index``: to subscribe from; ``confirm_limit_s``: from a connection to the first confirmation;
-    ``interval_s``: until the next address is tried as well; ``first``: tried at once.
+    ``interval_s``: until the next address is tried as well; ``first``: tried at once; ``patience``:
+    factor of all time limits.
     """
 
     def __init__(
@@ -70,11 +71,13 @@
         confirm_limit_s: float,
         interval_s: float,
         first: int = 1,
+        patience: float = 1.0,
     ):
         self._hello = greeting
         self._index = index
-        self._confirm_limit_s = confirm_limit_s
-        self._interval_s = interval_s
+        self._connect_limit_s = CONNECT_LIMIT_S * patience
+        self._confirm_limit_s = confirm_limit_s * patience
+        self._interval_s = interval_s * patience
         self._first = first
         self._lock = threading.Lock()
         self._is_over = False
@@ -162,7 +165,7 @@
             link = channel.connect(
                 address,
                 self._hello,
-                CONNECT_LIMIT_S,
+                self._connect_limit_s,
                 offer_compression=True,
                 make_first=subscription,
             )
--- a/oriolelock/distribution/parent_search.py
+++ b/oriolelock/distribution/parent_search.py
@@ -32,13 +32,13 @@
 class ParentSearch:
     """Runs races in a thread until one has a winner or the search is cancelled.
 
-    ``run_race(stopping)`` returns the round of one race; ``pause_s(rounds)`` the seconds until the
-    next one, or None to give up.
+    ``run_race(stopping, rounds)`` returns the round of one race, after ``rounds`` others;
+    ``pause_s(rounds)`` the seconds until the next one, or None to give up.
     """
 
     def __init__(
         self,
-        run_race: collections.abc.Callable[[threading.Event], Round],
+        run_race: collections.abc.Callable[[threading.Event, int], Round],
         pause_s: collections.abc.Callable[[int], float | None],
     ):
         self._run_race = run_race
@@ -53,7 +53,7 @@
         count = 0
         while not self._stopping.is_set():
             try:
-                result = self._run_race(self._stopping)
+                result = self._run_race(self._stopping, count)
             except Exception:
                 # If this thread ended, an entry without a parent would never find one.
                 log.exception("a search for a parent failed")
