Count only rounds of a search in which attempts reached their limits

When all instances start, parents refuse at once until they listen; such rounds must not make the next ones slower. Test: test_rounds_that_fail_at_once_are_not_counted.

--- a/oriolelock/distribution/parent_search.py
+++ b/oriolelock/distribution/parent_search.py
@@ -11,7 +11,7 @@
 import queue
 import threading
 
-from oriolelock import logs
+from oriolelock import clock, logs
 from oriolelock.distribution import parent_race
 
 __all__ = ["ParentSearch", "Round", "interleave"]
@@ -32,8 +32,9 @@
 class ParentSearch:
     """Runs races in a thread until one has a winner or the search is cancelled.
 
-    ``run_race(stopping, rounds)`` returns the round of one race, after ``rounds`` others;
-    ``pause_s(rounds)`` the seconds until the next one, or None to give up.
+    ``run_race(stopping, slow_rounds)`` returns the round of one race; ``slow_rounds``: how many
+    before it lasted until attempts reached their limits. ``pause_s(rounds)`` returns the seconds
+    until the next one, or None to give up.
     """
 
     def __init__(
@@ -50,15 +51,17 @@
         threading.Thread(target=self._run, name="uplink-search", daemon=True).start()
 
     def _run(self):
-        count = 0
+        count = slow_rounds = 0
         while not self._stopping.is_set():
+            started_s = clock.monotonic_s()
             try:
-                result = self._run_race(self._stopping, count)
+                result = self._run_race(self._stopping, slow_rounds)
             except Exception:
                 # If this thread ended, an entry without a parent would never find one.
                 log.exception("a search for a parent failed")
                 result = Round(None, frozenset(), ())
             count += 1
+            slow_rounds += clock.monotonic_s() - started_s >= parent_race.CONNECT_LIMIT_S
             pause_s = self._pause_s(count)
             is_last = result.connected is not None or pause_s is None
             with self._lock:
--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -51,8 +51,8 @@
 NEXT_RACE_INTERVAL_S = 0.15
 # An entry and a control replica are asked at once.
 NEXT_RACE_FIRST = 2
-# Limits and intervals double with each round in vain: when all instances are busy, searches with
-# short limits would keep them so.
+# Limits and intervals double with each round in which attempts reach them: when all instances are
+# busy, searches with short limits would keep them so.
 MAX_PATIENCE_DOUBLINGS = 2
 RECV_TIMEOUT_S = 0.2
 # While another parent is searched.
@@ -315,27 +315,27 @@
     def _search_order(self, now):
         return parent_search.interleave(self._order_parents(now), self._replica_addresses())
 
-    def _make_race(self, rounds):
+    def _make_race(self, slow_rounds):
         index = self._holder.cfg.index
-        patience = 2.0 ** min(rounds, MAX_PATIENCE_DOUBLINGS)
+        patience = 2.0 ** min(slow_rounds, MAX_PATIENCE_DOUBLINGS)
         starts = (NEXT_RACE_INTERVAL_S, NEXT_RACE_FIRST) if index else (FIRST_RACE_INTERVAL_S, 1)
         return parent_race.ParentRace(
             self._hello, index, CONFIRMATION_LIMIT_S, *starts, patience=patience
         )
 
-    def _run_race(self, stopping, rounds):
+    def _run_race(self, stopping, slow_rounds):
         """Ask all parents, and other entries if none of them answers. Runs in a search's thread."""
         addresses, current = self._search_order(clock.monotonic_s()), self._parent
         # A connection may be dead while new ones to the same address work.
         addresses.sort(key=lambda address: address == current)
-        result = self._race_for(addresses, stopping, rounds)
+        result = self._race_for(addresses, stopping, slow_rounds)
         if result.connected is None and not result.unconfirmed and current is None:
             learned = self._ask_other_entries(stopping)
             return dataclasses.replace(result, unconfirmed=learned)
         return result
 
-    def _race_for(self, addresses, stopping, rounds=0):
-        race = self._make_race(rounds)
+    def _race_for(self, addresses, stopping, slow_rounds=0):
+        race = self._make_race(slow_rounds)
         try:
             connected = race.run(addresses, stopping)
         except errors.Disconnected:
@@ -510,7 +510,7 @@
             return
         log.info("a better parent is tried")
         self._move = parent_search.ParentSearch(
-            lambda stopping, rounds: self._race_for([best], stopping), lambda rounds: None
+            lambda stopping, slow_rounds: self._race_for([best], stopping), lambda rounds: None
         )
 
     def _queue_reports(self, include_own):
--- a/tests/distribution/test_patient_searches.py
+++ b/tests/distribution/test_patient_searches.py
@@ -3,7 +3,9 @@
 import threading
 import time
 
-from oriolelock.distribution import parent_search, uplink
+import pytest
+
+from oriolelock.distribution import parent_race, parent_search, uplink
 from tests import waiting
 from tests.distribution import tree_rig
 
@@ -37,16 +39,20 @@
         tree.close()
 
 
-def test_a_search_tells_how_many_rounds_were_in_vain():
-    rounds, stopping = [], threading.Event()
+@pytest.mark.parametrize(("round_s", "counted"), [(0.2, [0, 1, 2, 3]), (0.0, [0, 0, 0, 0])])
+def test_rounds_that_fail_at_once_are_not_counted(monkeypatch, round_s, counted):
+    """As when all instances start: parents refuse until they listen."""
+    monkeypatch.setattr(parent_race, "CONNECT_LIMIT_S", 0.15)
+    rounds, done = [], threading.Event()
 
-    def run_race(stopped, count):
-        rounds.append(count)
-        if count == 3:
-            stopping.set()
+    def run_race(stopping, slow_rounds):
+        rounds.append(slow_rounds)
+        if len(rounds) == 4:
+            done.set()
+        time.sleep(round_s)
         return parent_search.Round(None, frozenset(), ())
 
     search = parent_search.ParentSearch(run_race, lambda count: 0.0 if count < 4 else None)
-    assert stopping.wait(5.0)
+    assert done.wait(5.0)
     search.cancel()
-    assert rounds == [0, 1, 2, 3]
+    assert rounds == counted
