--- a/oriolelock/distribution/parent_race.py
+++ b/oriolelock/distribution/parent_race.py
@@ -16,7 +16,7 @@
 import threading
 
 from oriolelock import clock, logs
-from oriolelock.distribution import errors, messages
+from oriolelock.distribution import errors, messages, spare_connection
 from oriolelock.wire import channel, hello
 from oriolelock.wire import errors as wire_errors
 
@@ -41,13 +41,15 @@
 class Connected:
     """A subscription; ``received``: its messages, the last of which confirms the configuration.
 
-    ``subscribed_s``: monotonic time before it; the configuration was current after that.
+    ``subscribed_s``: monotonic time before it; the configuration was current after that;
+    ``was_spare``: whether the connection was open before the race.
     """
 
     address: Address
     link: channel.Channel
     received: list[object]
     subscribed_s: float
+    was_spare: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -90,14 +92,24 @@
         self.unconfirmed: list[object] = []
 
     def run(
-        self, addresses: collections.abc.Iterable[Address], stopping: threading.Event
+        self,
+        addresses: collections.abc.Iterable[Address],
+        stopping: threading.Event,
+        spare: spare_connection.Spare | None = None,
     ) -> Connected:
-        """Return the first connection that is confirmed; raises Disconnected if there is none."""
-        untried, running, started = collections.deque(addresses), 0, 0
+        """Return the first connection that is confirmed; raises Disconnected if there is none.
+
+        ``spare``: an open connection, over which its peer is asked first.
+        """
+        untried = collections.deque(a for a in addresses if spare is None or a != spare.address)
+        running = started = 0
         # Addresses that failed at once, with the times from which on they may be asked again.
         failed: collections.deque[tuple[float, Address]] = collections.deque()
         next_start_s = clock.monotonic_s()
         try:
+            if spare is not None:
+                self._start(spare.address, spare.link)
+                running = started = 1
             while (untried or running) and not stopping.is_set():
                 now = clock.monotonic_s()
                 if running < MAX_PARALLEL_ATTEMPTS and now >= next_start_s:
@@ -145,33 +157,22 @@
             if isinstance(late, Connected):
                 late.link.close()
 
-    def _start(self, address):
+    def _start(self, address, link=None):
         self._started_s[address] = clock.monotonic_s()
         threading.Thread(
-            target=self._attempt, args=(address,), name="uplink-attempt", daemon=True
+            target=self._attempt, args=(address, link), name="uplink-attempt", daemon=True
         ).start()
 
-    def _attempt(self, address):
-        received, subscribed_s = [], []
-
-        def subscription(link):
-            subscribed_s.append(clock.monotonic_s())
-            return self._subscription(link, subscribed_s[0])
-
+    def _attempt(self, address, spare_link):
+        received = []
         outcome = _Failed(address, received)
         try:
-            # A configuration of hundreds of endpoints would fill the link of a small instance for
-            # half a second.
-            link = channel.connect(
-                address,
-                self._hello,
-                self._connect_limit_s,
-                offer_compression=True,
-                make_first=subscription,
-            )
+            subscribe = self._connect if spare_link is None else self._subscribe_over
+            link, subscribed_s = subscribe(spare_link or address)
             try:
                 self._await_confirmation(link, received)
-                outcome = Connected(address, link, received, subscribed_s[0])
+                is_spare = spare_link is not None
+                outcome = Connected(address, link, received, subscribed_s, is_spare)
             except (wire_errors.WireError, errors.DistributionError):
                 link.close()
                 raise
@@ -185,6 +186,32 @@
         if isinstance(outcome, Connected):
             outcome.link.close()
 
+    def _connect(self, address):
+        """Return a new connection and the time before its subscription."""
+        subscribed_s = []
+
+        def subscription(link):
+            subscribed_s.append(clock.monotonic_s())
+            return self._subscription(link, subscribed_s[0])
+
+        # A configuration of hundreds of endpoints would fill the link of a small instance for half
+        # a second.
+        link = channel.connect(
+            address,
+            self._hello,
+            self._connect_limit_s,
+            offer_compression=True,
+            make_first=subscription,
+        )
+        return link, subscribed_s[0]
+
+    def _subscribe_over(self, link):
+        """Return the spare connection and the time before its subscription."""
+        subscribed_s = clock.monotonic_s()
+        for msg in self._subscription(link, subscribed_s):
+            link.send(msg)
+        return link, subscribed_s
+
     def _subscription(self, link, now):
         """Return the messages that subscribe; sent with the greeting they save a round trip."""
         pings = (messages.Ping(now),) if link.knows_ages else ()
--- /dev/null
+++ b/oriolelock/distribution/spare_connection.py
@@ -0,0 +1,158 @@
+"""
+oriolelock.distribution.spare_connection
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+    An open connection to a further parent, without a subscription, for the loss of the current one.
+
+    To subscribe over it takes one round trip, over a new connection three. It also spares both ends
+    the handshakes when many entries lose their parents at once.
+"""
+
+import collections.abc
+import dataclasses
+import random
+import threading
+
+from oriolelock import clock, logs
+from oriolelock.wire import channel
+from oriolelock.wire import errors as wire_errors
+
+__all__ = ["Spare", "SpareConnection"]
+
+# After a new parent was found, so that instances that start together first find their parents.
+MIN_DELAY_S = 0.3
+MAX_DELAY_S = 1.0
+# After failed attempts; doubles with each of them.
+RETRY_MIN_S = 1.0
+RETRY_MAX_S = 8.0
+# A peer sends a heartbeat each second, or two seconds after the last one if it was busy.
+SILENT_AFTER_S = 2.5
+
+Address = tuple[str, int]
+log = logs.get_logger("uplink")
+
+
+@dataclasses.dataclass(frozen=True)
+class Spare:
+    """A connection that both ends have greeted each other over."""
+
+    address: Address
+    link: channel.Channel
+
+
+class SpareConnection:
+    """Keeps one connection and replaces it when it ends.
+
+    ``connect(address)`` returns a channel or raises WireError; it is called in a thread of its own.
+    ``take`` and ``close`` may be called from any thread.
+    """
+
+    def __init__(
+        self, connect: collections.abc.Callable[[Address], channel.Channel], rng: random.Random
+    ):
+        self._connect = connect
+        self._rng = rng
+        self._lock = threading.Lock()
+        self._spare: Spare | None = None
+        self._is_connecting = False
+        self._is_closed = False
+        self._failures = 0
+        self._due_s = 0.0
+        # Addresses that failed since they were last asked for.
+        self._failed: list[Address] = []
+
+    @property
+    def address(self) -> Address | None:
+        """The address of the connection that is open, or None."""
+        spare = self._spare
+        return spare.address if spare else None
+
+    def delay(self, now: float) -> None:
+        """Wait for a moment before the next attempt, as the parent has changed."""
+        self._due_s = now + self._rng.uniform(MIN_DELAY_S, MAX_DELAY_S)
+
+    def maintain(
+        self,
+        parent: Address,
+        choose: collections.abc.Callable[[], Address | None],
+        now: float,
+    ) -> list[Address]:
+        """Keep the connection alive, or begin to open one; return addresses that failed meanwhile.
+
+        To be called several times a second. ``parent``: the address in use; ``choose()`` returns
+        another one, or None if there is none.
+        """
+        self._keep_alive(parent, now)
+        with self._lock:
+            failed, self._failed = self._failed, []
+            is_due = self._spare is None and not self._is_connecting and now >= self._due_s
+            self._is_connecting = self._is_connecting or is_due
+        if is_due:
+            address = choose()
+            if address is None:
+                self._is_connecting, self._due_s = False, now + RETRY_MAX_S
+            else:
+                threading.Thread(
+                    target=self._open, args=(address,), name="uplink-spare", daemon=True
+                ).start()
+        return failed
+
+    def _keep_alive(self, parent, now):
+        with self._lock:
+            spare = self._spare
+            if spare is None or (spare.address != parent and self._is_alive(spare, now)):
+                return
+            self._spare = None
+        self.delay(now)
+        channel.close_soon(spare.link)
+
+    def _is_alive(self, spare, now):
+        if now - spare.link.last_received_s > SILENT_AFTER_S:
+            log.warning("spare connection to {}:{} is silent", *spare.address)
+            return False
+        try:
+            # Nothing but heartbeats arrives before a subscription.
+            spare.link.recv(0.0)
+        except wire_errors.WireError as exc:
+            log.info("spare connection to {}:{} ended: {}", *spare.address, exc)
+            return False
+        return True
+
+    def _open(self, address):
+        link = None
+        try:
+            link = self._connect(address)
+        except wire_errors.WireError as exc:
+            log.warning("no spare connection: {}", exc)
+        now = clock.monotonic_s()
+        with self._lock:
+            self._is_connecting = False
+            if link is None:
+                self._failed.append(address)
+                self._due_s = now + self._retry_delay_s()
+                self._failures += 1
+            elif not self._is_closed:
+                self._failures = 0
+                self._spare = Spare(address, link)
+                return
+        if link is not None:
+            link.close()
+
+    def _retry_delay_s(self):
+        delay_s = min(RETRY_MAX_S, RETRY_MIN_S * 2 ** min(self._failures, 10))
+        return self._rng.uniform(delay_s / 2, delay_s)
+
+    def take(self, now: float) -> Spare | None:
+        """Return the connection, which now belongs to the caller, or None if there is none."""
+        self.delay(now)
+        with self._lock:
+            spare, self._spare = self._spare, None
+        return spare
+
+    def close(self) -> None:
+        """Close the connection and open no other."""
+        with self._lock:
+            self._is_closed = True
+            spare, self._spare = self._spare, None
+        if spare is not None:
+            spare.link.close()
--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -6,7 +6,6 @@
 """
 
 import collections.abc
-import dataclasses
 import random
 import threading
 
@@ -16,7 +15,7 @@
     held_configuration,
     leader_query,
     messages,
-    parent_race,
+    parent_finder,
     parent_search,
     pending_calls,
     recent_changes,
@@ -43,38 +42,21 @@
 SUSPECT_AFTER_S = 0.9
 # Below another entry, which has so much time to find a parent of its own.
 SUSPECT_RELAY_AFTER_S = 1.1
-# From a connection to the first confirmation. A parent that can't confirm yet may be able to before
-# another one is found.
-CONFIRMATION_LIMIT_S = 1.2
-# Until the next parent is tried as well. A starting fleet must not connect several times over.
-FIRST_RACE_INTERVAL_S = 0.6
-NEXT_RACE_INTERVAL_S = 0.15
-# An entry and a control replica are asked at once.
-NEXT_RACE_FIRST = 2
-# Limits and intervals double with each round in which attempts reach them: when all instances are
-# busy, searches with short limits would keep them so.
-MAX_PATIENCE_DOUBLINGS = 2
 RECV_TIMEOUT_S = 0.2
 # While another parent is searched.
 SEARCH_POLL_S = 0.03
 # A connection that ends sooner is followed by a pause, so that no parent is asked without end.
 SHORT_CONNECTION_S = 3.0
-BACKOFF_MIN_S = 0.1
-BACKOFF_MAX_S = 0.6
 # When so much is queued, further calls fail at once.
 MAX_QUEUED_SENDS = 4096
 MAX_QUEUED_BYTES = 4 * 1024 * 1024
 
 # A starting entry connects to control first, and later moves to its parent in the tree.
 REBALANCE_INTERVAL_S = 5.0
-FAILED_PARENT_PENALTY_S = 30.0
-# Entries that are asked for their configuration when no parent answers.
-MAX_ASKED_ENTRIES = 3
 # For a parent that may only have been busy.
 SUSPECT_PENALTY_S = 5.0
 
 Address = tuple[str, int]
-Parents = collections.abc.Callable[[configuration.Configuration], collections.abc.Sequence[Address]]
 log = logs.get_logger("uplink")
 config_events = events.Events("uplink")
 
@@ -97,7 +79,7 @@
 
     def __init__(
         self,
-        parents: Parents,
+        parents: parent_finder.Parents,
         greeting: hello.Hello,
         report: collections.abc.Callable[[], messages.StatusReport | None],
         store: stored_copy.StoredCopy | None = None,
@@ -105,7 +87,6 @@
         rng: random.Random | None = None,
         descendant_reports: collections.abc.Callable[[], tuple[messages.StatusReport, ...]] = tuple,
     ):
-        self._parents = parents
         self._hello = greeting
         self._make_report = report
         self._take_descendant_reports = descendant_reports
@@ -115,10 +96,9 @@
         self._pending_calls = pending_calls.PendingCalls()
         self._holder = held_configuration.HeldConfiguration()
         self.recent = recent_changes.RecentChanges()
-        # Members, and the addresses of the control replicas among them.
-        self._replicas: tuple[collections.abc.Mapping, set[Address]] = ({}, set())
-        # The monotonic time until which other addresses are preferred to one that failed.
-        self._avoid_until_s: dict[Address, float] = {}
+        self._finder = parent_finder.ParentFinder(
+            greeting, parents, lambda: self._holder.cfg, self._rng
+        )
         self._loaded_stored_copy = False
         self._is_resyncing = False
         self._confirmed_s: float | None = None
@@ -253,12 +233,9 @@
             is_short = clock.monotonic_s() - started_s < SHORT_CONNECTION_S
             short_connections = short_connections + 1 if is_short else 0
             if short_connections > 1:
-                self._stopping.wait(self._pause_s(short_connections))
+                self._stopping.wait(self._finder.pause_s(short_connections))
         self._end_search()
-
-    def _pause_s(self, failures):
-        max_delay_s = min(BACKOFF_MAX_S, BACKOFF_MIN_S * 2 ** min(failures, 10))
-        return self._rng.uniform(BACKOFF_MIN_S / 2, max_delay_s)
+        self._finder.spare.close()
 
     def _await_parent(self):
         """Return a connection to a parent that confirms, or None when the uplink stops."""
@@ -275,7 +252,7 @@
     def _start_search(self):
         # The search asks the current addresses, so that earlier changes of them need not end it.
         self._interrupted.clear()
-        return parent_search.ParentSearch(self._run_race, self._pause_s)
+        return self._finder.search(lambda: self._parent)
 
     def _end_search(self):
         for search in (self._search, self._move):
@@ -289,8 +266,9 @@
         result = search.take(timeout_s) if search else None
         if result is None:
             return None
+        now = clock.monotonic_s()
         for address in result.unfit:
-            self._avoid(address, FAILED_PARENT_PENALTY_S)
+            self._finder.avoid(address, parent_finder.FAILED_PARENT_PENALTY_S, now)
         # Changes that a parent holds are committed, whether it can confirm them or not.
         for msg in result.unconfirmed:
             self._handle(msg, None)
@@ -298,79 +276,6 @@
             self._search = self._move = None
         return result.connected
 
-    def _order_parents(self, now):
-        """Return the parents that have not failed recently, then the others, earliest first."""
-        addresses = list(self._parents(self._holder.cfg))
-        return sorted(addresses, key=lambda a: max(now, self._avoid_until_s.get(a, 0.0)))
-
-    def _replica_addresses(self):
-        members, addresses = self._replicas
-        if members is not self._holder.cfg.members:
-            members = self._holder.cfg.members
-            replicas = (peer for peer in members.values() if peer.role == "control")
-            addresses = {address for peer in replicas for address in _link_addresses(peer)}
-            self._replicas = members, addresses
-        return addresses
-
-    def _search_order(self, now):
-        return parent_search.interleave(self._order_parents(now), self._replica_addresses())
-
-    def _make_race(self, slow_rounds):
-        index = self._holder.cfg.index
-        patience = 2.0 ** min(slow_rounds, MAX_PATIENCE_DOUBLINGS)
-        starts = (NEXT_RACE_INTERVAL_S, NEXT_RACE_FIRST) if index else (FIRST_RACE_INTERVAL_S, 1)
-        return parent_race.ParentRace(
-            self._hello, index, CONFIRMATION_LIMIT_S, *starts, patience=patience
-        )
-
-    def _run_race(self, stopping, slow_rounds):
-        """Ask all parents, and other entries if none of them answers. Runs in a search's thread."""
-        addresses, current = self._search_order(clock.monotonic_s()), self._parent
-        # A connection may be dead while new ones to the same address work.
-        addresses.sort(key=lambda address: address == current)
-        result = self._race_for(addresses, stopping, slow_rounds)
-        if result.connected is None and not result.unconfirmed and current is None:
-            learned = self._ask_other_entries(stopping)
-            return dataclasses.replace(result, unconfirmed=learned)
-        return result
-
-    def _race_for(self, addresses, stopping, slow_rounds=0):
-        race = self._make_race(slow_rounds)
-        try:
-            connected = race.run(addresses, stopping)
-        except errors.Disconnected:
-            return parent_search.Round(None, frozenset(race.unfit), tuple(race.unconfirmed))
-        return parent_search.Round(connected, frozenset(race.unfit), ())
-
-    def _ask_other_entries(self, stopping):
-        """Return the configuration of another entry, which may name replicas unknown here.
-
-        It is not kept as a parent, whose place in the tree it may not have: entries that subscribe
-        to each other would confirm their configurations in a circle.
-        """
-        others = [
-            address
-            for peer in self._holder.cfg.members.values()
-            if peer.role == "entry" and peer.state == "live" and peer.name != self._hello.name
-            for address in _link_addresses(peer)
-        ]
-        asked = self._rng.sample(others, min(MAX_ASKED_ENTRIES, len(others)))
-        result = self._race_for(asked, stopping)
-        received = result.unconfirmed
-        if result.connected is not None:
-            result.connected.link.close()
-            received = result.connected.received
-        return tuple(
-            dataclasses.replace(msg, confirmed=False)
-            for msg in received
-            if isinstance(msg, messages.Snapshot | messages.Delta)
-        )
-
-    def _avoid(self, address, penalty_s):
-        now = clock.monotonic_s()
-        self._avoid_until_s = {a: t for a, t in self._avoid_until_s.items() if t > now}
-        self._avoid_until_s[address] = now + penalty_s
-
     def _serve_connection(self, connected):
         """Use a connection until another one is found, which is returned, or until it ends.
 
@@ -386,11 +291,12 @@
         writer.start()
         try:
             self._parent, self._outbox = address, outbox
-            self._log_parent(address)
+            self._log_parent(connected)
             self._is_resyncing = False
             return self._receive_until_disconnected(connected)
         except (wire_errors.WireError, errors.DistributionError) as exc:
-            self._avoid(address, FAILED_PARENT_PENALTY_S)
+            penalty_s = parent_finder.FAILED_PARENT_PENALTY_S
+            self._finder.avoid(address, penalty_s, clock.monotonic_s())
             self._log_lost_parent(address, str(exc))
             raise
         finally:
@@ -399,15 +305,20 @@
             closed_totals = self.traffic(), self.messages()
             (self._closed_link_bytes, self._closed_link_messages), self._link = closed_totals, None
             self._pending_calls.fail_all("connection to the parent ended")
-            link.close()
             outbox.close()
-            writer.join()
-
-    def _log_parent(self, address):
+            if self._stopping.is_set():
+                link.close()
+                writer.join()
+            else:
+                # The next connection may have brought changes.
+                channel.close_soon(link)
+
+    def _log_parent(self, connected):
         now = clock.monotonic_s()
         config_events.notable(
             "parent",
-            parent=f"{address[0]}:{address[1]}",
+            parent="{}:{}".format(*connected.address),
+            was_spare=connected.was_spare,
             index=self._holder.cfg.index,
             without_s=now - self._parentless_s,
             control_age_s=self.control_age_s(now),
@@ -428,6 +339,7 @@
         link = connected.link
         for msg in connected.received:
             self._handle(msg, connected.subscribed_s)
+        self._finder.spare.delay(clock.monotonic_s())
         rebalance_s = clock.monotonic_s() + self._rng.uniform(1.0, 2.0) * REBALANCE_INTERVAL_S
         report_due_s = forward_due_s = pinged_s = 0.0
         query = leader_query.LeaderQuery(self._pending_calls, self._enqueue)
@@ -452,8 +364,10 @@
             if found is not None:
                 if is_suspect:
                     log.info("another parent confirms, {}:{} does not", *self._parent)
-                    self._avoid(self._parent, SUSPECT_PENALTY_S)
+                    self._finder.avoid(self._parent, SUSPECT_PENALTY_S, now)
                 return found
+            if self._search is None:
+                self._finder.maintain_spare(self._parent, now)
             due_s = min(report_due_s, forward_due_s, suspect_s if not is_suspect else now + 1.0)
             poll_s = SEARCH_POLL_S if self._search or self._move else RECV_TIMEOUT_S
             msg = link.recv(max(0.0, min(poll_s, due_s - now)))
@@ -486,8 +400,8 @@
         """Begin or end a search as is necessary; return when the parent becomes suspect."""
         # None while only a stored copy is in use that the parent's first messages don't follow.
         confirmed_s = subscribed_s if self._confirmed_s is None else self._confirmed_s
-        is_relayed = self._parent not in self._replica_addresses()
-        limit_s = SUSPECT_RELAY_AFTER_S if is_relayed else SUSPECT_AFTER_S
+        is_replica = self._finder.is_replica(self._parent)
+        limit_s = SUSPECT_AFTER_S if is_replica else SUSPECT_RELAY_AFTER_S
         suspect_s = confirmed_s + limit_s
         if now < suspect_s:
             if self._search is not None:
@@ -505,13 +419,11 @@
 
     def _search_better(self, now):
         """Connect to the best parent, if it is another one, beside the current connection."""
-        best = self._order_parents(now)[0]
+        best = self._finder.order(now)[0]
         if self._search or self._move or best == self._parent:
             return
         log.info("a better parent is tried")
-        self._move = parent_search.ParentSearch(
-            lambda stopping, slow_rounds: self._race_for([best], stopping), lambda rounds: None
-        )
+        self._move = self._finder.try_one(best)
 
     def _queue_reports(self, include_own):
         own_report = self._make_report() if include_own else None
@@ -586,12 +498,6 @@
             self._subscribe()
 
 
-def _link_addresses(peer):
-    """Return the link address of a member in a tuple, which is empty if it has none."""
-    host, _, port = peer.link_address.rpartition(":")
-    return ((host, int(port)),) if host and port.isdigit() else ()
-
-
 def _send_queued(link, outbox):
     """Send queued messages until the queue is closed or the connection ends."""
     while (data := outbox.get()) is not None:
--- a/oriolelock/wire/channel.py
+++ b/oriolelock/wire/channel.py
@@ -19,7 +19,15 @@
 from oriolelock import clock
 from oriolelock.wire import codec, errors, heartbeat, hello
 
-__all__ = ["HEARTBEAT_INTERVAL_S", "PEER_TIMEOUT_S", "Channel", "accept", "connect", "serve"]
+__all__ = [
+    "HEARTBEAT_INTERVAL_S",
+    "PEER_TIMEOUT_S",
+    "Channel",
+    "accept",
+    "close_soon",
+    "connect",
+    "serve",
+]
 
 HEARTBEAT_INTERVAL_S = 1.0
 PEER_TIMEOUT_S = 3.0
@@ -139,6 +147,11 @@
             pass
 
 
+def close_soon(channel: Channel) -> None:
+    """Close a connection in a thread: a peer that doesn't answer holds up the closing handshake."""
+    threading.Thread(target=channel.close, name="close", daemon=True).start()
+
+
 def _set_send_timeout(sock):
     """Make sends fail after ``SEND_TIMEOUT_S`` if the peer stops reading.
 
--- a/tests/distribution/held_link.py
+++ b/tests/distribution/held_link.py
@@ -17,12 +17,15 @@
 class HeldLink:
     """Forwards connections to ``target``; nothing is lost while it is held.
 
-    ``delay_s`` is added to each chunk, in both directions. ``UP`` is the direction to the target.
+    ``delay_s`` is added to each chunk, in both directions, and a round trip of it to the first, for
+    the connection, which the kernel makes at once. ``UP`` is the direction to the target.
+    ``accepted`` counts connections.
     """
 
     def __init__(self, target):
         self._target = target
         self.delay_s = 0.0
+        self.accepted = 0
         self._open = self._make_gates()
         self._held = []
         self._closed = False
@@ -75,6 +78,7 @@
         while not self._closed:
             try:
                 near, _ = self._listener.accept()
+                self.accepted += 1
                 far = socket.create_connection(self._target)
             except OSError:
                 continue
@@ -82,19 +86,22 @@
             for direction, source, sink in ((UP, near, far), (DOWN, far, near)):
                 sink.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 chunks, is_open = queue.Queue(), self._open[direction]
-                threading.Thread(target=self._read, args=(source, chunks), daemon=True).start()
+                connected_s = time.monotonic() + 2 * self.delay_s
+                threading.Thread(
+                    target=self._read, args=(source, chunks, connected_s), daemon=True
+                ).start()
                 threading.Thread(
                     target=self._write, args=(sink, chunks, is_open), daemon=True
                 ).start()
 
-    def _read(self, source, chunks):
+    def _read(self, source, chunks, connected_s):
         data = b"-"
         while data:
             try:
                 data = source.recv(CHUNK_BYTES)
             except OSError:
                 data = b""
-            chunks.put((time.monotonic() + self.delay_s, data))
+            chunks.put((max(time.monotonic(), connected_s) + self.delay_s, data))
 
     def _write(self, sink, chunks, is_open):
         while True:
--- a/tests/distribution/test_patient_searches.py
+++ b/tests/distribution/test_patient_searches.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from oriolelock.distribution import parent_race, parent_search, uplink
+from oriolelock.distribution import parent_race, parent_search
 from tests import waiting
 from tests.distribution import tree_rig
 
@@ -15,12 +15,12 @@
     tree = tree_rig.Tree(["r0", "r1"], {"e0": ["r0", "r1"]})
     try:
         waiting.until(lambda: tree.parent_of("e0"))
-        race = uplink.parent_race.ParentRace
+        race = parent_race.ParentRace
         start = race._start
 
-        def count(item, address):
+        def count(item, address, link=None):
             started.append(time.monotonic())
-            start(item, address)
+            start(item, address, link)
 
         monkeypatch.setattr(race, "_start", count)
         for parent in ("r0", "r1"):
--- /dev/null
+++ b/tests/distribution/test_spare_connection.py
@@ -0,0 +1,169 @@
+"""Guards against entries that have one way to hear of a change and must first make another."""
+
+import random
+import time
+
+import pytest
+
+from oriolelock import clock
+from oriolelock.distribution import parent_finder, spare_connection, uplink
+from oriolelock.model import member
+from oriolelock.wire import errors, hello
+from tests import fake_parent, waiting
+from tests.distribution import held_link, tree_rig
+
+GREETING = hello.Hello(1, fake_parent.CLUSTER, fake_parent.TOKEN, "a", "entry", "i")
+
+
+@pytest.fixture
+def tree():
+    rig = tree_rig.Tree(["r0", "r1", "r2"], {"e0": ["r0", "r1", "r2"]})
+    yield rig
+    rig.close()
+
+
+def spare_of(tree, name="e0"):
+    """Return the name of the parent to which an entry has a spare connection, or None."""
+    address = tree.entries[name].uplink._finder.spare.address
+    names = (end for end in tree.order[name] if tree.link(name, end).address == address)
+    return next(names, None)
+
+
+def test_another_parent_is_kept_in_reserve(tree):
+    waiting.until(lambda: spare_of(tree) == "r1")
+    assert tree.parent_of("e0") == "r0"
+
+
+def test_the_spare_connection_is_used_when_the_parent_is_lost():
+    tree = tree_rig.Tree(["r0", "r1"], {"e0": ["r0", "r1"]})
+    try:
+        waiting.until(lambda: spare_of(tree) == "r1")
+        accepted = tree.link("e0", "r1").accepted
+        tree.link("e0", "r0").hold()
+        waiting.until(lambda: tree.parent_of("e0") == "r1")
+        assert tree.link("e0", "r1").accepted == accepted
+    finally:
+        tree.close()
+
+
+def test_a_spare_connection_that_ends_is_replaced(tree):
+    waiting.until(lambda: spare_of(tree) == "r1")
+    tree.link("e0", "r1").reset()
+    waiting.until(lambda: spare_of(tree) is None)
+    waiting.until(lambda: spare_of(tree) is not None, 3.0)
+
+
+def test_a_spare_connection_that_is_silent_is_replaced(tree):
+    waiting.until(lambda: spare_of(tree) == "r1")
+    tree.link("e0", "r1").hold()
+    waiting.until(lambda: spare_of(tree) == "r2", 8.0)
+    assert tree.parent_of("e0") == "r0"
+
+
+def test_a_spare_connection_stays_open(tree):
+    waiting.until(lambda: spare_of(tree) == "r1")
+    accepted = tree.link("e0", "r1").accepted
+    end_s = time.monotonic() + 5.0
+    while time.monotonic() < end_s:
+        assert spare_of(tree) == "r1"
+        time.sleep(0.1)
+    assert tree.link("e0", "r1").accepted == accepted
+
+
+def test_a_search_in_vain_over_the_spare_connection_asks_its_peer_again(tree):
+    """As when the connection is dead and new ones work."""
+    waiting.until(lambda: spare_of(tree) == "r1")
+    tree.link("e0", "r1").hold_open_connections()
+    for parent in ("r0", "r2"):
+        tree.link("e0", parent).hold()
+    index, acked_s = tree.commit()
+    waiting.until(lambda: tree.entries["e0"].used_after(index, acked_s) is not None, 8.0)
+    assert tree.parent_of("e0") == "r1"
+
+
+class Connector:
+    """Fails and counts its attempts."""
+
+    def __init__(self):
+        self.attempts = 0
+
+    def __call__(self, address):
+        self.attempts += 1
+        raise errors.ChannelClosed("refused")
+
+
+def test_attempts_that_fail_get_rarer_and_are_told(monkeypatch):
+    connect, told = Connector(), []
+    spare = spare_connection.SpareConnection(connect, random.Random(1))
+    for tick in range(300):
+        now = tick / 5
+        monkeypatch.setattr(clock, "monotonic_s", lambda now=now: now)
+        told += spare.maintain(("p", 1), lambda: ("q", 2), now)
+        waiting.until(lambda: not spare._is_connecting)
+    assert 8 <= connect.attempts <= 20
+    assert set(told) == {("q", 2)}
+
+
+def test_no_connection_is_opened_after_the_end():
+    parent = fake_parent.FakeParent(fake_parent.make_config())
+    slow = held_link.HeldLink(parent.address)
+    slow.delay_s = 0.3
+    try:
+        finder = parent_finder.ParentFinder(
+            GREETING, lambda cfg: [slow.address], fake_parent.make_config, random.Random(1)
+        )
+        finder.maintain_spare(("127.0.0.1", 9), clock.monotonic_s())
+        finder.spare.close()
+        waiting.until(lambda: not finder.spare._is_connecting)
+        assert finder.spare.address is None
+    finally:
+        slow.close()
+        parent.close()
+
+
+def make_peer(name, role, domain, port):
+    return member.Member(name, role, "", f"10.0.0.1:{port}", "r", domain, "live")
+
+
+@pytest.mark.parametrize(
+    ("parent", "failed", "chosen"),
+    [
+        # Below an entry: a replica of another failure domain.
+        (1, (), 12),
+        (1, (12,), 13),
+        (1, (12, 13), 11),
+        (1, (11, 12, 13), 2),
+        # Below a replica: one that is not lost with it.
+        (11, (), 12),
+        (12, (), 11),
+    ],
+)
+def test_a_spare_connection_is_made_to_an_instance_of_another_fate(parent, failed, chosen):
+    peers = [
+        make_peer("e1", "entry", "a", 1),
+        make_peer("e2", "entry", "a", 2),
+        make_peer("c1", "control", "a", 11),
+        make_peer("c2", "control", "b", 12),
+        make_peer("c3", "control", "c", 13),
+    ]
+    cfg = fake_parent.make_config()
+    cfg = type(cfg)(**{**vars(cfg), "members": {peer.name: peer for peer in peers}})
+    addresses = [("10.0.0.1", port) for port in (1, 2, 11, 12, 13)]
+    finder = parent_finder.ParentFinder(
+        GREETING, lambda cfg: addresses, lambda: cfg, random.Random(1)
+    )
+    for port in failed:
+        finder.avoid(("10.0.0.1", port), 30.0, 100.0)
+    assert finder._choose_spare(("10.0.0.1", parent), 101.0) == ("10.0.0.1", chosen)
+
+
+def test_an_old_spare_connection_confirms_only_what_was_asked_over_it(tree):
+    """What was confirmed before the subscription may be older than what the entry has used."""
+    waiting.until(lambda: spare_of(tree) == "r1")
+    time.sleep(uplink.SUSPECT_AFTER_S)
+    tree.replicas["r0"].is_cut = tree.replicas["r1"].is_cut = True
+    cut_s = clock.monotonic_s()
+    time.sleep(2.0)
+    now = clock.monotonic_s()
+    assert tree.parent_of("e0") == "r2"
+    assert tree.entries["e0"].uplink.control_age_s(now) < now - cut_s
--- a/tests/distribution/test_stale_ancestors.py
+++ b/tests/distribution/test_stale_ancestors.py
@@ -5,7 +5,7 @@
 import pytest
 
 from oriolelock import clock
-from oriolelock.distribution import uplink
+from oriolelock.distribution import parent_finder, uplink
 from oriolelock.wire import channel
 from tests import waiting
 from tests.distribution import tree_rig
@@ -137,8 +137,8 @@
         link = tree.link("e0", "r0")
         link.hold()
         waiting.until(lambda: tree.parent_of("e0") == "r1")
-        monkeypatch.setattr(uplink, "FAILED_PARENT_PENALTY_S", 0.1)
-        tree.entries["e0"].uplink._avoid_until_s.clear()
+        monkeypatch.setattr(parent_finder, "FAILED_PARENT_PENALTY_S", 0.1)
+        tree.entries["e0"].uplink._finder._avoid_until_s.clear()
         end_s = time.monotonic() + 3.0
         while time.monotonic() < end_s:
             assert tree.parent_of("e0") == "r1"
--- a/tests/distribution/test_sum_of_bounds.py
+++ b/tests/distribution/test_sum_of_bounds.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from oriolelock.distribution import parent_race, publisher, tree, uplink
+from oriolelock.distribution import parent_finder, parent_race, publisher, tree, uplink
 
 # From the acknowledgement until all entries in touch use the change.
 IN_USE_S = 2.5
@@ -16,7 +16,7 @@
 
 def search_s():
     """Return the longest time until the first parent that is well has confirmed."""
-    races_s = (UNFIT + 1 - uplink.NEXT_RACE_FIRST) * uplink.NEXT_RACE_INTERVAL_S
+    races_s = (UNFIT + 1 - parent_finder.NEXT_RACE_FIRST) * parent_finder.NEXT_RACE_INTERVAL_S
     subscription_s = SUBSCRIPTION_ROUND_TRIPS * ROUND_TRIP_S
     return races_s + parent_race.POLL_INTERVAL_S / 2 + subscription_s + uplink.SEARCH_POLL_S
 
@@ -27,7 +27,7 @@
 
 
 def test_a_change_is_used_in_time_when_connections_end_again_and_again():
-    assert uplink.BACKOFF_MAX_S + search_s() <= IN_USE_S
+    assert parent_finder.BACKOFF_MAX_S + search_s() <= IN_USE_S
 
 
 def test_all_that_may_be_unfit_are_asked_beside_the_first_that_is_well():
--- a/tests/fake_parent.py
+++ b/tests/fake_parent.py
@@ -56,6 +56,8 @@
         self.packed = []
         self.calls = []
         self.links = []
+        # Links over which a child has subscribed, in this order.
+        self.subscribed = []
         self.pings = {}
         self.on_ping = lambda msg: None
         self.changed = threading.Condition()
@@ -76,7 +78,7 @@
                 msg = link.recv(0.1)
                 if msg is not None:
                     self.receive(link, msg)
-                elif self.cfg is not None and self.confirms:
+                elif link in self.subscribed and self.cfg is not None and self.confirms:
                     self.confirm(link)
         except errors.WireError:
             return
@@ -102,6 +104,8 @@
         with self.changed:
             kept[type(msg)].append(msg)
             self.changed.notify_all()
+        if isinstance(msg, messages.Subscribe):
+            self.subscribed.append(link)
         if isinstance(msg, messages.Subscribe) and self.cfg is not None:
             link.send(messages.Snapshot(self.cfg, self.confirms))
         if isinstance(msg, messages.UplinkCall):
@@ -110,7 +114,7 @@
                 link.send(messages.UplinkReply(msg.call_id, reply))
 
     def send(self, msg):
-        self.links[-1].send(msg)
+        self.subscribed[-1].send(msg)
 
     def wait_for(self, condition, timeout_s=15):
         with self.changed:
