--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -18,6 +18,7 @@
     parent_finder,
     parent_search,
     pending_calls,
+    pings,
     recent_changes,
     report_packing,
     stored_copy,
@@ -29,11 +30,6 @@
 __all__ = ["Uplink"]
 
 REPORT_INTERVAL_S = 1.0
-PING_INTERVAL_S = 1.0
-# An answered ping shows the time on the way for later messages as well, but a slow one makes them
-# look older than they are.
-QUIET_PING_INTERVAL_S = 4.0
-SLOW_WAY_S = 0.25
 # Descendants' reports wait at most this long at each hop. When they waited for the entry's next
 # own report, they were 3.2 s old after three hops, over control's limit for live entries.
 FORWARD_INTERVAL_S = 0.25
@@ -102,8 +98,6 @@
         self._loaded_stored_copy = False
         self._is_resyncing = False
         self._confirmed_s: float | None = None
-        # Upper limit on how long the latest aged delta and the ping that it returns took.
-        self._way_s = 0.0
         # Called in the uplink's thread with the time of each new confirmation, as ``_confirmed_s``.
         self.on_confirmed: collections.abc.Callable[[float], None] = lambda confirmed_s: None
         self._parentless_s = clock.monotonic_s()
@@ -341,7 +335,8 @@
             self._handle(msg, connected.subscribed_s)
         self._finder.spare.delay(clock.monotonic_s())
         rebalance_s = clock.monotonic_s() + self._rng.uniform(1.0, 2.0) * REBALANCE_INTERVAL_S
-        report_due_s = forward_due_s = pinged_s = 0.0
+        report_due_s = forward_due_s = 0.0
+        pinged = pings.Pings(connected.subscribed_s)
         query = leader_query.LeaderQuery(self._pending_calls, self._enqueue)
         while not self._stopping.is_set():
             now = clock.monotonic_s()
@@ -350,8 +345,7 @@
                 self._queue_reports(is_report_due)
                 forward_due_s = now + FORWARD_INTERVAL_S
                 report_due_s = now + REPORT_INTERVAL_S if is_report_due else report_due_s
-            if link.knows_ages and now >= pinged_s + self._ping_interval_s():
-                pinged_s = now
+            if link.knows_ages and pinged.take_due(now):
                 self._enqueue(messages.Ping(now))
             if not link.knows_ages:
                 self._confirm_by_leader(query, now)
@@ -372,7 +366,7 @@
             poll_s = SEARCH_POLL_S if self._search or self._move else RECV_TIMEOUT_S
             msg = link.recv(max(0.0, min(poll_s, due_s - now)))
             if msg is not None:
-                confirmed_s = self._confirmation_time(msg, clock.monotonic_s())
+                confirmed_s = _confirmation_time(msg, pinged, clock.monotonic_s())
                 is_aged = isinstance(msg, messages.AgedDelta)
                 self._handle(msg.content if is_aged else msg, confirmed_s)
         return None
@@ -382,20 +376,6 @@
         if confirmed_s is not None:
             self._install(self._holder.cfg, None, confirmed_s)
 
-    def _confirmation_time(self, msg, now):
-        """Return the time at which the read began that ``msg`` confirms, None if it isn't known.
-
-        It may have been on its way for any time since the ping that it returns.
-        """
-        if not isinstance(msg, messages.AgedDelta):
-            return None
-        made_s = min(now, msg.echo_s + msg.held_s)
-        self._way_s = now - made_s
-        return made_s - msg.control_age_s
-
-    def _ping_interval_s(self):
-        return PING_INTERVAL_S if self._way_s >= SLOW_WAY_S else QUIET_PING_INTERVAL_S
-
     def _search_if_suspect(self, now, subscribed_s):
         """Begin or end a search as is necessary; return when the parent becomes suspect."""
         # None while only a stored copy is in use that the parent's first messages don't follow.
@@ -498,6 +478,13 @@
             self._subscribe()
 
 
+def _confirmation_time(msg, pinged, now):
+    """Return the time at which the read began that ``msg`` confirms, None if it isn't known."""
+    if not isinstance(msg, messages.AgedDelta):
+        return None
+    return pinged.made_s(msg.echo_s, msg.held_s, now) - msg.control_age_s
+
+
 def _send_queued(link, outbox):
     """Send queued messages until the queue is closed or the connection ends."""
     while (data := outbox.get()) is not None:
--- a/tests/distribution/test_full_links.py
+++ b/tests/distribution/test_full_links.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from oriolelock import clock
+from oriolelock.distribution import uplink
 from tests import waiting
 from tests.distribution import tree_rig
 
@@ -66,3 +68,21 @@
         assert sum(link.accepted for link in links) - connected < 2 * CHILDREN
     finally:
         tree.close()
+
+
+def test_a_parent_is_kept_while_the_link_to_it_is_full_in_the_other_direction():
+    """A ping that waited makes all that comes later look as old as it is."""
+    tree = tree_rig.Tree(["r0", "r1"], {"e0": ["r0", "r1"]})
+    try:
+        time.sleep(SETTLE_S)
+        for parent in ("r0", "r1"):
+            tree.link("e0", parent).up_delay_s = 2 * FULL_S
+        end_s, ages = time.monotonic() + 10.0, []
+        while time.monotonic() < end_s:
+            ages.append(tree.entries["e0"].uplink.control_age_s(clock.monotonic_s()))
+            assert tree.entries["e0"].uplink._search is None
+            time.sleep(0.02)
+        assert max(ages) < uplink.SUSPECT_AFTER_S
+        assert tree.parent_of("e0") == "r0"
+    finally:
+        tree.close()
