Draw full links in the random test of the distribution; sum the bounds over the spare connection

The random test also fills all links of an instance, which stays in touch, and notes when faults end, in place of when they were planned to end. Searches over the spare connection are in the sum of bounds.

--- a/tests/distribution/random_faults.py
+++ b/tests/distribution/random_faults.py
@@ -34,7 +34,10 @@
     "entry-killed",
     "link-reset",
     "link-one-way",
+    "links-full",
 )
+# Packets that wait for longer make an instance slow: it isn't in touch.
+MAX_FULL_S = 0.25
 
 
 @dataclasses.dataclass(frozen=True)
@@ -63,13 +66,18 @@
 
 
 class Faults:
-    """Begins and ends faults. ``troubles`` holds when an entry was not in touch."""
+    """Begins and ends faults. ``troubles`` holds when an entry was not in touch.
+
+    They are added with their real ends, which may be late.
+    """
 
     def __init__(self, tree, rng):
         self._tree = tree
         self._rng = rng
         self._faulty = set()
         self._ends = []
+        # Entry and begin of troubles by subject.
+        self._troubled = {}
         self.troubles = []
         self.log = []
 
@@ -85,8 +93,8 @@
         self._ends.append((end_s, subject, undo))
         entry = subject[0] if isinstance(subject, tuple) else subject
         reaches_control = isinstance(subject, tuple) and subject[1] not in REPLICAS
-        if entry not in REPLICAS and not reaches_control:
-            self.troubles.append((entry, now, end_s))
+        if entry not in REPLICAS and not reaches_control and kind != "links-full":
+            self._troubled[subject] = entry, now
 
     def end(self, now):
         for item in [item for item in self._ends if item[0] <= now]:
@@ -94,12 +102,22 @@
             self._faulty.discard(subject)
             self._ends.remove(item)
             undo()
+            if subject in self._troubled:
+                entry, begin_s = self._troubled.pop(subject)
+                self.troubles.append((entry, begin_s, time.monotonic()))
+
+    def end_all(self):
+        """Count what has not ended as trouble until now."""
+        now = time.monotonic()
+        self.troubles += [(entry, begin_s, now) for entry, begin_s in self._troubled.values()]
 
     def _subject(self, kind):
         tree, faulty = self._tree, self._faulty
         entries = [name for name in tree.entries if name not in faulty]
         if kind.startswith("replica"):
             return None if faulty & set(REPLICAS) else self._rng.choice(REPLICAS)
+        if kind == "links-full":
+            return self._rng.choice(entries) if entries else None
         if kind.startswith("entry"):
             is_full = len(faulty & set(tree.entries)) >= MAX_FAULTY_ENTRIES
             parents = [name for name in map(tree.parent_of, tree.entries) if name in entries]
@@ -127,8 +145,8 @@
             link.hold()
         return lambda: [link.release() for link in links]
 
-    def _slow(self, links):
-        delay_s = self._rng.uniform(0.3, 3.0)
+    def _slow(self, links, min_s=0.3, max_s=3.0):
+        delay_s = self._rng.uniform(min_s, max_s)
         for link in links:
             link.delay_s = delay_s
 
@@ -187,6 +205,9 @@
     def _link_slow(self, pair):
         return self._slow([self._tree.link(*pair)])
 
+    def _links_full(self, name):
+        return self._slow(list(self._tree.links_of(name)), 0.05, MAX_FULL_S)
+
     def _link_dead(self, pair):
         self._tree.link(*pair).hold_open_connections()
         return lambda: None
@@ -215,6 +236,7 @@
         while time.monotonic() < changes[-1][1] + IN_USE_S:
             faults.end(time.monotonic())
             time.sleep(0.01)
+        faults.end_all()
         return _judge(tree, faults, changes)
     finally:
         tree.close()
--- a/tests/distribution/test_sum_of_bounds.py
+++ b/tests/distribution/test_sum_of_bounds.py
@@ -2,13 +2,23 @@
 
 import pytest
 
-from oriolelock.distribution import parent_finder, parent_race, pings, publisher, tree, uplink
+from oriolelock.distribution import (
+    parent_finder,
+    parent_race,
+    pings,
+    publisher,
+    spare_connection,
+    tree,
+    uplink,
+)
 
 # From the acknowledgement until all entries in touch use the change.
 IN_USE_S = 2.5
 ROUND_TRIP_S = 0.07
 # Connection, upgrade, greeting, and a subscription with the leader's read behind it.
 SUBSCRIPTION_ROUND_TRIPS = 7
+# Over a link on which packets wait half a second; those that wait longer make an instance slow.
+FULL_ROUND_TRIP_S = 0.5
 # Entries and replicas are asked by turns, and two replicas may be lost: the third one is the sixth.
 UNFIT = 5
 TARGET_ENTRIES_OF_A_DOMAIN = 95
@@ -26,6 +36,18 @@
     assert limit_s + search_s() <= IN_USE_S
 
 
+@pytest.mark.parametrize("limit_s", [uplink.SUSPECT_AFTER_S, uplink.SUSPECT_RELAY_AFTER_S])
+def test_a_change_is_used_in_time_over_a_full_link_when_the_spare_connection_is_well(limit_s):
+    """The subscription and the leader's read behind it, and the way of the last word before."""
+    asked_s = FULL_ROUND_TRIP_S + 2 * ROUND_TRIP_S
+    late_s = FULL_ROUND_TRIP_S / 2
+    assert late_s + limit_s + uplink.SEARCH_POLL_S + asked_s <= IN_USE_S
+
+
+def test_a_spare_connection_that_ends_is_replaced_before_it_is_missed():
+    assert spare_connection.MAX_DELAY_S + SUBSCRIPTION_ROUND_TRIPS * ROUND_TRIP_S < IN_USE_S
+
+
 def test_a_change_is_used_in_time_when_connections_end_again_and_again():
     assert parent_finder.BACKOFF_MAX_S + search_s() <= IN_USE_S
 
