--- a/oriolelock/distribution/parent_finder.py
+++ b/oriolelock/distribution/parent_finder.py
@@ -45,7 +45,7 @@
 
 class ParentFinder:
     """``parents(cfg)`` returns the addresses to try, best first; ``held()`` the configuration that
-    the entry holds.
+    the entry holds. ``on_message`` is called with what arrives over the spare connection.
 
     ``maintain_spare``, ``avoid`` and the orders belong to the uplink's thread, or to that of the
     one search that is in progress.
@@ -57,6 +57,7 @@
         parents: Parents,
         held: collections.abc.Callable[[], configuration.Configuration],
         rng: random.Random,
+        on_message: collections.abc.Callable[[object], None] = lambda msg: None,
     ):
         self._hello = greeting
         self._parents = parents
@@ -66,7 +67,7 @@
         self._replicas: tuple[collections.abc.Mapping, dict[Address, member.Member]] = ({}, {})
         # The monotonic time until which other addresses are preferred to one that failed.
         self._avoid_until_s: dict[Address, float] = {}
-        self.spare = spare_connection.SpareConnection(self._connect_spare, rng)
+        self.spare = spare_connection.SpareConnection(self._connect_spare, rng, on_message)
 
     def order(self, now: float) -> list[Address]:
         """Return the parents that have not failed recently, then the others, earliest first."""
--- a/oriolelock/distribution/spare_connection.py
+++ b/oriolelock/distribution/spare_connection.py
@@ -44,13 +44,18 @@
     """Keeps one connection and replaces it when it ends.
 
     ``connect(address)`` returns a channel or raises WireError; it is called in a thread of its own.
-    ``take`` and ``close`` may be called from any thread.
+    ``on_message`` is called with what arrives, but for heartbeats. ``take`` and ``close`` may be
+    called from any thread.
     """
 
     def __init__(
-        self, connect: collections.abc.Callable[[Address], channel.Channel], rng: random.Random
+        self,
+        connect: collections.abc.Callable[[Address], channel.Channel],
+        rng: random.Random,
+        on_message: collections.abc.Callable[[object], None] = lambda msg: None,
     ):
         self._connect = connect
+        self._on_message = on_message
         self._rng = rng
         self._lock = threading.Lock()
         self._spare: Spare | None = None
@@ -111,8 +116,9 @@
             log.warning("spare connection to {}:{} is silent", *spare.address)
             return False
         try:
-            # Nothing but heartbeats arrives before a subscription.
-            spare.link.recv(0.0)
+            msg = spare.link.recv(0.0)
+            if msg is not None:
+                self._on_message(msg)
         except wire_errors.WireError as exc:
             log.info("spare connection to {}:{} ended: {}", *spare.address, exc)
             return False
@@ -142,6 +148,17 @@
         delay_s = min(RETRY_MAX_S, RETRY_MIN_S * 2 ** min(self._failures, 10))
         return self._rng.uniform(delay_s / 2, delay_s)
 
+    def send(self, msg: object) -> bool:
+        """Send a message; returns False if there is no connection that works."""
+        spare = self._spare
+        if spare is None:
+            return False
+        try:
+            spare.link.send(msg)
+        except wire_errors.WireError:
+            return False
+        return True
+
     def take(self, now: float) -> Spare | None:
         """Return the connection, which now belongs to the caller, or None if there is none."""
         self.delay(now)
--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -38,6 +38,11 @@
 SUSPECT_AFTER_S = 0.9
 # Below another entry, which has so much time to find a parent of its own.
 SUSPECT_RELAY_AFTER_S = 1.1
+# Age from which on the leader is asked over the spare connection whether anything has changed, so
+# that a parent that is only slow need not be replaced.
+ASK_AFTER_S = 0.7
+# Added to the limits above for the parent's own word, while the leader has answered.
+SLOW_PARENT_GRACE_S = 0.3
 RECV_TIMEOUT_S = 0.2
 # While another parent is searched.
 SEARCH_POLL_S = 0.03
@@ -93,11 +98,13 @@
         self._holder = held_configuration.HeldConfiguration()
         self.recent = recent_changes.RecentChanges()
         self._finder = parent_finder.ParentFinder(
-            greeting, parents, lambda: self._holder.cfg, self._rng
+            greeting, parents, lambda: self._holder.cfg, self._rng, self._take_spare_message
         )
         self._loaded_stored_copy = False
         self._is_resyncing = False
         self._confirmed_s: float | None = None
+        # The same, of the latest confirmation over the connection in use.
+        self._parent_word_s = 0.0
         # Called in the uplink's thread with the time of each new confirmation, as ``_confirmed_s``.
         self.on_confirmed: collections.abc.Callable[[float], None] = lambda confirmed_s: None
         self._parentless_s = clock.monotonic_s()
@@ -337,7 +344,9 @@
         rebalance_s = clock.monotonic_s() + self._rng.uniform(1.0, 2.0) * REBALANCE_INTERVAL_S
         report_due_s = forward_due_s = 0.0
         pinged = pings.Pings(connected.subscribed_s)
+        self._parent_word_s = connected.subscribed_s
         query = leader_query.LeaderQuery(self._pending_calls, self._enqueue)
+        spare_query = leader_query.LeaderQuery(self._pending_calls, self._finder.spare.send)
         while not self._stopping.is_set():
             now = clock.monotonic_s()
             if now >= min(report_due_s, forward_due_s):
@@ -348,7 +357,9 @@
             if link.knows_ages and pinged.take_due(now):
                 self._enqueue(messages.Ping(now))
             if not link.knows_ages:
-                self._confirm_by_leader(query, now)
+                self._hear(self._confirm_by_leader(query, now))
+            if self._search is None and (self.control_age_s(now) or 0.0) >= ASK_AFTER_S:
+                self._confirm_by_leader(spare_query, now)
             if now >= rebalance_s:
                 rebalance_s = now + REBALANCE_INTERVAL_S
                 self._search_better(now)
@@ -363,18 +374,37 @@
             if self._search is None:
                 self._finder.maintain_spare(self._parent, now)
             due_s = min(report_due_s, forward_due_s, suspect_s if not is_suspect else now + 1.0)
-            poll_s = SEARCH_POLL_S if self._search or self._move else RECV_TIMEOUT_S
-            msg = link.recv(max(0.0, min(poll_s, due_s - now)))
+            msg = link.recv(max(0.0, min(self._poll_s(now), due_s - now)))
             if msg is not None:
                 confirmed_s = _confirmation_time(msg, pinged, clock.monotonic_s())
-                is_aged = isinstance(msg, messages.AgedDelta)
-                self._handle(msg.content if is_aged else msg, confirmed_s)
+                if isinstance(msg, messages.AgedDelta):
+                    msg = msg.content
+                    self._hear(confirmed_s if msg.confirmed else None)
+                self._handle(msg, confirmed_s)
         return None
 
+    def _poll_s(self, now):
+        """Return how long to wait for the parent before the other connections are looked at."""
+        until_asked_s = ASK_AFTER_S - (self.control_age_s(now) or 0.0)
+        if self._search or self._move or until_asked_s <= 0.0:
+            return SEARCH_POLL_S
+        return min(RECV_TIMEOUT_S, until_asked_s)
+
     def _confirm_by_leader(self, query, now):
+        """Return the time since which the leader's answers confirm the configuration, or None."""
         confirmed_s = query.poll(self._holder.cfg.index, now)
         if confirmed_s is not None:
             self._install(self._holder.cfg, None, confirmed_s)
+        return confirmed_s
+
+    def _hear(self, confirmed_s):
+        """Note a confirmation of the parent."""
+        if confirmed_s is not None:
+            self._parent_word_s = max(confirmed_s, self._parent_word_s)
+
+    def _take_spare_message(self, msg):
+        if isinstance(msg, messages.UplinkReply):
+            self._pending_calls.resolve(msg)
 
     def _search_if_suspect(self, now, subscribed_s):
         """Begin or end a search as is necessary; return when the parent becomes suspect."""
@@ -382,7 +412,8 @@
         confirmed_s = subscribed_s if self._confirmed_s is None else self._confirmed_s
         is_replica = self._finder.is_replica(self._parent)
         limit_s = SUSPECT_AFTER_S if is_replica else SUSPECT_RELAY_AFTER_S
-        suspect_s = confirmed_s + limit_s
+        silent_s = self._parent_word_s + SLOW_PARENT_GRACE_S
+        suspect_s = min(confirmed_s, silent_s) + limit_s
         if now < suspect_s:
             if self._search is not None:
                 self._search.cancel()
@@ -393,6 +424,7 @@
                 "parent-suspect",
                 parent=f"{self._parent[0]}:{self._parent[1]}",
                 control_age_s=now - confirmed_s,
+                parent_age_s=now - self._parent_word_s,
             )
             self._search = self._start_search()
         return suspect_s
--- a/tests/distribution/test_spare_connection.py
+++ b/tests/distribution/test_spare_connection.py
@@ -167,3 +167,53 @@
     now = clock.monotonic_s()
     assert tree.parent_of("e0") == "r2"
     assert tree.entries["e0"].uplink.control_age_s(now) < now - cut_s
+
+
+@pytest.mark.parametrize("delay_s", [0.4, 0.5])
+def test_a_parent_that_is_only_slow_is_kept(tree, delay_s):
+    """Guards against spare connections that are used up before a parent is lost."""
+    waiting.until(lambda: spare_of(tree) == "r1")
+    accepted = [tree.link("e0", parent).accepted for parent in ("r0", "r1", "r2")]
+    tree.link("e0", "r0").delay_s = delay_s
+    end_s, ages = time.monotonic() + 8.0, []
+    entry = tree.entries["e0"].uplink
+    while time.monotonic() < end_s:
+        assert entry._search is None
+        ages.append(entry.control_age_s(clock.monotonic_s()))
+        time.sleep(0.01)
+    assert (tree.parent_of("e0"), spare_of(tree)) == ("r0", "r1")
+    assert [tree.link("e0", parent).accepted for parent in ("r0", "r1", "r2")] == accepted
+    assert max(ages) < uplink.SUSPECT_AFTER_S
+
+
+@pytest.mark.parametrize("pause_s", [0.1, 0.5, 0.9, 1.2])
+def test_a_change_follows_the_loss_of_a_parent(tree, pause_s):
+    """The leader's answers must not hide for long that nothing comes from the parent."""
+    waiting.until(lambda: spare_of(tree) == "r1")
+    time.sleep(1.0)
+    tree.link("e0", "r0").hold()
+    time.sleep(pause_s)
+    index, acked_s = tree.commit()
+    entry = tree.entries["e0"]
+    waiting.until(lambda: entry.used_after(index, acked_s) is not None, 5.0)
+    assert entry.used_after(index, acked_s) < 2.5 * 4 / 5
+
+
+def test_a_parent_that_is_lost_is_replaced_although_nothing_changes(tree):
+    """Reports of the entry get nowhere before, and control counts it as gone after 3 s."""
+    waiting.until(lambda: spare_of(tree) == "r1")
+    tree.link("e0", "r0").hold()
+    lost_s = time.monotonic()
+    waiting.until(lambda: tree.parent_of("e0") == "r1", 3.0)
+    assert time.monotonic() - lost_s < 1.75
+
+
+def test_answers_of_a_leader_that_is_cut_off_confirm_nothing(tree):
+    waiting.until(lambda: spare_of(tree) == "r1")
+    tree.link("e0", "r0").hold()
+    for replica in tree.replicas.values():
+        replica.is_cut = True
+    cut_s = clock.monotonic_s()
+    time.sleep(2.0)
+    now = clock.monotonic_s()
+    assert tree.entries["e0"].uplink.control_age_s(now) >= now - cut_s
