--- a/oriolelock/distribution/parent_race.py
+++ b/oriolelock/distribution/parent_race.py
@@ -101,7 +101,11 @@
 
         ``spare``: an open connection, over which its peer is asked first, and alone.
         """
-        untried = collections.deque(a for a in addresses if spare is None or a != spare.address)
+        untried = collections.deque(addresses)
+        if spare is not None and spare.address in untried:
+            # Last: its connection may be dead while new ones work.
+            untried.remove(spare.address)
+            untried.append(spare.address)
         running = started = 0
         # Addresses that failed at once, with the times from which on they may be asked again.
         failed: collections.deque[tuple[float, Address]] = collections.deque()
--- a/oriolelock/distribution/spare_connection.py
+++ b/oriolelock/distribution/spare_connection.py
@@ -22,11 +22,13 @@
 # After a new parent was found, so that instances that start together first find their parents.
 MIN_DELAY_S = 0.3
 MAX_DELAY_S = 1.0
-# After failed attempts; doubles with each of them.
+# After failed attempts, and connections that ended; doubles with each of them.
 RETRY_MIN_S = 1.0
 RETRY_MAX_S = 8.0
-# A peer sends a heartbeat each second, or two seconds after the last one if it was busy.
-SILENT_AFTER_S = 2.5
+# A connection that lasts so long doesn't count as a failed attempt.
+STABLE_S = 10.0
+# A peer that has just sent something sends the next heartbeat after up to two intervals.
+SILENT_AFTER_S = 2.5 * channel.HEARTBEAT_INTERVAL_S
 
 Address = tuple[str, int]
 log = logs.get_logger("uplink")
@@ -34,10 +36,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Spare:
-    """A connection that both ends have greeted each other over."""
+    """A connection that both ends have greeted each other over, open since ``opened_s``."""
 
     address: Address
     link: channel.Channel
+    opened_s: float
 
 
 class SpareConnection:
@@ -72,7 +75,7 @@
         spare = self._spare
         return spare.address if spare else None
 
-    def delay(self, now: float) -> None:
+    def postpone(self, now: float) -> None:
         """Wait for a moment before the next attempt, as the parent has changed."""
         self._due_s = now + self._rng.uniform(MIN_DELAY_S, MAX_DELAY_S)
 
@@ -105,16 +108,20 @@
     def _keep_alive(self, parent, now):
         with self._lock:
             spare = self._spare
-            if spare is None or (spare.address != parent and self._is_alive(spare, now)):
+            if spare is None:
+                return
+            is_alive = self._is_alive(spare, now)
+            if is_alive and spare.address != parent:
                 return
             self._spare = None
-        self.delay(now)
+            if is_alive:
+                self.postpone(now)
+            else:
+                self._failures = 0 if now - spare.opened_s >= STABLE_S else self._failures
+                self._record_failure(spare.address, now)
         channel.close_soon(spare.link)
 
     def _is_alive(self, spare, now):
-        if now - spare.link.last_received_s > SILENT_AFTER_S:
-            log.warning("spare connection to {}:{} is silent", *spare.address)
-            return False
         try:
             msg = spare.link.recv(0.0)
             if msg is not None:
@@ -122,6 +129,9 @@
         except wire_errors.WireError as exc:
             log.info("spare connection to {}:{} ended: {}", *spare.address, exc)
             return False
+        if now - spare.link.last_received_s > SILENT_AFTER_S:
+            log.warning("spare connection to {}:{} is silent", *spare.address)
+            return False
         return True
 
     def _open(self, address):
@@ -130,23 +140,25 @@
             link = self._connect(address)
         except wire_errors.WireError as exc:
             log.warning("no spare connection: {}", exc)
+        except Exception:
+            # Further attempts must not depend on this one.
+            log.exception("no spare connection to {}:{}", *address)
         now = clock.monotonic_s()
         with self._lock:
             self._is_connecting = False
             if link is None:
-                self._failed.append(address)
-                self._due_s = now + self._retry_delay_s()
-                self._failures += 1
+                self._record_failure(address, now)
             elif not self._is_closed:
-                self._failures = 0
-                self._spare = Spare(address, link)
+                self._spare = Spare(address, link, now)
                 return
         if link is not None:
             link.close()
 
-    def _retry_delay_s(self):
+    def _record_failure(self, address, now):
+        self._failed.append(address)
         delay_s = min(RETRY_MAX_S, RETRY_MIN_S * 2 ** min(self._failures, 10))
-        return self._rng.uniform(delay_s / 2, delay_s)
+        self._due_s = now + self._rng.uniform(delay_s / 2, delay_s)
+        self._failures += 1
 
     def send(self, msg: object) -> bool:
         """Send a message; returns False if there is no connection that works."""
@@ -161,7 +173,7 @@
 
     def take(self, now: float) -> Spare | None:
         """Return the connection, which now belongs to the caller, or None if there is none."""
-        self.delay(now)
+        self.postpone(now)
         with self._lock:
             spare, self._spare = self._spare, None
         return spare
--- a/tests/distribution/test_spare_connection.py
+++ b/tests/distribution/test_spare_connection.py
@@ -77,8 +77,24 @@
     for parent in ("r0", "r2"):
         tree.link("e0", parent).hold()
     index, acked_s = tree.commit()
-    waiting.until(lambda: tree.entries["e0"].used_after(index, acked_s) is not None, 8.0)
+    entry = tree.entries["e0"]
+    waiting.until(lambda: entry.used_after(index, acked_s) is not None, 8.0)
     assert tree.parent_of("e0") == "r1"
+    assert entry.used_after(index, acked_s) < 2.5 * 4 / 5
+
+
+class ClosedLink:
+    """A channel that its peer has closed."""
+
+    def __init__(self):
+        self.last_received_s = clock.monotonic_s()
+        self.is_closed = False
+
+    def recv(self, timeout_s):
+        raise errors.ChannelClosed("received 1000 (OK)")
+
+    def close(self):
+        self.is_closed = True
 
 
 class Connector:
@@ -104,6 +120,41 @@
     assert set(told) == {("q", 2)}
 
 
+def test_a_peer_that_closes_each_connection_is_asked_less_and_less(monkeypatch):
+    """As one that stops, or has no room: to connect to it works."""
+    attempts, told, links = [], [], []
+
+    def connect(address):
+        attempts.append(address)
+        links.append(ClosedLink())
+        return links[-1]
+
+    spare = spare_connection.SpareConnection(connect, random.Random(1))
+    for tick in range(300):
+        now = tick / 5
+        monkeypatch.setattr(clock, "monotonic_s", lambda now=now: now)
+        told += spare.maintain(("p", 1), lambda: ("q", 2), now)
+        waiting.until(lambda: not spare._is_connecting)
+    assert 8 <= len(attempts) <= 20
+    assert len(told) >= len(attempts) - 1
+    waiting.until(lambda: all(link.is_closed for link in links[:-1]))
+
+
+def test_a_failure_of_another_kind_does_not_end_the_attempts():
+    attempts = []
+
+    def connect(address):
+        attempts.append(address)
+        raise ValueError("unexpected")
+
+    spare = spare_connection.SpareConnection(connect, random.Random(1))
+    start_s = clock.monotonic_s()
+    for tick in range(100):
+        spare.maintain(("p", 1), lambda: ("q", 2), start_s + tick / 5)
+        waiting.until(lambda: not spare._is_connecting)
+    assert len(attempts) > 2
+
+
 def test_no_connection_is_opened_after_the_end():
     parent = fake_parent.FakeParent(fake_parent.make_config())
     slow = held_link.HeldLink(parent.address)
