--- a/oriolelock/distribution/pings.py
+++ b/oriolelock/distribution/pings.py
@@ -9,9 +9,12 @@
 
 # Until the next ping after a slow one, or one that was not returned yet.
 INTERVAL_S = 1.0
+USUAL_INTERVAL_S = 4.0
 # After a fast one. The clocks of two machines drift apart by a few milliseconds meanwhile.
 QUIET_INTERVAL_S = 30.0
 SLOW_S = 0.25
+# What a ping takes too long adds to ages at each hop.
+FAST_S = 0.1
 
 
 class Pings:
@@ -27,14 +30,13 @@
     def __init__(self, sent_s: float):
         self._sent_s = sent_s
         self._returned_s: float | None = None
-        self._is_fast = False
+        self._interval_s = INTERVAL_S
 
     def take_due(self, now: float) -> bool:
         """Return whether a ping is due, and count it as sent now."""
-        interval_s = QUIET_INTERVAL_S if self._is_fast else INTERVAL_S
-        if now < self._sent_s + interval_s:
+        if now < self._sent_s + self._interval_s:
             return False
-        self._sent_s, self._is_fast = now, False
+        self._sent_s, self._interval_s = now, INTERVAL_S
         return True
 
     def made_s(self, echo_s: float, held_s: float, now: float) -> float:
@@ -45,5 +47,11 @@
         made_s = min(now, echo_s + held_s)
         if echo_s != self._returned_s:
             self._returned_s = echo_s
-            self._is_fast = now - made_s < SLOW_S
+            self._interval_s = _interval_s(now - made_s)
         return made_s
+
+
+def _interval_s(took_s):
+    if took_s < FAST_S:
+        return QUIET_INTERVAL_S
+    return USUAL_INTERVAL_S if took_s < SLOW_S else INTERVAL_S
--- a/tests/distribution/test_pings.py
+++ b/tests/distribution/test_pings.py
@@ -23,6 +23,17 @@
     assert pinged.take_due(3.0 + pings.QUIET_INTERVAL_S)
 
 
+def test_a_ping_that_was_neither_slow_nor_fast_is_kept_for_a_shorter_time():
+    """Several such hops would make the leader's word look older than a parent may tell."""
+    pinged = pings.Pings(0.0)
+    pinged.made_s(0.0, 0.5, 0.5 + 1.5 * pings.FAST_S)
+    assert not pinged.take_due(0.9 * pings.USUAL_INTERVAL_S)
+    assert pinged.take_due(pings.USUAL_INTERVAL_S)
+    now = pings.USUAL_INTERVAL_S
+    pinged.made_s(now, 0.5, now + 0.5 + 0.5 * pings.FAST_S)
+    assert not pinged.take_due(now + 0.9 * pings.QUIET_INTERVAL_S)
+
+
 def test_an_unanswered_ping_is_repeated():
     pinged = pings.Pings(0.0)
     assert [pinged.take_due(float(second)) for second in range(5)] == [False] + [True] * 4
--- a/tests/distribution/test_sum_of_bounds.py
+++ b/tests/distribution/test_sum_of_bounds.py
@@ -60,9 +60,12 @@
 
 
 def test_a_parent_that_is_well_is_not_suspected():
-    """The oldest word of the leader: an interval, its read, and each hop, with one slow ping."""
+    """The oldest word of the leader: an interval, its read, and each hop, with the pings that are
+    kept for long at all of them and one that is kept for less."""
     word_s = publisher.CONFIRM_INTERVAL_S + 2 * ROUND_TRIP_S
     below_replica_s = word_s + ROUND_TRIP_S / 2
     hops = tree.depth(TARGET_ENTRIES_OF_A_DOMAIN)
-    assert below_replica_s < uplink.SUSPECT_AFTER_S
-    assert below_replica_s + hops * ROUND_TRIP_S / 2 + pings.SLOW_S < uplink.SUSPECT_RELAY_AFTER_S
+    assert below_replica_s + pings.SLOW_S < uplink.SUSPECT_AFTER_S
+    kept_s = hops * pings.FAST_S
+    below_entries_s = below_replica_s + hops * ROUND_TRIP_S / 2 + kept_s + pings.SLOW_S
+    assert below_entries_s < uplink.SUSPECT_RELAY_AFTER_S
