--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -41,8 +41,9 @@
 # Age from which on the leader is asked over the spare connection whether anything has changed, so
 # that a parent that is only slow need not be replaced.
 ASK_AFTER_S = 0.7
-# Added to the limits above for the parent's own word, while the leader has answered.
-SLOW_PARENT_GRACE_S = 0.3
+# Added to the limits above for the parent's own word, while the leader has answered: reports wait
+# for as long at a parent that is lost.
+SLOW_PARENT_GRACE_S = 0.15
 RECV_TIMEOUT_S = 0.2
 # While another parent is searched.
 SEARCH_POLL_S = 0.03
--- a/tests/distribution/test_spare_connection.py
+++ b/tests/distribution/test_spare_connection.py
@@ -259,7 +259,8 @@
     tree.link("e0", "r0").hold()
     lost_s = time.monotonic()
     waiting.until(lambda: tree.parent_of("e0") == "r1", 3.0)
-    assert time.monotonic() - lost_s < 1.75
+    # Less the interval of reports, and that of what replicas tell the leader.
+    assert time.monotonic() - lost_s < 3.0 - 1.0 - 0.5
 
 
 def test_answers_of_a_leader_that_is_cut_off_confirm_nothing(tree):
--- a/tests/distribution/test_sum_of_bounds.py
+++ b/tests/distribution/test_sum_of_bounds.py
@@ -2,11 +2,13 @@
 
 import pytest
 
+from oriolelock.control import instance_monitor
 from oriolelock.distribution import (
     parent_finder,
     parent_race,
     pings,
     publisher,
+    reports,
     spare_connection,
     tree,
     uplink,
@@ -47,6 +49,14 @@
     assert late_s + limit_s + uplink.SEARCH_POLL_S + asked_s <= IN_USE_S
 
 
+def test_an_entry_whose_parent_is_lost_reports_again_before_it_counts_as_gone():
+    """Its last report came just before the loss; the leader answers over the spare connection."""
+    found_s = uplink.SUSPECT_RELAY_AFTER_S + uplink.SLOW_PARENT_GRACE_S + uplink.SEARCH_POLL_S
+    asked_s = 3 * ROUND_TRIP_S
+    late_s = uplink.REPORT_INTERVAL_S + found_s + asked_s + instance_monitor.RELAY_INTERVAL_S
+    assert late_s <= reports.SEEN_LIMIT_S
+
+
 def test_a_spare_connection_that_ends_is_replaced_before_it_is_missed():
     assert spare_connection.MAX_DELAY_S + SUBSCRIPTION_ROUND_TRIPS * ROUND_TRIP_S < IN_USE_S
 
