--- a/oriolelock/control/call_router.py
+++ b/oriolelock/control/call_router.py
@@ -13,14 +13,14 @@
 import threading
 
 from oriolelock import clock, logs
-from oriolelock.control import commands, messages, unavailable
+from oriolelock.control import commands, messages, shared_reads, unavailable
 from oriolelock.once import messages as once_messages
 
 __all__ = ["RESENDABLE", "CallRouter"]
 
 # Two heartbeat intervals, so that a newly elected leader is found soon.
 RETRY_DELAY_S = 0.1
-CHECK_INTERVAL_S = 0.05
+CHECK_INTERVAL_S = shared_reads.INTERVAL_S
 # Payloads that are safe to send to a new leader even if the old one may have accepted them: reads,
 # and commands with an id by which the state machine drops duplicates. Other commands, such as
 # crash reports, would be counted twice.
@@ -68,6 +68,9 @@
         # The start time keeps ids distinct from those of an earlier process of this replica.
         self._id_prefix = f"{name}-{clock.wall_s():.6f}-"
         self._ids = itertools.count(1)
+        self._reads = shared_reads.SharedReads(
+            lambda group, timeout_s: self._start(group, messages.ConfirmRead(), timeout_s)
+        )
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="calls", daemon=True)
 
@@ -82,12 +85,19 @@
     def call(self, group: str, payload: object, timeout_s: float) -> concurrent.futures.Future:
         """Return a future of the result of ``payload``.
 
-        The result is ``Unavailable`` when there is none after ``timeout_s``.
+        The result is ``Unavailable`` when there is none after ``timeout_s``. Reads that come
+        together share one.
         """
-        fut = concurrent.futures.Future()
         if group not in self._hosts:
+            fut = concurrent.futures.Future()
             fut.set_result(unavailable.Unavailable(f"there is no group {group!r}"))
             return fut
+        if isinstance(payload, messages.ConfirmRead):
+            return self._reads.join(group, timeout_s, clock.monotonic_s())
+        return self._start(group, payload, timeout_s)
+
+    def _start(self, group, payload, timeout_s):
+        fut = concurrent.futures.Future()
         call_id = self._id_prefix + str(next(self._ids))
         call = _Call(call_id, group, payload, clock.monotonic_s() + timeout_s, fut)
         with self._lock:
@@ -148,6 +158,7 @@
     def _run(self):
         while not self._stopping.wait(CHECK_INTERVAL_S):
             now = clock.monotonic_s()
+            self._reads.flush(now)
             with self._lock:
                 pending = list(self._pending.values())
             for call in pending:
--- a/oriolelock/distribution/pings.py
+++ b/oriolelock/distribution/pings.py
@@ -14,7 +14,7 @@
 QUIET_INTERVAL_S = 30.0
 SLOW_S = 0.25
 # What a ping takes too long adds to ages at each hop.
-FAST_S = 0.1
+FAST_S = 0.075
 
 
 class Pings:
--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -43,7 +43,7 @@
 ASK_AFTER_S = 0.7
 # Added to the limits above for the parent's own word, while the leader has answered: reports wait
 # for as long at a parent that is lost.
-SLOW_PARENT_GRACE_S = 0.15
+SLOW_PARENT_GRACE_S = 0.1
 RECV_TIMEOUT_S = 0.2
 # While another parent is searched.
 SEARCH_POLL_S = 0.03
--- a/tests/control/test_call_router.py
+++ b/tests/control/test_call_router.py
@@ -109,6 +109,16 @@
     assert fut.result(TIMEOUT_S) == messages.Confirmed(5)
 
 
+def test_reads_of_many_entries_are_forwarded_as_few(harness):
+    harness.host.leader = "c2"
+    reads = [harness.router.call("config", messages.ConfirmRead(), TIMEOUT_S) for _ in range(200)]
+    harness.wait_sent(2)
+    for _, msg in harness.sent:
+        harness.router.handle_reply(messages.ForwardReply(msg.call_id, messages.Confirmed(5)))
+    assert [fut.result(TIMEOUT_S) for fut in reads] == [messages.Confirmed(5)] * 200
+    assert len(harness.sent) == 2
+
+
 def test_resent_change_without_a_result_is_not_reported_as_safe_to_retry(harness):
     change = commands.OperatorChange("1", None, "", changes.UsePreset("a"))
     harness.host.leader = "c2"
--- a/tests/distribution/test_pings.py
+++ b/tests/distribution/test_pings.py
@@ -16,7 +16,7 @@
     # Returned by a message that was on its way.
     assert pinged.made_s(1.0, 0.5, 2.1) == 1.5
     assert pinged.take_due(3.0)
-    assert pinged.made_s(3.0, 0.2, 3.3) == 3.2
+    assert pinged.made_s(3.0, 0.2, 3.25) == 3.2
     # A slow message says nothing of the ping.
     assert pinged.made_s(3.0, 1.2, 4.9) == 4.2
     assert not pinged.take_due(2.9 + pings.QUIET_INTERVAL_S)
--- a/tests/distribution/test_sum_of_bounds.py
+++ b/tests/distribution/test_sum_of_bounds.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from oriolelock.control import instance_monitor
+from oriolelock.control import instance_monitor, shared_reads
 from oriolelock.distribution import (
     parent_finder,
     parent_race,
@@ -32,7 +32,7 @@
     The one with the spare connection is asked first, alone, and may be unfit as well.
     """
     races_s = UNFIT * parent_finder.NEXT_RACE_INTERVAL_S
-    subscription_s = SUBSCRIPTION_ROUND_TRIPS * ROUND_TRIP_S
+    subscription_s = SUBSCRIPTION_ROUND_TRIPS * ROUND_TRIP_S + shared_reads.INTERVAL_S
     return races_s + parent_race.POLL_INTERVAL_S / 2 + subscription_s + uplink.SEARCH_POLL_S
 
 
@@ -44,7 +44,7 @@
 @pytest.mark.parametrize("limit_s", [uplink.SUSPECT_AFTER_S, uplink.SUSPECT_RELAY_AFTER_S])
 def test_a_change_is_used_in_time_over_a_full_link_when_the_spare_connection_is_well(limit_s):
     """The subscription and the leader's read behind it, and the way of the last word before."""
-    asked_s = FULL_ROUND_TRIP_S + 2 * ROUND_TRIP_S
+    asked_s = FULL_ROUND_TRIP_S + 2 * ROUND_TRIP_S + shared_reads.INTERVAL_S
     late_s = FULL_ROUND_TRIP_S / 2
     assert late_s + limit_s + uplink.SEARCH_POLL_S + asked_s <= IN_USE_S
 
@@ -52,7 +52,7 @@
 def test_an_entry_whose_parent_is_lost_reports_again_before_it_counts_as_gone():
     """Its last report came just before the loss; the leader answers over the spare connection."""
     found_s = uplink.SUSPECT_RELAY_AFTER_S + uplink.SLOW_PARENT_GRACE_S + uplink.SEARCH_POLL_S
-    asked_s = 3 * ROUND_TRIP_S
+    asked_s = 3 * ROUND_TRIP_S + shared_reads.INTERVAL_S
     late_s = uplink.REPORT_INTERVAL_S + found_s + asked_s + instance_monitor.RELAY_INTERVAL_S
     assert late_s <= reports.SEEN_LIMIT_S
 
@@ -73,7 +73,7 @@
     """The oldest word of the leader: an interval, its read, and each hop, with the pings that are
     kept for long at all of them and one that is kept for less."""
     word_s = publisher.CONFIRM_INTERVAL_S + 2 * ROUND_TRIP_S
-    below_replica_s = word_s + ROUND_TRIP_S / 2
+    below_replica_s = word_s + ROUND_TRIP_S / 2 + shared_reads.INTERVAL_S
     hops = tree.depth(TARGET_ENTRIES_OF_A_DOMAIN)
     assert below_replica_s + pings.SLOW_S < uplink.SUSPECT_AFTER_S
     kept_s = hops * pings.FAST_S
