--- a/oriolelock/distribution/publisher.py
+++ b/oriolelock/distribution/publisher.py
@@ -61,6 +61,8 @@
         self._max_subscribers = max_subscribers
         self._lock = threading.Lock()
         self._subscribers: set[subscriber.Subscriber] = set()
+        # Spare connections, oldest first, and others until they subscribe.
+        self._unsubscribed: dict[subscriber.Subscriber, None] = {}
         self._wakeup = threading.Event()
         self.pauses = pauses.PauseDetector(clock.monotonic_s())
         self._stopping = False
@@ -79,8 +81,8 @@
         self._stopping = True
         self._wakeup.set()
         with self._lock:
-            subscribers = list(self._subscribers)
-        for sub in subscribers:
+            connected = [*self._subscribers, *self._unsubscribed]
+        for sub in connected:
             sub.close()
 
     def wake(self) -> None:
@@ -114,6 +116,7 @@
     def serve(self, conn: channel.Channel) -> None:
         """Serve the subscriber at ``conn`` until the connection ends."""
         sub = subscriber.Subscriber(conn)
+        self._make_room_for(sub)
         try:
             while not self._stopping:
                 msg = conn.recv(channel.HEARTBEAT_INTERVAL_S)
@@ -126,8 +129,20 @@
         finally:
             with self._lock:
                 self._subscribers.discard(sub)
+                self._unsubscribed.pop(sub, None)
             sub.close()
 
+    def _make_room_for(self, sub):
+        """Add a connection, and close the oldest if too many are open without a subscription."""
+        with self._lock:
+            is_full = len(self._unsubscribed) >= self._max_subscribers
+            oldest = next(iter(self._unsubscribed)) if is_full else None
+            self._unsubscribed.pop(oldest, None)
+            self._unsubscribed[sub] = None
+        if oldest is not None:
+            log.warning("Closed the spare connection of {}: too many are open.", oldest.name)
+            oldest.close()
+
     def _handle(self, sub, msg):
         if isinstance(msg, messages.Ping):
             sub.take_ping(msg.sent_s, clock.monotonic_s())
@@ -159,6 +174,7 @@
 
         started_s = clock.monotonic_s()
         with self._lock:
+            self._unsubscribed.pop(sub, None)
             is_accepted = sub in self._subscribers
             if is_accepted or len(self._subscribers) < self._max_subscribers:
                 self._subscribers.add(sub)
--- a/tests/distribution/test_publisher.py
+++ b/tests/distribution/test_publisher.py
@@ -57,7 +57,7 @@
     ``unanswered_confirmations``, which never complete.
     """
 
-    def __init__(self, unanswered_confirmations=0):
+    def __init__(self, unanswered_confirmations=0, max_subscribers=publisher.MAX_SUBSCRIBERS):
         self.machine = config_state.ConfigState()
         self.can_confirm = True
         self.unanswered_confirmations = unanswered_confirmations
@@ -69,7 +69,7 @@
             call=lambda payload: completed_future((once_messages.Done(), "")),
             take_reports=self.batches.put,
         )
-        self.publisher = publisher.Publisher(source)
+        self.publisher = publisher.Publisher(source, max_subscribers)
         self.publisher.start()
         self.pool = concurrent.futures.ThreadPoolExecutor()
 
@@ -85,8 +85,13 @@
         self.publisher.wake()
 
     def connect(self, index):
-        channel = FakeChannel(f"e{index}")
+        channel = self.connect_spare(f"e{index}")
         channel.incoming.put(messages.Subscribe(channel.peer.name, index))
+        return channel
+
+    def connect_spare(self, name):
+        """Return a connection without a subscription."""
+        channel = FakeChannel(name)
         self.pool.submit(self.publisher.serve, channel)
         return channel
 
@@ -201,3 +206,35 @@
     # A new subscriber gets an unconfirmed configuration and decides itself whether to stay.
     late_channel = rig.connect(0)
     assert not late_channel.next_matching(lambda msg: True).confirmed
+
+
+def open_spares(rig):
+    return [sub.name for sub in list(rig.publisher._unsubscribed)]
+
+
+def test_spare_connections_are_bounded_and_leave_room_for_subscribers():
+    rig = PublisherRig(max_subscribers=3)
+    try:
+        spares = []
+        for number in range(6):
+            spares.append(rig.connect_spare(f"s{number}"))
+            cluster.wait_for(
+                lambda: open_spares(rig)[-1:] == [spares[-1].peer.name], "it", TIMEOUT_S
+            )
+        assert open_spares(rig) == ["s3", "s4", "s5"]
+        subscribed = rig.connect(0)
+        assert codec.decode(subscribed.sent.get(timeout=TIMEOUT_S)).confirmed
+        # One that subscribes is no spare connection any more.
+        cluster.wait_for(lambda: len(rig.publisher._unsubscribed) == 2, "room", TIMEOUT_S)
+        spares[5].incoming.put(messages.Subscribe("s5", 0))
+        assert codec.decode(spares[5].sent.get(timeout=TIMEOUT_S)).confirmed
+    finally:
+        rig.publisher.stop()
+        rig.pool.shutdown()
+
+
+def test_spare_connections_end_with_the_publisher(rig):
+    rig.connect_spare("s")
+    cluster.wait_for(lambda: rig.publisher._unsubscribed, "the connection", TIMEOUT_S)
+    rig.publisher.stop()
+    cluster.wait_for(lambda: not rig.publisher._unsubscribed, "the end", 1.0)
