--- a/oriolelock/distribution/spare_connection.py
+++ b/oriolelock/distribution/spare_connection.py
@@ -19,9 +19,11 @@
 
 __all__ = ["Spare", "SpareConnection"]
 
-# After a new parent was found, so that instances that start together first find their parents.
+# After a new parent was found.
 MIN_DELAY_S = 0.3
 MAX_DELAY_S = 1.0
+# After the first one: a fleet that starts must first find its parents and load its configurations.
+FIRST_DELAY_S = 3.0
 # After failed attempts, and connections that ended; doubles with each of them.
 RETRY_MIN_S = 1.0
 RETRY_MAX_S = 8.0
@@ -66,6 +68,7 @@
         self._is_closed = False
         self._failures = 0
         self._due_s = 0.0
+        self._had_parent = False
         # Addresses that failed since they were last asked for.
         self._failed: list[Address] = []
 
@@ -75,9 +78,13 @@
         spare = self._spare
         return spare.address if spare else None
 
-    def postpone(self, now: float) -> None:
-        """Wait for a moment before the next attempt, as the parent has changed."""
-        self._due_s = now + self._rng.uniform(MIN_DELAY_S, MAX_DELAY_S)
+    def parent_changed(self, now: float) -> None:
+        """Wait for a moment before the next attempt, for longer after the first parent."""
+        self._wait(now, MAX_DELAY_S if self._had_parent else FIRST_DELAY_S)
+        self._had_parent = True
+
+    def _wait(self, now, max_delay_s):
+        self._due_s = now + self._rng.uniform(MIN_DELAY_S, max_delay_s)
 
     def maintain(
         self,
@@ -115,7 +122,7 @@
                 return
             self._spare = None
             if is_alive:
-                self.postpone(now)
+                self._wait(now, MAX_DELAY_S)
             else:
                 self._failures = 0 if now - spare.opened_s >= STABLE_S else self._failures
                 self._record_failure(spare.address, now)
@@ -173,7 +180,7 @@
 
     def take(self, now: float) -> Spare | None:
         """Return the connection, which now belongs to the caller, or None if there is none."""
-        self.postpone(now)
+        self._wait(now, MAX_DELAY_S)
         with self._lock:
             spare, self._spare = self._spare, None
         return spare
--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -341,7 +341,7 @@
         link = connected.link
         for msg in connected.received:
             self._handle(msg, connected.subscribed_s)
-        self._finder.spare.postpone(clock.monotonic_s())
+        self._finder.spare.parent_changed(clock.monotonic_s())
         rebalance_s = clock.monotonic_s() + self._rng.uniform(1.0, 2.0) * REBALANCE_INTERVAL_S
         report_due_s = forward_due_s = 0.0
         pinged = pings.Pings(connected.subscribed_s)
--- a/tests/distribution/test_spare_connection.py
+++ b/tests/distribution/test_spare_connection.py
@@ -83,6 +83,20 @@
     assert entry.used_after(index, acked_s) < 2.5 * 4 / 5
 
 
+def test_a_fleet_that_starts_opens_its_spare_connections_one_after_the_other():
+    """Guards against two handshakes of each entry while all of them load their configurations."""
+    first, later = [], []
+    for seed in range(200):
+        spare = spare_connection.SpareConnection(lambda address: None, random.Random(seed))
+        spare.take(100.0)
+        spare.parent_changed(100.0)
+        first.append(spare._due_s - 100.0)
+        spare.parent_changed(200.0)
+        later.append(spare._due_s - 200.0)
+    assert max(later) <= spare_connection.MAX_DELAY_S
+    assert sum(delay_s <= 1.0 for delay_s in first) <= 200 / 3
+
+
 class ClosedLink:
     """A channel that its peer has closed."""
 
--- a/tests/distribution/test_sum_of_bounds.py
+++ b/tests/distribution/test_sum_of_bounds.py
@@ -16,6 +16,7 @@
 
 # From the acknowledgement until all entries in touch use the change.
 IN_USE_S = 2.5
+CONTACT_S = 4.0
 ROUND_TRIP_S = 0.07
 # Connection, upgrade, greeting, and a subscription with the leader's read behind it.
 SUBSCRIPTION_ROUND_TRIPS = 7
@@ -58,7 +59,10 @@
 
 
 def test_a_spare_connection_that_ends_is_replaced_before_it_is_missed():
-    assert spare_connection.MAX_DELAY_S + SUBSCRIPTION_ROUND_TRIPS * ROUND_TRIP_S < IN_USE_S
+    connected_s = SUBSCRIPTION_ROUND_TRIPS * ROUND_TRIP_S
+    assert spare_connection.MAX_DELAY_S + connected_s < IN_USE_S
+    # When an entry has been there for so long, it must follow changes in time.
+    assert spare_connection.FIRST_DELAY_S + connected_s < CONTACT_S
 
 
 def test_a_change_is_used_in_time_when_connections_end_again_and_again():
