--- a/oriolelock/distribution/parent_finder.py
+++ b/oriolelock/distribution/parent_finder.py
@@ -145,7 +145,7 @@
 
     def _connect_spare(self, address):
         return channel.connect(
-            address, self._hello, parent_race.CONNECT_LIMIT_S, offer_compression=True
+            address, self._hello, spare_connection.CONNECT_LIMIT_S, offer_compression=True
         )
 
     def _make_race(self, slow_rounds):
--- a/oriolelock/distribution/spare_connection.py
+++ b/oriolelock/distribution/spare_connection.py
@@ -19,6 +19,9 @@
 
 __all__ = ["Spare", "SpareConnection"]
 
+# Nothing waits for the connection, so that the attempt can outlast two round trips over a link on
+# which packets wait for half a second.
+CONNECT_LIMIT_S = 2.4
 # After a new parent was found.
 MIN_DELAY_S = 0.3
 MAX_DELAY_S = 1.0
--- a/tests/distribution/test_spare_connection.py
+++ b/tests/distribution/test_spare_connection.py
@@ -46,6 +46,18 @@
         tree.close()
 
 
+def test_a_spare_connection_is_opened_while_each_answer_takes_long():
+    """Guards against attempts over a full link that are all given up before they can succeed."""
+    tree = tree_rig.Tree(["r0", "r1"], {"e0": ["r0", "r1"]})
+    try:
+        tree.link("e0", "r1").delay_s = 0.4
+        # Connection, upgrade and greeting, after the longest wait for the first attempt.
+        open_s = spare_connection.FIRST_DELAY_S + 3 * 2 * 0.4 + 0.3
+        waiting.until(lambda: spare_of(tree) == "r1", open_s)
+    finally:
+        tree.close()
+
+
 def test_a_spare_connection_that_ends_is_replaced(tree):
     waiting.until(lambda: spare_of(tree) == "r1")
     tree.link("e0", "r1").reset()
