Refuse documents that name an item twice

Such a document can't be read in full.

test_documents_that_name_an_item_twice_are_refused: not refused before; passes.

--- a/oriolelock/platform/routes.py
+++ b/oriolelock/platform/routes.py
@@ -26,9 +26,16 @@
     return errors.InvalidData(f"{where}: found {shown}, allowed: {allowed}")
 
 
+def _distinct(pairs):
+    table = dict(pairs)
+    if len(table) < len(pairs):
+        raise errors.InvalidData("a name occurs twice in one table")
+    return table
+
+
 def _load(body):
     try:
-        data = json.loads(body)
+        data = json.loads(body, object_pairs_hook=_distinct)
     except (ValueError, RecursionError) as exc:
         raise errors.InvalidData(f"not JSON: {exc}") from exc
     return _table(data, "body")
--- a/tests/platform/test_routes.py
+++ b/tests/platform/test_routes.py
@@ -112,3 +112,14 @@
 def test_documents_that_are_cut_short_are_refused(cut):
     with pytest.raises(errors.InvalidData):
         routes.put_from("r0", json.dumps(CONFIG).encode()[:cut])
+
+
+def test_documents_that_name_an_item_twice_are_refused():
+    """Which of the two was meant can't be known."""
+    whole, item = json.dumps(CONFIG).encode(), json.dumps(ROUTE).encode()
+    twice = whole.replace(b'"r1": ', b'"r1": ' + item + b', "r1": ')
+    with pytest.raises(errors.InvalidData):
+        routes.put_from("r6", twice)
+    patch = b'{"version": "r9", "upsert": {"routes": {"r1": %b, "r1": %b}}}' % (item, item)
+    with pytest.raises(errors.InvalidData):
+        routes.patch_from("r7", patch)
