--- a/oriolelock/distribution/parent_race.py
+++ b/oriolelock/distribution/parent_race.py
@@ -42,7 +42,8 @@
     """A subscription; ``received``: its messages, the last of which confirms the configuration.
 
     ``subscribed_s``: monotonic time before it; the configuration was current after that;
-    ``was_spare``: whether the connection was open before the race.
+    ``was_spare``: whether the connection was open before the race; ``asked``: the addresses that
+    were asked in it, in this order.
     """
 
     address: Address
@@ -50,6 +51,7 @@
     received: list[object]
     subscribed_s: float
     was_spare: bool = False
+    asked: tuple[Address, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -130,7 +132,7 @@
                 outcome = self._wait()
                 if isinstance(outcome, Connected):
                     self._count_slow(outcome.address, clock.monotonic_s())
-                    return outcome
+                    return dataclasses.replace(outcome, asked=tuple(self._started_s))
                 if outcome is not None:
                     running -= 1
                     self.unfit.add(outcome.address)
--- a/oriolelock/distribution/spare_connection.py
+++ b/oriolelock/distribution/spare_connection.py
@@ -13,7 +13,7 @@
 import random
 import threading
 
-from oriolelock import clock, logs
+from oriolelock import clock, events, logs
 from oriolelock.wire import channel
 from oriolelock.wire import errors as wire_errors
 
@@ -37,6 +37,7 @@
 
 Address = tuple[str, int]
 log = logs.get_logger("uplink")
+uplink_events = events.Events("uplink")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -137,10 +138,10 @@
             if msg is not None:
                 self._on_message(msg)
         except wire_errors.WireError as exc:
-            log.info("spare connection to {}:{} ended: {}", *spare.address, exc)
+            _log_lost(spare, str(exc), now)
             return False
         if now - spare.link.last_received_s > SILENT_AFTER_S:
-            log.warning("spare connection to {}:{} is silent", *spare.address)
+            _log_lost(spare, "silent", now)
             return False
         return True
 
@@ -195,3 +196,12 @@
             spare, self._spare = self._spare, None
         if spare is not None:
             spare.link.close()
+
+
+def _log_lost(spare, reason, now):
+    uplink_events.notable(
+        "spare-lost",
+        spare="{}:{}".format(*spare.address),
+        reason=reason,
+        after_s=now - spare.opened_s,
+    )
--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -319,8 +319,9 @@
         now = clock.monotonic_s()
         config_events.notable(
             "parent",
-            parent="{}:{}".format(*connected.address),
+            parent=_text(connected.address),
             was_spare=connected.was_spare,
+            asked=[_text(address) for address in connected.asked],
             index=self._holder.cfg.index,
             without_s=now - self._parentless_s,
             control_age_s=self.control_age_s(now),
@@ -329,7 +330,7 @@
     def _log_lost_parent(self, address, reason):
         config_events.notable(
             "parent-lost",
-            parent=f"{address[0]}:{address[1]}",
+            parent=_text(address),
             reason=reason,
             control_age_s=self.control_age_s(clock.monotonic_s()),
         )
@@ -423,9 +424,10 @@
             self._end_search()
             config_events.notable(
                 "parent-suspect",
-                parent=f"{self._parent[0]}:{self._parent[1]}",
+                parent=_text(self._parent),
                 control_age_s=now - confirmed_s,
                 parent_age_s=now - self._parent_word_s,
+                spare=_text(self._finder.spare.address),
             )
             self._search = self._start_search()
         return suspect_s
@@ -494,7 +496,7 @@
         config_events.notable(
             "configuration",
             index=cfg.index,
-            parent=f"{self._parent[0]}:{self._parent[1]}" if self._parent else "",
+            parent=_text(self._parent),
             changes=len(committed),
             # By the leader's clock, which may differ.
             age_s=clock.wall_s() - committed[-1].wall_s if committed else None,
@@ -511,6 +513,11 @@
             self._subscribe()
 
 
+def _text(address):
+    """Return an address for the log, empty for None."""
+    return f"{address[0]}:{address[1]}" if address else ""
+
+
 def _confirmation_time(msg, pinged, now):
     """Return the time at which the read began that ``msg`` confirms, None if it isn't known."""
     if not isinstance(msg, messages.AgedDelta):
--- a/tests/distribution/test_parent_race.py
+++ b/tests/distribution/test_parent_race.py
@@ -28,6 +28,21 @@
         parent.close()
 
 
+def test_a_connection_tells_who_was_asked_before_it():
+    """For the log: who was asked in vain when a change came late."""
+    parent = fake_parent.FakeParent(fake_parent.make_config())
+    silent = held_link.HeldLink(parent.address)
+    silent.hold()
+    try:
+        race = parent_race.ParentRace(GREETING, 5, 2.0, 0.1, first=1)
+        found = race.run([silent.address, parent.address], threading.Event())
+        found.link.close()
+        assert found.asked == (silent.address, parent.address)
+    finally:
+        silent.close()
+        parent.close()
+
+
 def test_parents_that_refuse_or_had_long_to_answer_are_unfit():
     parent = fake_parent.FakeParent(fake_parent.make_config())
     silent = held_link.HeldLink(parent.address)
