--- a/oriolelock/bench/relay_node.py
+++ b/oriolelock/bench/relay_node.py
@@ -7,7 +7,7 @@
 
 from oriolelock import clock
 from oriolelock.bench import control_stand_in
-from oriolelock.distribution import messages, relay, uplink
+from oriolelock.distribution import messages, relay, report_schedule, uplink
 from oriolelock.wire import hello
 
 __all__ = ["RelayNode"]
@@ -60,7 +60,7 @@
         now = clock.monotonic_s()
         if now < self._extra_due_s:
             return ()
-        self._extra_due_s = now + uplink.REPORT_INTERVAL_S
+        self._extra_due_s = now + report_schedule.REPORT_INTERVAL_S
         return map(self._make_report, self._extra)
 
     def start(self) -> None:
--- a/oriolelock/distribution/leader_query.py
+++ b/oriolelock/distribution/leader_query.py
@@ -2,8 +2,8 @@
 oriolelock.distribution.leader_query
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-    Confirms a configuration below parents of older builds, which don't tell how old their own
-    confirmations are.
+    Confirms a configuration by asking the leader: below parents of older builds, which don't tell
+    how old their own confirmations are, and over a spare connection when the parent is slow.
 """
 
 import collections.abc
@@ -30,7 +30,7 @@
 class LeaderQuery:
     """Calls for the index of the leader's configuration, which all builds of parents forward.
 
-    ``send`` queues a message to the parent.
+    ``send`` sends or queues a message to a replica, or to an entry that forwards it.
     """
 
     def __init__(
--- a/oriolelock/distribution/parent_finder.py
+++ b/oriolelock/distribution/parent_finder.py
@@ -39,8 +39,9 @@
 # Entries that are asked for their configuration when no parent answers.
 MAX_ASKED_ENTRIES = 3
 
-Address = tuple[str, int]
-Parents = collections.abc.Callable[[configuration.Configuration], collections.abc.Sequence[Address]]
+Parents = collections.abc.Callable[
+    [configuration.Configuration], collections.abc.Sequence[channel.Address]
+]
 
 
 class ParentFinder:
@@ -64,22 +65,25 @@
         self._held = held
         self._rng = rng
         # Members, and the control replicas among them by address.
-        self._replicas: tuple[collections.abc.Mapping, dict[Address, member.Member]] = ({}, {})
+        self._replicas: tuple[collections.abc.Mapping, dict[channel.Address, member.Member]] = (
+            {},
+            {},
+        )
         # The monotonic time until which other addresses are preferred to one that failed.
-        self._avoid_until_s: dict[Address, float] = {}
+        self._avoid_until_s: dict[channel.Address, float] = {}
         self.spare = spare_connection.SpareConnection(self._connect_spare, rng, on_message)
 
-    def order(self, now: float) -> list[Address]:
+    def order(self, now: float) -> list[channel.Address]:
         """Return the parents that have not failed recently, then the others, earliest first."""
         addresses = list(self._parents(self._held()))
         return sorted(addresses, key=lambda a: max(now, self._avoid_until_s.get(a, 0.0)))
 
-    def avoid(self, address: Address, penalty_s: float, now: float) -> None:
+    def avoid(self, address: channel.Address, penalty_s: float, now: float) -> None:
         """Prefer other addresses for ``penalty_s`` seconds."""
         self._avoid_until_s = {a: t for a, t in self._avoid_until_s.items() if t > now}
         self._avoid_until_s[address] = now + penalty_s
 
-    def is_replica(self, address: Address) -> bool:
+    def is_replica(self, address: channel.Address) -> bool:
         """Return whether a control replica that is a member has this address."""
         return address in self._replicas_by_address()
 
@@ -102,7 +106,7 @@
         return self._rng.uniform(BACKOFF_MIN_S / 2, max_delay_s)
 
     def search(
-        self, current: collections.abc.Callable[[], Address | None]
+        self, current: collections.abc.Callable[[], channel.Address | None]
     ) -> parent_search.ParentSearch:
         """Ask all parents until one confirms; ``current()``: the one that is connected, if any."""
         return parent_search.ParentSearch(
@@ -110,13 +114,13 @@
             self.pause_s,
         )
 
-    def try_one(self, address: Address) -> parent_search.ParentSearch:
+    def try_one(self, address: channel.Address) -> parent_search.ParentSearch:
         """Ask one parent, once."""
         return parent_search.ParentSearch(
             lambda stopping, slow_rounds: self._race_for([address], stopping), lambda rounds: None
         )
 
-    def maintain_spare(self, parent: Address, now: float) -> None:
+    def maintain_spare(self, parent: channel.Address, now: float) -> None:
         """Keep a connection to another parent than ``parent``, to be called often."""
         failed = self.spare.maintain(parent, lambda: self._choose_spare(parent, now), now)
         for address in failed:
--- a/oriolelock/distribution/parent_race.py
+++ b/oriolelock/distribution/parent_race.py
@@ -33,7 +33,6 @@
 # Until a parent that failed at once is asked again, while others have not answered yet.
 RETRY_DELAY_S = 0.4
 
-Address = tuple[str, int]
 log = logs.get_logger("uplink")
 
 
@@ -46,17 +45,17 @@
     were asked in it, in this order.
     """
 
-    address: Address
+    address: channel.Address
     link: channel.Channel
     received: list[object]
     subscribed_s: float
     was_spare: bool = False
-    asked: tuple[Address, ...] = ()
+    asked: tuple[channel.Address, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
 class _Failed:
-    address: Address
+    address: channel.Address
     received: list[object]
 
 
@@ -86,16 +85,16 @@
         self._lock = threading.Lock()
         self._is_over = False
         self._outcomes: queue.Queue[Connected | _Failed] = queue.Queue()
-        self._started_s: dict[Address, float] = {}
+        self._started_s: dict[channel.Address, float] = {}
         # Addresses that failed, or did not confirm although they were asked long before the one
         # that did.
-        self.unfit: set[Address] = set()
+        self.unfit: set[channel.Address] = set()
         # Messages of the parents that failed.
         self.unconfirmed: list[object] = []
 
     def run(
         self,
-        addresses: collections.abc.Iterable[Address],
+        addresses: collections.abc.Iterable[channel.Address],
         stopping: threading.Event,
         spare: spare_connection.Spare | None = None,
     ) -> Connected:
@@ -110,7 +109,7 @@
             untried.append(spare.address)
         running = started = 0
         # Addresses that failed at once, with the times from which on they may be asked again.
-        failed: collections.deque[tuple[float, Address]] = collections.deque()
+        failed: collections.deque[tuple[float, channel.Address]] = collections.deque()
         next_start_s = clock.monotonic_s()
         try:
             if spare is not None:
--- a/oriolelock/distribution/parent_search.py
+++ b/oriolelock/distribution/parent_search.py
@@ -13,10 +13,10 @@
 
 from oriolelock import clock, logs
 from oriolelock.distribution import parent_race
+from oriolelock.wire import channel
 
 __all__ = ["ParentSearch", "Round", "interleave"]
 
-Address = tuple[str, int]
 log = logs.get_logger("uplink")
 
 
@@ -25,7 +25,7 @@
     """The result of one race; ``unconfirmed``: messages of parents that could not confirm."""
 
     connected: parent_race.Connected | None
-    unfit: frozenset[Address]
+    unfit: frozenset[channel.Address]
     unconfirmed: tuple[object, ...]
 
 
@@ -96,8 +96,9 @@
 
 
 def interleave(
-    addresses: collections.abc.Iterable[Address], replicas: collections.abc.Container[Address]
-) -> list[Address]:
+    addresses: collections.abc.Iterable[channel.Address],
+    replicas: collections.abc.Container[channel.Address],
+) -> list[channel.Address]:
     """Return the addresses with those of control replicas at every second place.
 
     The entries of a failure domain often fail together, or have lost the same parent.
--- a/oriolelock/distribution/spare_connection.py
+++ b/oriolelock/distribution/spare_connection.py
@@ -35,7 +35,6 @@
 # A peer that has just sent something sends the next heartbeat after up to two intervals.
 SILENT_AFTER_S = 2.5 * channel.HEARTBEAT_INTERVAL_S
 
-Address = tuple[str, int]
 log = logs.get_logger("uplink")
 uplink_events = events.Events("uplink")
 
@@ -44,7 +43,7 @@
 class Spare:
     """A connection that both ends have greeted each other over, open since ``opened_s``."""
 
-    address: Address
+    address: channel.Address
     link: channel.Channel
     opened_s: float
 
@@ -59,7 +58,7 @@
 
     def __init__(
         self,
-        connect: collections.abc.Callable[[Address], channel.Channel],
+        connect: collections.abc.Callable[[channel.Address], channel.Channel],
         rng: random.Random,
         on_message: collections.abc.Callable[[object], None] = lambda msg: None,
     ):
@@ -74,10 +73,10 @@
         self._due_s = 0.0
         self._had_parent = False
         # Addresses that failed since they were last asked for.
-        self._failed: list[Address] = []
+        self._failed: list[channel.Address] = []
 
     @property
-    def address(self) -> Address | None:
+    def address(self) -> channel.Address | None:
         """The address of the connection that is open, or None."""
         spare = self._spare
         return spare.address if spare else None
@@ -92,10 +91,10 @@
 
     def maintain(
         self,
-        parent: Address,
-        choose: collections.abc.Callable[[], Address | None],
+        parent: channel.Address,
+        choose: collections.abc.Callable[[], channel.Address | None],
         now: float,
-    ) -> list[Address]:
+    ) -> list[channel.Address]:
         """Keep the connection alive, or begin to open one; return addresses that failed meanwhile.
 
         To be called several times a second. ``parent``: the address in use; ``choose()`` returns
--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -21,6 +21,7 @@
     pings,
     recent_changes,
     report_packing,
+    report_schedule,
     stored_copy,
 )
 from oriolelock.model import configuration
@@ -29,10 +30,6 @@
 
 __all__ = ["Uplink"]
 
-REPORT_INTERVAL_S = 1.0
-# Descendants' reports wait at most this long at each hop. When they waited for the entry's next
-# own report, they were 3.2 s old after three hops, over control's limit for live entries.
-FORWARD_INTERVAL_S = 0.25
 # Age of the leader's last word, over all hops, from which on another parent is searched beside the
 # current one: a change must be in use 2.5 s after its acknowledgement, however the parents fail.
 SUSPECT_AFTER_S = 0.9
@@ -58,7 +55,6 @@
 # For a parent that may only have been busy.
 SUSPECT_PENALTY_S = 5.0
 
-Address = tuple[str, int]
 log = logs.get_logger("uplink")
 config_events = events.Events("uplink")
 
@@ -104,15 +100,15 @@
         self._loaded_stored_copy = False
         self._is_resyncing = False
         self._confirmed_s: float | None = None
-        # The same, of the latest confirmation over the connection in use.
-        self._parent_word_s = 0.0
+        # The same, of the parent's latest confirmation.
+        self._parent_confirmed_s = 0.0
         # Called in the uplink's thread with the time of each new confirmation, as ``_confirmed_s``.
         self.on_confirmed: collections.abc.Callable[[float], None] = lambda confirmed_s: None
         self._parentless_s = clock.monotonic_s()
         # For any parent that confirms, and for the best one beside a connection that works.
         self._search: parent_search.ParentSearch | None = None
         self._move: parent_search.ParentSearch | None = None
-        self._parent: Address | None = None
+        self._parent: channel.Address | None = None
         self._outbox: send_queue.SendQueue | None = None
         self._link: channel.Channel | None = None
         self._closed_link_bytes = (0, 0)
@@ -141,7 +137,7 @@
         return self._confirmed_s is not None or self._loaded_stored_copy
 
     @property
-    def parent(self) -> Address | None:
+    def parent(self) -> channel.Address | None:
         """The address of the connected parent, or None."""
         return self._parent
 
@@ -154,7 +150,7 @@
         return None if self._confirmed_s is None else max(0.0, now - self._confirmed_s)
 
     def traffic(self) -> tuple[int, int]:
-        """Return the bytes of all messages received and sent, over all connections so far."""
+        """Return the bytes of all messages received and sent, over all subscriptions so far."""
         received, sent = self._closed_link_bytes
         link = self._link
         return (
@@ -162,7 +158,7 @@
         )
 
     def messages(self) -> tuple[int, int]:
-        """Return the numbers of messages received and sent, over all connections so far."""
+        """Return the numbers of messages received and sent, over all subscriptions so far."""
         received, sent = self._closed_link_messages
         link = self._link
         return (
@@ -344,22 +340,20 @@
             self._handle(msg, connected.subscribed_s)
         self._finder.spare.parent_changed(clock.monotonic_s())
         rebalance_s = clock.monotonic_s() + self._rng.uniform(1.0, 2.0) * REBALANCE_INTERVAL_S
-        report_due_s = forward_due_s = 0.0
+        schedule = report_schedule.ReportSchedule()
         pinged = pings.Pings(connected.subscribed_s)
-        self._parent_word_s = connected.subscribed_s
+        self._parent_confirmed_s = connected.subscribed_s
         query = leader_query.LeaderQuery(self._pending_calls, self._enqueue)
         spare_query = leader_query.LeaderQuery(self._pending_calls, self._finder.spare.send)
         while not self._stopping.is_set():
             now = clock.monotonic_s()
-            if now >= min(report_due_s, forward_due_s):
-                is_report_due = now >= report_due_s
-                self._queue_reports(is_report_due)
-                forward_due_s = now + FORWARD_INTERVAL_S
-                report_due_s = now + REPORT_INTERVAL_S if is_report_due else report_due_s
+            is_report_due, is_own_due = schedule.take_due(now)
+            if is_report_due:
+                self._queue_reports(is_own_due)
             if link.knows_ages and pinged.take_due(now):
                 self._enqueue(messages.Ping(now))
             if not link.knows_ages:
-                self._hear(self._confirm_by_leader(query, now))
+                self._record_parent(self._confirm_by_leader(query, now))
             if self._search is None and (self.control_age_s(now) or 0.0) >= ASK_AFTER_S:
                 self._confirm_by_leader(spare_query, now)
             if now >= rebalance_s:
@@ -375,13 +369,13 @@
                 return found
             if self._search is None:
                 self._finder.maintain_spare(self._parent, now)
-            due_s = min(report_due_s, forward_due_s, suspect_s if not is_suspect else now + 1.0)
+            due_s = schedule.due_s if is_suspect else min(schedule.due_s, suspect_s)
             msg = link.recv(max(0.0, min(self._poll_s(now), due_s - now)))
             if msg is not None:
                 confirmed_s = _confirmation_time(msg, pinged, clock.monotonic_s())
                 if isinstance(msg, messages.AgedDelta):
                     msg = msg.content
-                    self._hear(confirmed_s if msg.confirmed else None)
+                    self._record_parent(confirmed_s if msg.confirmed else None)
                 self._handle(msg, confirmed_s)
         return None
 
@@ -399,10 +393,10 @@
             self._install(self._holder.cfg, None, confirmed_s)
         return confirmed_s
 
-    def _hear(self, confirmed_s):
-        """Note a confirmation of the parent."""
+    def _record_parent(self, confirmed_s):
+        """Record a confirmation by the parent, if there is one."""
         if confirmed_s is not None:
-            self._parent_word_s = max(confirmed_s, self._parent_word_s)
+            self._parent_confirmed_s = max(confirmed_s, self._parent_confirmed_s)
 
     def _take_spare_message(self, msg):
         if isinstance(msg, messages.UplinkReply):
@@ -414,8 +408,8 @@
         confirmed_s = subscribed_s if self._confirmed_s is None else self._confirmed_s
         is_replica = self._finder.is_replica(self._parent)
         limit_s = SUSPECT_AFTER_S if is_replica else SUSPECT_RELAY_AFTER_S
-        silent_s = self._parent_word_s + SLOW_PARENT_GRACE_S
-        suspect_s = min(confirmed_s, silent_s) + limit_s
+        by_parent_s = self._parent_confirmed_s + SLOW_PARENT_GRACE_S
+        suspect_s = min(confirmed_s, by_parent_s) + limit_s
         if now < suspect_s:
             if self._search is not None:
                 self._search.cancel()
@@ -426,7 +420,7 @@
                 "parent-suspect",
                 parent=_text(self._parent),
                 control_age_s=now - confirmed_s,
-                parent_age_s=now - self._parent_word_s,
+                parent_age_s=now - self._parent_confirmed_s,
                 spare=_text(self._finder.spare.address),
             )
             self._search = self._start_search()
--- a/oriolelock/wire/channel.py
+++ b/oriolelock/wire/channel.py
@@ -20,6 +20,7 @@
 from oriolelock.wire import codec, errors, heartbeat, hello
 
 __all__ = [
+    "Address",
     "HEARTBEAT_INTERVAL_S",
     "PEER_TIMEOUT_S",
     "Channel",
@@ -29,6 +30,9 @@
     "serve",
 ]
 
+# Host and port.
+Address = tuple[str, int]
+
 HEARTBEAT_INTERVAL_S = 1.0
 PEER_TIMEOUT_S = 3.0
 # A blocked send can take twice as long, because the kernel first returns the partial write. With
@@ -164,7 +168,7 @@
 
 
 def connect(
-    address: tuple[str, int],
+    address: Address,
     greeting: hello.Hello,
     timeout_s: float = CONNECT_TIMEOUT_S,
     offer_compression: bool = False,
@@ -258,7 +262,7 @@
 
 
 def serve(
-    address: tuple[str, int], handle: collections.abc.Callable[[object], None]
+    address: Address, handle: collections.abc.Callable[[object], None]
 ) -> websockets.sync.server.Server:
     """Listen on ``address``; ``handle`` is called in a new thread for each connection."""
     return websockets.sync.server.serve(
--- a/tests/distribution/test_relay.py
+++ b/tests/distribution/test_relay.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from oriolelock.distribution import messages, relay, report_packing, uplink
+from oriolelock.distribution import messages, relay, report_packing, report_schedule, uplink
 from oriolelock.model import changes, delta
 from oriolelock.once import messages as once
 from oriolelock.wire import hello
@@ -119,7 +119,7 @@
 def test_reports_of_children_do_not_wait_for_the_own_report(rig, monkeypatch):
     """With a delay of one report interval at each of three hops, live entries counted as silent."""
     waiting.until(lambda: "child" in rig.reported_names())
-    monkeypatch.setattr(uplink, "REPORT_INTERVAL_S", 3600.0)
+    monkeypatch.setattr(report_schedule, "REPORT_INTERVAL_S", 3600.0)
     own_reports_before = len(rig.control.reports)
     waiting.until(lambda: len(rig.control.reports) > own_reports_before, what="the last own report")
     packed_before = len(rig.control.packed)
--- a/tests/distribution/test_sum_of_bounds.py
+++ b/tests/distribution/test_sum_of_bounds.py
@@ -8,6 +8,7 @@
     parent_race,
     pings,
     publisher,
+    report_schedule,
     reports,
     spare_connection,
     tree,
@@ -54,7 +55,9 @@
     """Its last report came just before the loss; the leader answers over the spare connection."""
     found_s = uplink.SUSPECT_RELAY_AFTER_S + uplink.SLOW_PARENT_GRACE_S + uplink.SEARCH_POLL_S
     asked_s = 3 * ROUND_TRIP_S + shared_reads.INTERVAL_S
-    late_s = uplink.REPORT_INTERVAL_S + found_s + asked_s + instance_monitor.RELAY_INTERVAL_S
+    late_s = (
+        report_schedule.REPORT_INTERVAL_S + found_s + asked_s + instance_monitor.RELAY_INTERVAL_S
+    )
     assert late_s <= reports.SEEN_LIMIT_S
 
 
