--- a/oriolelock/control/shared_reads.py
+++ b/oriolelock/control/shared_reads.py
@@ -15,7 +15,7 @@
 
 __all__ = ["INTERVAL_S", "SharedReads"]
 
-# A read that comes so soon after another one waits, for the rest of this time, for others.
+# A read that comes so soon after another one waits for others until the next flush.
 INTERVAL_S = 0.05
 
 # Group and timeout.
@@ -45,7 +45,8 @@
         """Return a future of the result of a read that begins now or with the next ``flush``."""
         kind = group, timeout_s
         with self._lock:
-            if now < self._next_s.get(kind, now):
+            # One that starts now would put off those that wait already.
+            if kind in self._waiting or now < self._next_s.get(kind, now):
                 fut = concurrent.futures.Future()
                 waiting = self._waiting.setdefault(kind, _Waiting(now + timeout_s, []))
                 waiting.futures.append(fut)
@@ -54,19 +55,15 @@
         return self._read(group, timeout_s)
 
     def flush(self, now: float) -> None:
-        """Begin the reads that are due, to be called each ``INTERVAL_S``."""
+        """Begin the reads that wait, to be called each ``INTERVAL_S``."""
         with self._lock:
-            due = {kind: found for kind, found in self._waiting.items() if self._is_due(kind, now)}
+            due, self._waiting = self._waiting, {}
             for kind in due:
-                del self._waiting[kind]
                 self._next_s[kind] = now + INTERVAL_S
         for (group, _), waiting in due.items():
             result = self._read(group, max(0.0, waiting.deadline_s - now))
             result.add_done_callback(lambda done, futs=waiting.futures: _complete(futs, done))
 
-    def _is_due(self, kind, now):
-        return now >= self._next_s[kind]
-
 
 def _complete(futures, done):
     for fut in futures:
--- a/tests/control/test_shared_reads.py
+++ b/tests/control/test_shared_reads.py
@@ -30,12 +30,17 @@
         self.shared.flush(now)
 
 
+@pytest.mark.parametrize("phase_s", [0.0, 0.02, 0.04])
 @pytest.mark.parametrize("seed", range(5))
-def test_many_reads_are_few_and_each_begins_after_it_was_asked_for(seed):
+def test_many_reads_are_few_and_each_begins_after_it_was_asked_for(seed, phase_s):
+    """They are flushed as seldom as the sum of bounds counts."""
     rng, reads, asked = random.Random(seed), Reads(), []
+    next_flush_s = phase_s
     for step in range(1, 1000):
         now = step * 0.01
-        reads.flush(now)
+        if now >= next_flush_s:
+            reads.flush(now)
+            next_flush_s += shared_reads.INTERVAL_S
         asked += [(now, reads.join(now)) for _ in range(rng.randrange(30))]
     reads.flush(20.0)
     assert len(reads.started) <= 10.0 / shared_reads.INTERVAL_S + 2
