--- a/tests/scenarios/control/world.py
+++ b/tests/scenarios/control/world.py
@@ -100,6 +100,11 @@
         """Return what the replica ``name`` knows of a group."""
         return self._get(self.fleet.control[name], "state").json()["groups"][group]
 
+    def subscribers_of_control(self):
+        """Return the names of the entries that follow a control replica."""
+        replicas = self.fleet.control.values()
+        return {name for r in replicas for name in self._get(r, "state").json()["subscribers"]}
+
     def status(self):
         """Return the status from a replica that confirms it, None when none does at once."""
         for process in self.fleet.control.values():
