--- a/tests/distribution/test_spare_connection.py
+++ b/tests/distribution/test_spare_connection.py
@@ -134,35 +134,36 @@
         raise errors.ChannelClosed("refused")
 
 
-def test_attempts_that_fail_get_rarer_and_are_told(monkeypatch):
-    connect, told = Connector(), []
+def maintain_for_a_minute(connect, monkeypatch):
+    """Return the addresses that failed."""
+    failed = []
     spare = spare_connection.SpareConnection(connect, random.Random(1))
     for tick in range(300):
         now = tick / 5
         monkeypatch.setattr(clock, "monotonic_s", lambda now=now: now)
-        told += spare.maintain(("p", 1), lambda: ("q", 2), now)
+        failed += spare.maintain(("p", 1), lambda: ("q", 2), now)
         waiting.until(lambda: not spare._is_connecting)
+    return failed
+
+
+def test_attempts_that_fail_get_rarer_and_are_told(monkeypatch):
+    connect = Connector()
+    told = maintain_for_a_minute(connect, monkeypatch)
     assert 8 <= connect.attempts <= 20
     assert set(told) == {("q", 2)}
 
 
 def test_a_peer_that_closes_each_connection_is_asked_less_and_less(monkeypatch):
     """As one that stops, or has no room: to connect to it works."""
-    attempts, told, links = [], [], []
+    links = []
 
     def connect(address):
-        attempts.append(address)
         links.append(ClosedLink())
         return links[-1]
 
-    spare = spare_connection.SpareConnection(connect, random.Random(1))
-    for tick in range(300):
-        now = tick / 5
-        monkeypatch.setattr(clock, "monotonic_s", lambda now=now: now)
-        told += spare.maintain(("p", 1), lambda: ("q", 2), now)
-        waiting.until(lambda: not spare._is_connecting)
-    assert 8 <= len(attempts) <= 20
-    assert len(told) >= len(attempts) - 1
+    told = maintain_for_a_minute(connect, monkeypatch)
+    assert 8 <= len(links) <= 20
+    assert len(told) >= len(links) - 1
     waiting.until(lambda: all(link.is_closed for link in links[:-1]))
 
 
--- a/tests/soak/late_changes.py
+++ b/tests/soak/late_changes.py
@@ -9,14 +9,12 @@
 import json
 import pathlib
 import random
-import shutil
 import signal
 import sys
-import tempfile
 import threading
 import time
 
-from tests.soak import callers, control_group, fleet, ledger, main
+from tests.soak import bare_fleet, control_group, seeds
 
 __all__ = ["Hit", "find_late", "play"]
 
@@ -145,56 +143,41 @@
     seed: int, length_s: float, entries: int, controls: int, folder: pathlib.Path
 ) -> tuple[int, list[str]]:
     """Play one seed; return the number of checks, and a line for each broken promise."""
-    book = ledger.Ledger()
-    net, listing = main._take_net(seed, [])
-    group = fleet.Fleet(folder, net, entries, controls, f"127.{net}.4.1:{main.PORT_LIST}")
-    operator = callers.Operator(group.control_hosts, book, seed)
-    hitter = _Hitter(group, control_group.ControlGroup(group, operator, book), seed)
     try:
-        group.start_all()
-        if not operator.put_next(main.START_LIMIT_S):
-            return 0, ["the first configuration was not acknowledged"]
-        group.settle()
-        time.sleep(CONTACT_S + control_group.CATCH_UP_S)
-        operator.thread.start()
-        began_s = time.time()
-        hits = hitter.play(length_s)
-        operator.stop()
-        operator.thread.join(15)
-        time.sleep(control_group.CONFIG_APPLY_S)
-        end_s, to_wall_s = time.time(), time.time() - time.monotonic()
-        acknowledged = [(at_s + to_wall_s, number) for at_s, number in book.acknowledged]
-        used = {host: _read_used(folder / f"{host}.log") for host in group.entry_hosts}
-        recent = [item for item in acknowledged if item[0] >= began_s]
-        checked, late = find_late(recent, used, hits, end_s)
-        return checked, late + book.broken()
-    finally:
-        group.stop_all()
-        listing.close()
+        with bare_fleet.start(seed, folder, entries, controls) as (group, operator, book):
+            time.sleep(CONTACT_S + control_group.CATCH_UP_S)
+            began_s = time.time()
+            control = control_group.ControlGroup(group, operator, book)
+            operator.thread.start()
+            hits = _Hitter(group, control, seed).play(length_s)
+            operator.stop()
+            operator.thread.join(15)
+            time.sleep(control_group.CONFIG_APPLY_S)
+            end_s, to_wall_s = time.time(), time.time() - time.monotonic()
+            used = {host: _read_used(folder / f"{host}.log") for host in group.entry_hosts}
+    except control_group.Broken as exc:
+        return 0, [str(exc)]
+    acknowledged = [(at_s + to_wall_s, number) for at_s, number in book.acknowledged]
+    recent = [item for item in acknowledged if item[0] >= began_s]
+    checked, late = find_late(recent, used, hits, end_s)
+    return checked, late + book.broken()
 
 
 def run(argv: list[str] | None = None) -> int:
     """Run the command; returns 1 when a promise was broken."""
     parser = argparse.ArgumentParser("late_changes", description=__doc__)
-    parser.add_argument("--seed", type=int, default=1, help="first seed")
-    parser.add_argument("--seeds", type=int, default=1, help="how many seeds, one after the other")
+    seeds.add_arguments(parser)
     parser.add_argument("--seconds", type=float, default=20.0, help="length of the faults")
     parser.add_argument("--entries", type=int, default=12)
     parser.add_argument("--controls", type=int, default=5)
-    parser.add_argument("--keep", metavar="FOLDER", help="keep settings and logs of broken seeds")
     args = parser.parse_args(argv)
-    failed = False
-    for seed in range(args.seed, args.seed + args.seeds):
-        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"late-{seed}-"))
-        try:
-            checked, broken = play(seed, args.seconds, args.entries, args.controls, folder)
-            print(f"seed {seed}: {checked} checks, {len(broken)} broken", *broken, sep="\n  ")
-            failed = failed or bool(broken)
-            if broken and args.keep:
-                shutil.copytree(folder, pathlib.Path(args.keep) / f"seed-{seed}")
-        finally:
-            shutil.rmtree(folder, ignore_errors=True)
-    return int(failed)
+
+    def play_one(seed, folder):
+        checked, broken = play(seed, args.seconds, args.entries, args.controls, folder)
+        print(f"seed {seed}: {checked} checks, {len(broken)} broken promises", flush=True)
+        return broken
+
+    return seeds.play_all(args, play_one)
 
 
 if __name__ == "__main__":
--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -4,9 +4,7 @@
 import http.server
 import json
 import pathlib
-import shutil
 import sys
-import tempfile
 import threading
 import time
 
@@ -19,6 +17,7 @@
     ledger,
     losses,
     plan,
+    seeds,
 )
 
 __all__ = ["main", "play"]
@@ -29,7 +28,6 @@
 PORT_ENDPOINT = 18080
 PORT_LIST = 18642
 NETS = 200
-MOST_LINES = 30
 MOST_PROCESSES = 250
 # Some 35 MB a process. The callers and endpoints share one process, which must keep up.
 LARGE = {"entries": 180, "controls": 11, "endpoints": 40, "callers": 40, "replace": True}
@@ -207,8 +205,7 @@
 
 def _parse(argv):
     parser = argparse.ArgumentParser("soak", description="Plays random faults on loopback.")
-    parser.add_argument("--seed", type=int, default=1, help="first seed")
-    parser.add_argument("--seeds", type=int, default=1, help="how many seeds, one after the other")
+    seeds.add_arguments(parser)
     parser.add_argument("--seconds", type=float, default=20.0, help="length of the faults")
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--controls", type=int, default=3)
@@ -218,7 +215,6 @@
     parser.add_argument(
         "--lost", type=int, help="most replicas lost at once; drawn by the seed if left out"
     )
-    parser.add_argument("--keep", metavar="FOLDER", help="keep settings and logs of broken seeds")
     parser.add_argument(
         "--large", action="store_true", help="many entries and 11 control replicas, replaced too"
     )
@@ -234,24 +230,11 @@
     """Run the command; returns 1 when a promise was broken."""
     args = _parse(argv)
     counts = (args.entries, args.controls, args.endpoints)
-    failed = False
-    for seed in range(args.seed, args.seed + args.seeds):
-        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        try:
-            broken = play(
-                seed, args.seconds, *counts, folder, args.replace, args.lost, args.callers
-            )
-            for line in broken[:MOST_LINES]:
-                print(f"seed {seed}: {line}", flush=True)
-            if len(broken) > MOST_LINES:
-                print(f"seed {seed}: and {len(broken) - MOST_LINES} more", flush=True)
-            failed = failed or bool(broken)
-            if broken and args.keep:
-                (folder / "broken.txt").write_text("\n".join(broken) + "\n")
-                shutil.copytree(folder, pathlib.Path(args.keep) / f"seed-{seed}")
-        finally:
-            shutil.rmtree(folder, ignore_errors=True)
-    return int(failed)
+
+    def play_one(seed, folder):
+        return play(seed, args.seconds, *counts, folder, args.replace, args.lost, args.callers)
+
+    return seeds.play_all(args, play_one)
 
 
 if __name__ == "__main__":
--- a/tests/soak/replacements.py
+++ b/tests/soak/replacements.py
@@ -4,13 +4,11 @@
 import dataclasses
 import pathlib
 import random
-import shutil
 import signal
 import sys
-import tempfile
 import time
 
-from tests.soak import callers, control_group, fleet, ledger, main
+from tests.soak import bare_fleet, control_group, fleet, seeds
 
 __all__ = ["Series", "play"]
 
@@ -80,51 +78,37 @@
 
 def play(series: Series, seed: int, folder: pathlib.Path) -> list[str]:
     """Play one series and return a line for each broken promise."""
-    book = ledger.Ledger()
-    net, listing = main._take_net(seed, [])
-    group = fleet.Fleet(folder, net, 0, series.controls, f"127.{net}.4.1:{main.PORT_LIST}")
-    operator = callers.Operator(group.control_hosts, book, seed)
+    broken: list[str] = []
     try:
-        group.start_all()
-        if not operator.put_next(main.START_LIMIT_S):
-            return ["the first configuration was not acknowledged"]
-        group.settle()
-        time.sleep(control_group.CATCH_UP_S)
-        try:
-            _Player(series, seed, group, operator, book).play()
-        except control_group.Broken as exc:
-            return [str(exc), *book.broken()]
-        return book.broken()
-    finally:
-        group.stop_all()
-        listing.close()
+        with bare_fleet.start(seed, folder, 0, series.controls) as (group, operator, book):
+            time.sleep(control_group.CATCH_UP_S)
+            try:
+                _Player(series, seed, group, operator, book).play()
+            finally:
+                broken = book.broken()
+    except control_group.Broken as exc:
+        return [str(exc), *broken]
+    return broken
 
 
 def run(argv: list[str] | None = None) -> int:
     """Run the command; returns 1 when a promise was broken."""
     parser = argparse.ArgumentParser("replacements", description=__doc__)
-    parser.add_argument("--seed", type=int, default=1, help="first seed")
-    parser.add_argument("--seeds", type=int, default=1, help="how many seeds, one after the other")
+    seeds.add_arguments(parser)
     parser.add_argument("--rounds", type=int, default=12)
     parser.add_argument("--controls", type=int, default=5)
     parser.add_argument("--who", choices=("leader", "any"), default="any")
     parser.add_argument("--how", choices=("kill", "freeze", "stop"), default="kill")
     parser.add_argument("--gap", type=float, default=GAP_S, help="seconds until the successor")
-    parser.add_argument("--keep", metavar="FOLDER", help="keep settings and logs of broken seeds")
     args = parser.parse_args(argv)
     series = Series(args.controls, args.rounds, args.who, args.how, args.gap)
-    failed = False
-    for seed in range(args.seed, args.seed + args.seeds):
-        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"replacements-{seed}-"))
-        try:
-            broken = play(series, seed, folder)
-            print(f"seed {seed}: {series}: {broken or 'kept'}", flush=True)
-            failed = failed or bool(broken)
-            if broken and args.keep:
-                shutil.copytree(folder, pathlib.Path(args.keep) / f"seed-{seed}-{args.how}")
-        finally:
-            shutil.rmtree(folder, ignore_errors=True)
-    return int(failed)
+
+    def play_one(seed, folder):
+        broken = play(series, seed, folder)
+        print(f"seed {seed}: {series}, {len(broken)} broken promises", flush=True)
+        return broken
+
+    return seeds.play_all(args, play_one)
 
 
 if __name__ == "__main__":
