Let calls to the leader go on after a failure that none expected

An exception while a call was sent ended the thread that retries and expires calls and begins shared reads, or left those that shared the read without an answer: the replica would confirm nothing any more, while its connections stay alive. No such exception is known.

A call that fails so counts as one that may have been accepted; those that may be sent again are.

test_calls_go_on_after_a_failure_that_none_expected: failed before, passes.

--- a/oriolelock/control/call_router.py
+++ b/oriolelock/control/call_router.py
@@ -123,6 +123,16 @@
             self._handle_result(call, reply.result)
 
     def _dispatch(self, call):
+        try:
+            self._send_to_leader(call)
+        except Exception:
+            # Others wait for this call, and for the thread that retries.
+            log.exception("a call to the leader failed")
+            call.maybe_accepted = True
+            if isinstance(call.payload, RESENDABLE):
+                call.retry("an unexpected failure")
+
+    def _send_to_leader(self, call):
         status = self._hosts[call.group].status()
         leader = status.leader
         call.target, call.target_term = leader, status.term
--- a/tests/control/test_call_router.py
+++ b/tests/control/test_call_router.py
@@ -119,6 +119,26 @@
     assert len(harness.sent) == 2
 
 
+def test_calls_go_on_after_a_failure_that_none_expected(harness):
+    """Guards against a replica that confirms nothing any more."""
+    harness.host.leader = "c2"
+    harness.router.call("config", messages.ConfirmRead(), TIMEOUT_S)
+    send = harness.router._send
+
+    def fail_once(target, msg):
+        harness.router._send = send
+        raise ValueError("unexpected")
+
+    harness.router._send = fail_once
+    shared = [harness.router.call("config", messages.ConfirmRead(), TIMEOUT_S) for _ in range(2)]
+    harness.wait_sent(2)
+    _, msg = harness.sent[-1]
+    harness.router.handle_reply(messages.ForwardReply(msg.call_id, messages.Confirmed(5)))
+    assert [fut.result(TIMEOUT_S) for fut in shared] == [messages.Confirmed(5)] * 2
+    later = harness.router.call("config", "x", 0.5)
+    assert later.result(TIMEOUT_S) == unavailable.Unavailable("no result from c2 in time")
+
+
 def test_resent_change_without_a_result_is_not_reported_as_safe_to_retry(harness):
     change = commands.OperatorChange("1", None, "", changes.UsePreset("a"))
     harness.host.leader = "c2"
