Tell other entries of endpoints that may have started again, and check them in turn

Several causes of one class, all of them a belief about an endpoint that outlives its start: - an entry that noticed (a lost request, a refused connection, a health check that said "cold") told nobody; - three refused endpoints made an entry believe that it was cut off, so that it took back what it had noticed; - ends of idle connections were not looked at, although a crash ends all of them at once; - the end of the cold period of one start was taken for that of the next, from the list or by time; - an entry that is new, thaws or was cut off took its configuration for the present.

An entry that sees a sign of an end now raises a doubt, which is spread by datagrams. An endpoint in doubt gets no requests; the entries check it in turn, within its cold rate, and tell each other the outcome. An entry that can't tell whether the fault is its own is unsure and asks the others. One that does not hear the others keeps to the cold rate at endpoints without a connection of its own that shows them to be warm. Log lines endpoint-restart, endpoint-unsure, informed and uninformed tell what an entry believes, since when and from whom.

The end of a drain raises a doubt in place of a health check by every entry at once, which the test of that says now.

--- a/oriolelock/dispatch/chooser.py
+++ b/oriolelock/dispatch/chooser.py
@@ -25,6 +25,7 @@
     ranking,
     rankings,
     region_choice,
+    restarts,
     service_times,
 )
 from oriolelock.model import configuration, endpoint, service
@@ -39,6 +40,8 @@
 # Callers return in this time after the first endpoint takes requests again.
 PAUSE_SPREAD_S = 0.5
 FALLBACK_COLD_MS = 3000.0
+# Between the clocks of this entry and of endpoints.
+CLOCK_SLACK_S = 5.0
 # Ratio of elapsed to expected time that a request without a response counts as.
 TIMEOUT_RATIO = 2.0
 
@@ -65,6 +68,10 @@
         self._cold_quota = cold_quota.ColdQuota()
         self._census = entry_census.EntryCensus(name, region)
         self.limits = endpoint_limits.EndpointLimits(name, self._census)
+        self.restarts = restarts.Restarts()
+        self._by_restart_digest: dict[int, endpoint_view.EndpointView] = {}
+        # Tells at a time whether news of other entries would have reached this one.
+        self.is_informed: collections.abc.Callable[[float], bool] = lambda now: True
         self._regions = region_choice.RegionChoice(region, shift_speed, self._estimator, rng)
         self._is_configured = False
 
@@ -76,12 +83,14 @@
         for name in [name for name in self.views if name not in cfg.endpoints]:
             del self.views[name]
         for instance in cfg.endpoints.values():
-            self._configure_endpoint(instance, now)
+            self._configure_endpoint(instance, now, wall_s)
         for name in self._drained - drained:
             # The endpoint may have become cold during the drain; a health check reports that.
             if name in self.views:
-                self.views[name].needs_health_check = True
+                self._raise_doubt(self.views[name], now, wall_s)
         self._drained = drained
+        self._by_restart_digest = {view.restart_digest: view for view in self.views.values()}
+        self.restarts.retain(self._by_restart_digest, now)
         self._by_service = {}
         self._rankings.clear()
         self._by_digest = {_view_digest(view): view for view in self.views.values()}
@@ -102,16 +111,63 @@
             if any(drain.covers_endpoint(instance) for drain in active)
         }
 
-    def _configure_endpoint(self, instance: endpoint.Endpoint, now: float):
+    def _configure_endpoint(self, instance: endpoint.Endpoint, now: float, wall_s: float):
         view = self.views.get(instance.name)
         if view is None or _is_restarted(view.endpoint, instance):
             self.limits.forget(instance.name)
-            self.views[instance.name] = endpoint_view.EndpointView(instance)
+            new_view = self.views[instance.name] = endpoint_view.EndpointView(instance)
+            new_view.record_cold(self.restarts.cold_left_s(new_view.restart_digest, now), now)
+            if self._is_configured and not instance.cold:
+                self._doubt_new_start(new_view, view is not None, now, wall_s)
             return
         if instance.cold and not view.endpoint.cold:
             view.clear_objects()
+        if view.endpoint.cold and not instance.cold:
+            # The list lags, and may have missed another start.
+            self._raise_doubt(view, now, wall_s)
         view.endpoint = instance
 
+    def _raise_doubt(self, view, now, wall_s):
+        if not self.restarts.is_recent(view.restart_digest, now):
+            self.restarts.raise_doubt(view.restart_digest, now, wall_s)
+
+    def _doubt_new_start(self, view, was_known, now, wall_s):
+        # The list may leave out that an endpoint is cold.
+        started_s = view.endpoint.started_ms // 1000
+        age_s = wall_s - started_s if started_s else float("inf")
+        if not was_known and age_s > self.cold_period_s(view) + CLOCK_SLACK_S:
+            return
+        is_settled = self.restarts.state(view.restart_digest, now) is restarts.State.SETTLED
+        if is_settled and not self.restarts.is_known_since(
+            view.restart_digest, started_s or int(wall_s)
+        ):
+            self.restarts.raise_doubt(view.restart_digest, now, wall_s)
+
+    def doubt_all(self, now: float, wall_s: float) -> None:
+        """Let the health of all endpoints be checked, as nobody knows how long they are up."""
+        for view in self.views.values():
+            self.restarts.raise_doubt(view.restart_digest, now, wall_s)
+
+    def view_of_restart(self, digest: int) -> endpoint_view.EndpointView | None:
+        """Return the endpoint with this ``restart_digest``."""
+        return self._by_restart_digest.get(digest)
+
+    def apply_restart_report(
+        self, report: restarts.Report, now: float
+    ) -> endpoint_view.EndpointView | None:
+        """Apply what another entry knows; returns the endpoint if its state changed."""
+        if not self.restarts.merge(report, now):
+            return None
+        view = self._by_restart_digest.get(report.endpoint_digest)
+        if view is None:
+            return None
+        state = self.restarts.state(report.endpoint_digest, now)
+        if state is restarts.State.COLD:
+            view.record_cold(self.restarts.cold_left_s(report.endpoint_digest, now), now)
+        if state is not restarts.State.IN_DOUBT:
+            view.withdraw_refusal()
+        return view
+
     def entry_count(self, now: float) -> int:
         """Return the number of entries that may forward requests, with those that just left."""
         return sum(len(names) for names in self._census.by_region(now).values())
@@ -219,7 +275,33 @@
     def _is_eligible(self, view, context, now):
         if not self._is_allowed(view.endpoint, context) or not view.is_usable(now):
             return False
-        return not view.is_cold(now) or self._may_send_cold(view, now)
+        if self.restarts.state(view.restart_digest, now) is restarts.State.IN_DOUBT:
+            return False
+        return not self.is_limited(view, now) or self.may_send_cold(view, now)
+
+    def is_limited(self, view: endpoint_view.EndpointView, now: float) -> bool:
+        """Return whether an endpoint is cold, or may be for all that this entry knows."""
+        state = self.restarts.state(view.restart_digest, now)
+        if view.is_cold(now) or state is not restarts.State.SETTLED:
+            return True
+        if self.restarts.unsure_age_s(view.restart_digest, now) is not None:
+            return True
+        return not self.is_informed(now) and not view.contact.shows_warm(
+            self.cold_period_s(view), now
+        )
+
+    def is_check_due(self, view: endpoint_view.EndpointView, now: float) -> bool:
+        """Return whether it is this entry's turn to check an endpoint that is in doubt."""
+        age_s = self.restarts.doubt_age_s(view.restart_digest, now)
+        if age_s is None:
+            age_s = self.restarts.unsure_age_s(view.restart_digest, now)
+        if age_s is None or view.endpoint.name in self._drained:
+            return False
+        local, remote = self._census.senders(view.endpoint.region, now)
+        turn = restarts.check_turn(
+            view.endpoint.name, self._cold_rate(view), local, remote, self.name, age_s
+        )
+        return turn is not None and view.take_check_turn(now - age_s, turn)
 
     def _is_allowed(self, instance, context):
         if instance.name in context.tried or instance.name in self._drained:
@@ -239,9 +321,19 @@
         instance = view.endpoint
         return self.limits.wait_s(instance.name, instance.region, context.route.priority, now)
 
-    def _may_send_cold(self, view, now):
+    def _cold_rate(self, view):
         config = self._services.get(view.endpoint.service)
-        rate = config.cold_rate if config else 1.0
+        return config.cold_rate if config else 1.0
+
+    def may_check(self, view: endpoint_view.EndpointView, now: float) -> bool:
+        """Return whether this entry may check an endpoint's health out of turn."""
+        if self.restarts.state(view.restart_digest, now) is restarts.State.IN_DOUBT:
+            return False
+        return not self.is_limited(view, now) or self.may_send_cold(view, now)
+
+    def may_send_cold(self, view: endpoint_view.EndpointView, now: float) -> bool:
+        """Return whether this entry may send a request or a health check to a cold endpoint."""
+        rate = self._cold_rate(view)
         candidates, _ = self._census.senders(view.endpoint.region, now)
         if self.name not in candidates:
             return False
@@ -255,14 +347,19 @@
         factor = WAIT_FACTORS[min(context.route.priority, len(WAIT_FACTORS) - 1)]
         return send.wait_s <= factor * context.route.objective_ms / 1000.0
 
-    def is_wanted(self, view: endpoint_view.EndpointView, now: float) -> bool:
+    def is_wanted(self, view: endpoint_view.EndpointView, was_limited: bool, now: float) -> bool:
         """Return whether a request that was decided to go to an endpoint may still be sent.
 
-        It may not if the endpoint has since left, started again, or been drained.
+        It may not if the endpoint has since left, started again, become cold, or been drained.
+        ``was_limited``: whether the request was counted as one to a cold endpoint.
         """
         name = view.endpoint.name
         is_current = self.views.get(name) is view
-        return is_current and name not in self._drained and view.is_staying(now)
+        if not is_current or name in self._drained or not view.is_staying(now):
+            return False
+        if self.restarts.state(view.restart_digest, now) is restarts.State.IN_DOUBT:
+            return False
+        return was_limited or not self.is_limited(view, now)
 
     def started(self, decision: decisions.Send, number: int, now: float) -> None:
         """Record that a request was sent to the selected endpoint."""
@@ -270,9 +367,13 @@
         decision.view.record_start(number, decision.usual_s, now, decision.warm)
         instance = decision.view.endpoint
         self._regions.record_sent(instance.service, instance.region)
-        if decision.cold:
+        if decision.cold or self.is_limited(decision.view, now):
             self._cold_quota.record_sent(decision.view.endpoint.name, now)
 
+    def record_cold_check(self, view: endpoint_view.EndpointView, now: float) -> None:
+        """Count a health check of a cold endpoint like a request to it."""
+        self._cold_quota.record_sent(view.endpoint.name, now)
+
     def not_sent(self, decision: decisions.Send, now: float) -> None:
         """Record that no byte of a request that was started reached the endpoint."""
         self.limits.record_sent(decision.view.endpoint.name, now, -1.0)
--- a/oriolelock/dispatch/endpoint_view.py
+++ b/oriolelock/dispatch/endpoint_view.py
@@ -9,7 +9,7 @@
 import dataclasses
 import enum
 
-from oriolelock.dispatch import reported_symptoms
+from oriolelock.dispatch import contact, reported_symptoms, restarts
 from oriolelock.model import endpoint
 
 __all__ = ["EndpointView", "Fact", "Health", "Load", "make_load"]
@@ -85,7 +85,8 @@
     """Response to a health check.
 
     ``endpoint_id``: name of the responding endpoint, may be empty; ``cold_ms``: how much longer it
-    stays cold; ``is_leaving``: it ends soon; ``pause_s``: for how long it wants no requests.
+    stays cold; ``is_leaving``: it ends soon; ``pause_s``: for how long it wants no requests;
+    ``tells_cold``: whether ``cold_ms`` 0 means that it is warm.
     """
 
     is_healthy: bool
@@ -93,6 +94,7 @@
     cold_ms: float = 0.0
     is_leaving: bool = False
     pause_s: float = 0.0
+    tells_cold: bool = True
 
 
 def _decayed(value, age_s, half_life_s):
@@ -106,6 +108,10 @@
         self.endpoint = instance
         host, _, port = instance.address.partition(":")
         self.address = (host, int(port))
+        self.restart_digest = restarts.endpoint_digest(instance)
+        self.contact = contact.Contact()
+        # Doubt and turn of this entry's latest health check in a doubt.
+        self._check_turn: tuple[float, int] | None = None
         self.slots = instance.slots
         # This entry's requests in flight: number to (start, expected end, whether the object is
         # known to be cached).
@@ -133,6 +139,8 @@
         self._symptoms: reported_symptoms.ReportedSymptoms | None = None
         # Ejected because no connection could be opened, and not checked since.
         self._is_unreachable = False
+        # The endpoint's machine refused a connection.
+        self._was_refused = False
         self._cache_size = MAX_CACHED_OBJECTS
         self._cached_objects: collections.OrderedDict[int, float] = collections.OrderedDict()
 
@@ -164,6 +172,26 @@
         """Return whether the endpoint started recently and tolerates only few requests."""
         return self.endpoint.cold or now < self.cold_until_s
 
+    def record_cold(self, cold_s: float, now: float) -> None:
+        """Record that the endpoint has started and stays cold for ``cold_s`` seconds."""
+        if cold_s > 0.0:
+            self.cold_until_s = max(self.cold_until_s, now + cold_s)
+            self.clear_objects()
+
+    def end_check(self) -> None:
+        """Record the end of a health check that has no effect."""
+        self.health_check_pending = False
+
+    def take_check_turn(self, doubt_s: float, turn: int) -> bool:
+        """Return whether a turn to check the endpoint is unused, and use it.
+
+        ``doubt_s``: when this entry learned of the doubt.
+        """
+        # The time is a difference of two times, and not exact.
+        is_new = self._check_turn != (round(doubt_s, 3), turn)
+        self._check_turn = (round(doubt_s, 3), turn)
+        return is_new
+
     def is_staying(self, now: float) -> bool:
         """Return whether nothing says that the endpoint leaves."""
         return (
@@ -313,15 +341,24 @@
         self.ejected_until_s = now + backoff_s
         self.needs_health_check = True
 
-    def record_unreachable(self, now: float) -> None:
+    def record_unreachable(self, now: float, was_refused: bool = False) -> None:
         """Eject the endpoint, to which no connection could be opened."""
         self.record_failure(now)
         self._is_unreachable = True
+        self._was_refused = was_refused
+
+    def withdraw_refusal(self) -> None:
+        """Use the endpoint again that had refused a connection: it has started."""
+        if self._was_refused:
+            self._was_refused = self._is_unreachable = self.needs_health_check = False
+            self.failures = 0
+            self.ejected_until_s = 0.0
 
     def withdraw_unreachable(self) -> None:
         """Undo ``record_unreachable``: the entry is cut off, and the endpoint not to blame."""
         if self._is_unreachable:
             self._is_unreachable = self.needs_health_check = False
+            self._was_refused = False
             self.failures -= 1
             self.ejected_until_s = 0.0
 
@@ -340,12 +377,16 @@
         self._error_rate = self.error_rate(now) * (1 - ERROR_WEIGHT) + ERROR_WEIGHT
         self._error_rate_s = now
 
-    def record_health_check(self, health: Health | None, cold_s: float, now: float) -> None:
+    def record_health_check(
+        self, health: Health | None, cold_s: float, now: float, was_refused: bool = False
+    ) -> None:
         """Apply the result of a health check; None: no response.
 
-        ``cold_s``: the service's cold period after a start, the upper bound of ``cold_ms``.
+        ``cold_s``: the service's cold period after a start, the upper bound of ``cold_ms``;
+        ``was_refused``: whether nothing listened at the address.
         """
         self.health_check_pending = self._is_unreachable = False
+        self._was_refused = was_refused
         is_own = health is not None and health.endpoint_id in ("", self.endpoint.name)
         if is_own and health.is_leaving:
             self.record_fact(Fact.LEAVING, now)
@@ -360,6 +401,4 @@
             return
         self.needs_health_check = False
         self.ejected_until_s = 0.0
-        if health.cold_ms > 0:
-            self.cold_until_s = max(self.cold_until_s, now + min(health.cold_ms / 1000.0, cold_s))
-            self.clear_objects()
+        self.record_cold(min(health.cold_ms / 1000.0, cold_s), now)
--- a/oriolelock/dispatch/observation.py
+++ b/oriolelock/dispatch/observation.py
@@ -12,6 +12,7 @@
 __all__ = [
     "CutOffReport",
     "EndpointNotice",
+    "EntryStatus",
     "LimitReport",
     "Observation",
     "SlownessReport",
@@ -47,6 +48,13 @@
     entry_digest: int
 
 
+@dataclasses.dataclass(frozen=True)
+class EntryStatus:
+    """``is_initiated``: whether the sender knows of all endpoints that may have restarted."""
+
+    is_initiated: bool
+
+
 @dataclasses.dataclass(frozen=True)
 class EndpointNotice:
     """``endpoint_digest``: of the endpoint's name and start time."""
--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -17,6 +17,7 @@
     endpoint_view,
     observation,
     peer_selection,
+    restarts,
     retry_budget,
     route_index,
     splitter,
@@ -31,9 +32,11 @@
     peer_request,
     pool,
     request_metrics,
+    restart_gossip,
+    restart_signs,
 )
 from oriolelock.gateway import dialect as dialects
-from oriolelock.http1 import buffer_budget, messages, transfers
+from oriolelock.http1 import buffer_budget, messages, outbound, transfers
 from oriolelock.http1 import loop as loops
 from oriolelock.model import configuration, route
 from oriolelock.settings import gateway as settings
@@ -41,6 +44,8 @@
 __all__ = ["Core"]
 
 POOL_SWEEP_INTERVAL_S = 1.0
+# From a lost connection to a health check: until it is known whether others have ended as well.
+LOST_CHECK_DELAY_S = 2 * restart_signs.JUDGE_DELAY_S
 # Bounds of the delay that callers of an entry without a configuration are told.
 NOT_READY_RETRY_MIN_S = 0.6
 NOT_READY_RETRY_MAX_S = 1.5
@@ -83,6 +88,9 @@
             loop, self.gossip, self.chooser.peer_reports, rng
         )
         self.connectivity = connectivity.Connectivity(cfg.name, loop, self.chooser, self.gossip)
+        self.restarts = restart_gossip.RestartGossip(
+            loop, self.gossip, self.chooser, rng, self._record_restart
+        )
         self._health_checks = health_checks.HealthChecks(
             loop,
             words,
@@ -91,6 +99,7 @@
             budget,
             self.metrics,
             rng,
+            self._record_health,
             self._check_death,
         )
         self._blame = crash_blame.CrashBlame(report_crash)
@@ -161,6 +170,7 @@
         all_peers = list(self._gossip_peers(cfg, None))
         self._limit_gossip.use_peers(all_peers)
         self._notices.use_peers(all_peers)
+        self.restarts.use_peers(all_peers)
         self._blame.configure(cfg.crashes)
         self.chooser.configure(cfg, now, clock.wall_s())
         self.connectivity.configure(cfg.table.services)
@@ -189,6 +199,8 @@
                 endpoint = self._limit_gossip.apply(report, now)
                 if endpoint:
                     self._log_limit(endpoint, report.rate, report.age_s, "gossip")
+            case restarts.Report():
+                self.restarts.apply(report, now)
             case observation.EndpointNotice():
                 self._notices.apply(report, now)
             case observation.UnreachableReport() | observation.SlownessReport():
@@ -289,15 +301,34 @@
         """Eject an endpoint to which no connection could be opened, unless the entry is cut off."""
         self.connectivity.record_failure(view, result.refused, now)
         is_cut_off = self.connectivity.is_cut_off(view.endpoint.service)
+        if result.refused:
+            self.restarts.signs.record_refused(view, now)
         if result.refused and not is_cut_off:
             self._record_death(view, now)
         if not is_cut_off and not view.needs_health_check:
             log.notable("endpoint-out", endpoint=view.endpoint.name, reason=result.reason)
             self._notices.report_unreachable(view)
-            view.record_unreachable(now)
+            view.record_unreachable(now, result.refused)
             view.clear_objects()
+            is_silent = view.is_reported_unreachable(now) and not view.contact.is_fresh(now)
+            if is_silent and not result.refused:
+                self.restarts.record_sign(view, result.reason, True)
             self.pool.close_idle(view.endpoint.name)
 
+    def record_connected(self, view: endpoint_view.EndpointView, conn: outbound.Outbound) -> None:
+        """Record a new connection to an endpoint."""
+        self.connectivity.record_connected(view)
+        now = clock.monotonic_s()
+        self.restarts.signs.watch(view, conn, not self.chooser.is_limited(view, now), now)
+
+    def record_response(self, view: endpoint_view.EndpointView, conn: outbound.Outbound) -> None:
+        """Record a response of an endpoint."""
+        self.connectivity.record_response(view)
+        self.restarts.record_response(view, conn.connected_s, self.chooser.cold_period_s(view))
+
+    def _record_health(self, view, health):
+        self.restarts.record_health(view, health, self.chooser.cold_period_s(view))
+
     def record_misdirected(self, view: endpoint_view.EndpointView, now: float) -> None:
         """Eject an endpoint at whose address another one answers."""
         log.notable("endpoint-replaced", endpoint=view.endpoint.name)
@@ -337,8 +368,18 @@
             self._blame.record_loss(view.endpoint.name, fingerprint, now, clock.wall_s())
         is_due = not view.health_check_pending and not view.needs_health_check
         if is_due and not view.is_paused(now):
+            self.loop.call_later(LOST_CHECK_DELAY_S, lambda: self._check_after_loss(view))
+
+    def _check_after_loss(self, view):
+        # An endpoint that has lost all connections is in doubt, and the entries check it in turn.
+        now = clock.monotonic_s()
+        is_current = self.chooser.views.get(view.endpoint.name) is view
+        if is_current and not view.health_check_pending and self.chooser.may_check(view, now):
             self._health_checks.check(view)
 
+    def _record_restart(self, view):
+        self._record_death(view, clock.monotonic_s())
+
     def _check_death(self, view, outcome):
         # An endpoint that accepts connections and is too busy to answer has not died.
         if outcome is health_checks.Outcome.REFUSED:
--- a/oriolelock/gateway/facts.py
+++ b/oriolelock/gateway/facts.py
@@ -110,4 +110,6 @@
         cold_ms=cold_ms,
         is_leaving=_is_leaving(response, dialect),
         pause_s=parse_pause(response),
+        # A refusal because of load need not say it.
+        tells_cold=response.status == 200 or bool(cold_header),
     )
--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -65,6 +65,10 @@
         self._sent_s = 0.0
         self._config_index = 0
         self._write_delay_s: float | None = None
+        # Of the latest decision: whether it counts as a request to a cold endpoint, and when its
+        # connection was opened.
+        self._is_limited = False
+        self._connected_s: float | None = None
         self._timer = None
         self._may_have_run = False
         # Whether the request counts among those that retries are a share of.
@@ -178,14 +182,16 @@
         self._decision, self._sent_s = decision, now
         self._config_index, self._write_delay_s = shared.cfg_in_force.index, None
         instance = view.endpoint
+        self._is_limited = shared.chooser.is_limited(view, now)
         shared.chooser.started(decision, self._number, now)
         if shared.chooser.limits.rate(instance.name, now) != endpoint_limits.UNLIMITED:
             shared.metrics.count("sent_to_limited_endpoints")
         self._conn = shared.pool.acquire(
             instance.name, view.address, self._route.idempotent, self._id_bytes, now
         )
-        self._conn.on_connected = lambda: shared.connectivity.record_connected(view)
-        self._conn.is_wanted = lambda: shared.chooser.is_wanted(view, clock.monotonic_s())
+        conn, was_limited = self._conn, self._is_limited
+        conn.on_connected = lambda: shared.record_connected(view, conn)
+        conn.is_wanted = lambda: shared.chooser.is_wanted(view, was_limited, clock.monotonic_s())
         req = forwarded.to_endpoint(
             self._req, shared.words, instance.name, self._deadline_at_s - now
         )
@@ -199,7 +205,7 @@
         self._record_write(conn)
         if isinstance(result, transfers.Answered):
             self._core.pool.release(view.endpoint.name, conn)
-            self._core.connectivity.record_response(view)
+            self._core.record_response(view, conn)
             self._handle_response(result.response, now)
         elif isinstance(result, transfers.NotSent):
             self._handle_not_sent(result, now)
@@ -207,6 +213,7 @@
             self._handle_lost(result, now)
 
     def _record_write(self, conn):
+        self._connected_s = conn.connected_s or None
         if conn.first_write_s is not None:
             self._write_delay_s = conn.first_write_s - self._sent_s
 
@@ -408,7 +415,9 @@
                 write_delay_s=self._write_delay_s,
                 expected_s=decision.wait_s + decision.service_s,
                 expected_wait_s=decision.wait_s,
+                conn_age_s=clock.monotonic_s() - self._connected_s if self._connected_s else None,
                 warm=decision.warm,
+                limited=self._is_limited,
                 away=decision.cross_region,
             )
         if self._peer_request is not None:
--- a/oriolelock/gateway/gossip.py
+++ b/oriolelock/gateway/gossip.py
@@ -16,7 +16,7 @@
 import cbor2
 
 from oriolelock import clock, events
-from oriolelock.dispatch import endpoint_limits, endpoint_view, observation
+from oriolelock.dispatch import endpoint_limits, endpoint_view, observation, restarts
 from oriolelock.gateway import signing
 from oriolelock.http1 import loop as loops
 
@@ -30,6 +30,7 @@
     "encode_limits",
     "encode_listed",
     "encode_notices",
+    "encode_restarts",
     "encode_symptoms",
 ]
 
@@ -50,19 +51,24 @@
 MAX_READS_PER_EVENT = 32
 MAX_LIMITS_PER_DATAGRAM = 50
 MAX_REPORTS_PER_DATAGRAM = 50
+# Those of an entry that knows of more endpoints are sent in several datagrams.
+MAX_RESTARTS = 1000
 # Datagrams of observations, of limits, of entries that are cut off, of facts about endpoints, of
-# their symptoms, and of endpoints that the instance list shows as leaving. A changed format gets a
-# new number, so that entries of an older version ignore it and go on.
+# their symptoms, of endpoints that the instance list shows as leaving, and of those that may have
+# restarted. A changed format gets a new number, so that entries of an older version ignore it and
+# go on. 7 is taken by ``control.list_news``.
 FORMAT_VERSION = 1
 LIMITS_FORMAT_VERSION = 2
 CUT_OFF_FORMAT_VERSION = 3
 NOTICES_FORMAT_VERSION = 4
 SYMPTOMS_FORMAT_VERSION = 5
 LISTED_FORMAT_VERSION = 6
+RESTARTS_FORMAT_VERSION = 8
 # Ratios of response times are sent as whole hundredths; 0 stands for an endpoint not reached.
 RATIO_UNIT = 100
 MAX_RATIO = 1000 * RATIO_UNIT
 MAX_LOAD = 1_000_000
+MAX_COLD_MS = 600_000
 # Recipients of a report that this entry is cut off.
 CUT_OFF_FAN_OUT = 32
 SYMPTOM_FAN_OUT = 20
@@ -74,6 +80,9 @@
     | observation.LimitReport
     | observation.CutOffReport
     | observation.EndpointNotice
+    | observation.EntryStatus
+    | restarts.Report
+    | restarts.Suspicion
     | Symptom
 )
 log = events.Events("gossip")
@@ -138,6 +147,28 @@
     return _authenticated((SYMPTOMS_FORMAT_VERSION, rows), token)
 
 
+def encode_restarts(
+    status: observation.EntryStatus,
+    reports: collections.abc.Iterable[restarts.Report | restarts.Suspicion],
+    token: str,
+) -> bytes:
+    """Encode a datagram of endpoints that may have restarted, authenticated as the others."""
+    rows = [_restart_row(report) for report in reports]
+    return _authenticated((RESTARTS_FORMAT_VERSION, [(int(status.is_initiated),), *rows]), token)
+
+
+def _restart_row(report):
+    if isinstance(report, restarts.Suspicion):
+        return (report.endpoint_digest, 0)
+    return (
+        report.endpoint_digest,
+        report.number,
+        report.state.value,
+        round(report.cold_s * 1000),
+        round(report.age_s * 1000),
+    )
+
+
 def _authenticated(content, token):
     return signing.sign(cbor2.dumps(content), token)
 
@@ -195,6 +226,19 @@
     return _parse_notice(endpoint, endpoint_view.Fact.LISTED_LEAVING)
 
 
+def _parse_restart(first, *values):
+    if not all(type(value) is int and value >= 0 for value in (first, *values)):
+        raise ValueError("field is not a non-negative integer")
+    if not values:
+        return observation.EntryStatus(bool(first))
+    if values == (0,):
+        return restarts.Suspicion(first)
+    number, state, cold_ms, age_ms = values
+    return restarts.Report(
+        first, number, restarts.State(state), min(cold_ms, MAX_COLD_MS) / 1000.0, age_ms / 1000.0
+    )
+
+
 def _parse_symptom(endpoint, domain, ratio):
     if not all(type(value) is int and value >= 0 for value in (endpoint, domain, ratio)):
         raise ValueError("field is not a non-negative integer")
@@ -210,6 +254,7 @@
     NOTICES_FORMAT_VERSION: _parse_notice,
     SYMPTOMS_FORMAT_VERSION: _parse_symptom,
     LISTED_FORMAT_VERSION: _parse_listed,
+    RESTARTS_FORMAT_VERSION: _parse_restart,
 }
 
 
@@ -236,6 +281,11 @@
         self._token = token
         self._on_report = on_report
         self._rng = rng
+        # Called for each readable datagram with its sender, the sender's status, None for none, and
+        # what the sender suspects.
+        self.on_heard: collections.abc.Callable[
+            [Address, observation.EntryStatus | None, list[restarts.Suspicion]], None
+        ] = lambda sender, status, suspicions: None
         self._peers: list[Address] = []
         self._pending: list[tuple[float, observation.Observation]] = []
         self.sent = self.received = self.unreadable = 0
@@ -288,6 +338,16 @@
         for part in _parts(symptoms):
             self._send_to_all(encode_symptoms(part, self._token), peers)
 
+    def send_restarts(
+        self,
+        status: observation.EntryStatus,
+        reports: collections.abc.Sequence[restarts.Report | restarts.Suspicion],
+        peers: collections.abc.Sequence[Address],
+    ) -> None:
+        """Send the status of this entry and endpoints that may have restarted to ``peers``."""
+        for part in list(_parts(reports[:MAX_RESTARTS])) or [()]:
+            self._send_to_all(encode_restarts(status, part, self._token), peers)
+
     def send_cut_off(self, report: observation.CutOffReport) -> None:
         """Tell entries of the region that this entry reaches no endpoint."""
         data = encode_cut_off(report, self._token)
@@ -336,5 +396,13 @@
             log.usual("unreadable", sender=sender[0], reason=str(exc))
             return
         self.received += 1
+        status, suspicions = None, []
         for report in reports:
-            self._on_report(report)
+            match report:
+                case observation.EntryStatus():
+                    status = report
+                case restarts.Suspicion():
+                    suspicions.append(report)
+                case _:
+                    self._on_report(report)
+        self.on_heard(sender, status, suspicions)
--- a/oriolelock/gateway/health_checks.py
+++ b/oriolelock/gateway/health_checks.py
@@ -11,7 +11,7 @@
 import random
 
 from oriolelock import clock, events
-from oriolelock.dispatch import chooser, endpoint_view
+from oriolelock.dispatch import chooser, endpoint_view, restarts
 from oriolelock.gateway import connectivity, facts, request_metrics
 from oriolelock.gateway import dialect as dialects
 from oriolelock.http1 import buffer_budget, messages, outbound, transfers
@@ -40,6 +40,7 @@
 class HealthChecks:
     """Not thread-safe: used in the loop's thread. ``budget``: of buffered bytes.
 
+    ``on_health(view, health)`` is called for each response of the endpoint itself, and
     ``on_checked(view, outcome)`` is called after each check, unless the entry is cut off, which
     tells nothing of the endpoint.
     """
@@ -53,6 +54,9 @@
         budget: buffer_budget.BufferBudget,
         metrics: request_metrics.RequestMetrics,
         rng: random.Random,
+        on_health: collections.abc.Callable[
+            [endpoint_view.EndpointView, endpoint_view.Health], None
+        ],
         on_checked: collections.abc.Callable[[endpoint_view.EndpointView, Outcome], None],
     ):
         self._loop = loop
@@ -62,6 +66,7 @@
         self._budget = budget
         self._metrics = metrics
         self._rng = rng
+        self._on_health = on_health
         self._on_checked = on_checked
         self._services: collections.abc.Mapping[str, service.Service] = {}
         loop.call_each(INTERVAL_S, self._check_due_endpoints)
@@ -74,7 +79,7 @@
     def _check_due_endpoints(self):
         now = clock.monotonic_s()
         for view in self._chooser.views.values():
-            if self._is_check_due(view, now):
+            if self._is_doubt_check_due(view, now) or self._is_check_due(view, now):
                 self.check(view)
 
     def _probe_cut_off_services(self):
@@ -88,6 +93,7 @@
                 and view.is_usable(now)
                 and not view.health_check_pending
                 and self._hold_s(view, now) <= 0.0
+                and self._chooser.may_check(view, now)
             ]
             if views:
                 self.check(self._rng.choice(views))
@@ -99,11 +105,17 @@
         limit_wait_s = self._chooser.limits.wait_s(instance.name, instance.region, 0, now)
         return max(limit_wait_s, view.pause_s(now))
 
+    def _is_doubt_check_due(self, view, now):
+        is_possible = view.is_staying(now) and not view.health_check_pending
+        return is_possible and self._chooser.is_check_due(view, now)
+
     def _is_check_due(self, view, now):
         if not view.needs_health_check or view.health_check_pending or now < view.ejected_until_s:
             return False
         is_wanted = view.endpoint.state == "live" and not view.is_leaving
-        return is_wanted and self._hold_s(view, now) <= 0.0
+        if not is_wanted or self._hold_s(view, now) > 0.0:
+            return False
+        return self._chooser.may_check(view, now)
 
     def check(self, view: endpoint_view.EndpointView) -> None:
         """Check an endpoint's health."""
@@ -113,7 +125,9 @@
             view.health_check_pending = False
             return
         self._metrics.count("health_checks")
-        self._chooser.limits.record_sent(view.endpoint.name, clock.monotonic_s())
+        now = clock.monotonic_s()
+        self._chooser.limits.record_sent(view.endpoint.name, now)
+        self._chooser.record_cold_check(view, now)
         headers = ((b"host", view.endpoint.address.encode()), (b"connection", b"close"))
         req = messages.Request(b"GET", config.health_path.encode(), headers)
         conn = outbound.Outbound(
@@ -140,15 +154,26 @@
         elif isinstance(result, transfers.NotSent) and result.reason != "check-timeout":
             self._connectivity.record_failure(view, result.refused, now)
         was_ejected = view.needs_health_check
+        is_own = health is not None and health.endpoint_id in ("", view.endpoint.name)
         if health is None and self._connectivity.is_cut_off(view.endpoint.service):
             view.postpone_health_check(now)
             return
-        view.record_health_check(health, self._chooser.cold_period_s(view), now)
+        outcome = _outcome(health, result)
+        state = self._chooser.restarts.state(view.restart_digest, now)
+        if health is None and state is restarts.State.IN_DOUBT and not was_ejected:
+            # It gets no requests, and the next entry checks it soon.
+            view.end_check()
+            self._on_checked(view, outcome)
+            return
+        cold_s = self._chooser.cold_period_s(view)
+        view.record_health_check(health, cold_s, now, outcome is Outcome.REFUSED)
         if was_ejected and not view.needs_health_check:
             log.notable("endpoint-back", endpoint=view.endpoint.name, cold_ms=health.cold_ms)
         elif view.needs_health_check and not was_ejected:
             log.notable("endpoint-out", endpoint=view.endpoint.name, reason="health check")
-        self._on_checked(view, _outcome(health, result))
+        if health is not None and health.is_healthy and is_own:
+            self._on_health(view, health)
+        self._on_checked(view, outcome)
 
 
 def _outcome(health, result):
--- a/oriolelock/http1/outbound.py
+++ b/oriolelock/http1/outbound.py
@@ -76,6 +76,13 @@
         # Asked before the first byte of a request is written, which may be a connect timeout after
         # the decision to send it.
         self.is_wanted: collections.abc.Callable[[], bool] = lambda: True
+        # Called once when an established connection is closed, by either side.
+        self.on_closed: collections.abc.Callable[[Outbound], None] = lambda conn: None
+        # Whether the peer closed it in place of a response or while it was idle.
+        self.was_ended_by_peer = False
+        self.was_in_use = False
+        self.was_reset = False
+        self.connected_s = 0.0
         self._connected = False
         self._send_buffer = send_buffer.SendBuffer()
         self._reads = read_pacer.PacedReads(loop, self._watch)
@@ -165,6 +172,8 @@
             self.is_open = False
             self._loop.watch(self._sock, 0, self._on_event)
             self._sock.close()
+            if self._connected:
+                self.on_closed(self)
 
     def _connect_expired(self):
         if not self._connected:
@@ -175,11 +184,13 @@
         if error:
             self._finish(transfers.NotSent("connect-failed", True))
             return
-        self._connected = True
+        self._connected, self.connected_s = True, clock.monotonic_s()
         if self._timer:
             self._timer.cancel()
         self.on_connected()
-        self._flush()
+        self._loop.watch(self._sock, selectors.EVENT_READ, self._on_event)
+        # The ends of other connections, which may have arrived before, are noticed first.
+        self._loop.call_soon(self._flush)
 
     def _flush(self):
         if not self.is_open or self._on_result is None:
@@ -208,6 +219,7 @@
             self._loop.watch(self._sock, events, self._on_event)
 
     def _on_socket_error(self, exc):
+        self.was_ended_by_peer = self.was_reset = True
         if self.has_sent_bytes:
             self._finish(transfers.Lost(type(exc).__name__))
         else:
@@ -225,11 +237,13 @@
         except BlockingIOError:
             return
         except OSError as exc:
+            self.was_ended_by_peer = self.was_reset = True
             if self._on_result is None:
                 self._end_idle()
             else:
                 self._on_socket_error(exc)
             return
+        self.was_ended_by_peer = self.was_ended_by_peer or not data
         if self._on_result is None:
             # The endpoint closed an idle connection or sent unsolicited bytes.
             self._end_idle()
@@ -347,6 +361,9 @@
             self.usable_until_s = now + _keep_alive_s(headers)
             self._loop.watch(self._sock, selectors.EVENT_READ, self._on_event)
         else:
+            self.was_in_use = True
+            if isinstance(result, transfers.Answered):
+                self.was_ended_by_peer = False
             self.close()
         if on_result is not None:
             on_result(result)
--- a/tests/dispatch/test_chooser.py
+++ b/tests/dispatch/test_chooser.py
@@ -1,6 +1,6 @@
 """Endpoint selection: cost, eligibility, cold endpoints, admission."""
 
-from oriolelock.dispatch import decisions, endpoint_view
+from oriolelock.dispatch import decisions, endpoint_view, restarts
 from oriolelock.model import drain
 from tests.dispatch import builders
 
@@ -72,8 +72,9 @@
     endpoints = [builders.make_endpoint(n, d) for n, d in OWN_REGION]
     chooser = builders.make_chooser(builders.configure(endpoints, drains=[domain_drain]))
     chooser.configure(builders.configure(endpoints), 1.0, 1000.0)
-    assert chooser.views["x1"].needs_health_check
-    assert not chooser.views["x3"].needs_health_check
+    in_doubt = restarts.State.IN_DOUBT
+    assert chooser.restarts.state(chooser.views["x1"].restart_digest, 20.0) is in_doubt
+    assert chooser.restarts.state(chooser.views["x3"].restart_digest, 20.0) is not in_doubt
 
 
 def test_a_route_with_allowed_regions_uses_only_those():
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -6,10 +6,12 @@
 
 import pytest
 
+from oriolelock import clock
 from oriolelock.gateway import core, delegated_flow, dialect, flow
 from oriolelock.http1 import server, server_rules
 from oriolelock.model import configuration, endpoint, member, route, route_table, service
 from oriolelock.settings import gateway as settings
+from tests import waiting
 from tests.gateway import cuttable_link
 from tests.http1 import loop_thread, raw_endpoint
 
@@ -112,6 +114,10 @@
             _text(self.peer_address),
         )
 
+    def is_informed(self):
+        """Return whether the entry hears the others."""
+        return self.loop_thread.call(lambda: self.core.restarts.is_informed(clock.monotonic_s()))
+
     def connect(self):
         return connect(self.address)
 
@@ -220,13 +226,18 @@
             fleet[0].add_endpoint(f"x{n}", respond)
         for number, item in enumerate(fleet):
             item.endpoints = fleet[0].endpoints
-            item.members = {other.name: other.member() for other in fleet}
             if number < cut_off:
                 item.links = {
                     name: cuttable_link.CuttableLink(raw.address)
                     for name, raw in item.endpoints.items()
                 }
+            # As in a new fleet, in which members register one after another.
+            item.configure(regions=route_regions, **overrides)
+        for item in fleet:
+            item.members = {other.name: other.member() for other in fleet}
             item.configure(regions=route_regions, **overrides)
+        for item in fleet:
+            waiting.until(item.is_informed, 5.0)
         return fleet
 
     yield make
