Keep the port of a test's link while the link is cut

Cause: a cut closes the listening socket, so that for 3 s nobody holds its port, and the kernel may give it to any outgoing connection on the machine. A socket that took the port in a trial made create_server fail alike.

Change: a socket that is bound and never listens holds the port for as long as the link lives. Connections are refused during the cut as before (ECONNREFUSED).

--- a/tests/gateway/cuttable_link.py
+++ b/tests/gateway/cuttable_link.py
@@ -23,12 +23,15 @@
         self._hanging = threading.Event()
         self._fillers = []
         self._listener = None
-        self.address = ("127.0.0.1", 0)
+        # Nobody listens during some cuts, and the kernel must not give the port to others then.
+        self._holder = socket.socket()
+        self._holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._holder.bind(("127.0.0.1", 0))
+        self.address = self._holder.getsockname()
         self._listen()
 
     def _listen(self):
         self._listener = socket.create_server(self.address, backlog=64)
-        self.address = self._listener.getsockname()
         threading.Thread(target=self._accept, args=(self._listener,), daemon=True).start()
 
     def _accept(self, listener):
@@ -93,4 +96,5 @@
 
     def close(self):
         self._stop_listening()
+        self._holder.close()
         self._reset()
