Tell other replicas how long entries have been silent, for those that started since

Cause: silence is counted on every replica, but a replica that was killed as leader and starts again has a first election timeout of 0.25 to 0.7 of the shortest and often leads again. It counts anew, and is lost before it has counted 3 s, while the replicas that kept counting only follow.

Weighed: who may win an election right after its start. The short first timeout is what ends an outage of all replicas in time, elections would be longer, and a replaced replica could still win. Keeping the count on disk: an entry may have reported meanwhile. A leader that asks: the same message, and one more round.

Change: replicas tell each other of live entries that are late (over 2 s), each quarter of a second, none if most are late. Rows count only at a replica that has heard nothing of the entry since it started, so that what a leader knows is at most what the teller would have judged by; a report ends it. Told is only what was counted by confirmed reads, by who could hear the entry, and not by a replica that has just been paused; replicas that tell each other thus add up no time without a leader. The time of the receiver's own latest read is taken off, so that none counts twice. Builds before this one refuse unknown messages, so a WebSocket subprotocol negotiates it, as with ages.

--- a/oriolelock/control/components.py
+++ b/oriolelock/control/components.py
@@ -55,6 +55,7 @@
         self.replica.lag_s = self.instance_monitor.lag_s = self._lag_s
         self.instance_monitor.poller.lag_s = self._lag_s
         self.replica.take_reports = self._take_relayed
+        self.replica.take_silence = self.instance_monitor.take_silence
         self.replica.listen(self._on_change)
         self._news = self._make_news()
         self._joiner = joiner.Joiner(cfg, self.replica) if cfg.seeds else None
--- a/oriolelock/control/failure_detector.py
+++ b/oriolelock/control/failure_detector.py
@@ -12,7 +12,7 @@
 from oriolelock.distribution import reports
 from oriolelock.model import changes, configuration
 
-__all__ = ["Detection", "find_state_changes"]
+__all__ = ["Detection", "find_late", "find_state_changes"]
 
 # Entries report every second, and relaying a report between replicas takes up to 0.5 s. The ages
 # of entries that fall silent together differ by up to that interval, so when the first one
@@ -31,6 +31,18 @@
     held_back: tuple[str, ...]
 
 
+def find_late(
+    cfg: configuration.Configuration, silent_s: collections.abc.Mapping[str, float]
+) -> tuple[str, ...]:
+    """Return the names of live entries that are late, none if most of them are.
+
+    ``silent_s``: see ``find_state_changes``.
+    """
+    live = [m.name for m in cfg.members.values() if m.role == "entry" and m.state == "live"]
+    late = tuple(name for name in live if silent_s.get(name, 0.0) > LATE_AGE_S)
+    return late if 2 * len(late) <= len(live) else ()
+
+
 def find_state_changes(
     cfg: configuration.Configuration,
     ages: collections.abc.Mapping,
--- a/oriolelock/control/instance_monitor.py
+++ b/oriolelock/control/instance_monitor.py
@@ -12,6 +12,7 @@
 
 from oriolelock import clock, logs
 from oriolelock.control import failure_detector, instance_poller, replica, silence, unavailable
+from oriolelock.control import messages as control_messages
 from oriolelock.distribution import messages, report_packing, reports
 from oriolelock.model import results
 from oriolelock.settings import control as settings
@@ -87,6 +88,12 @@
         """Store reports that the replica ``sender`` has relayed."""
         self._take(batch, sender, relay=False)
 
+    def take_silence(self, rows: collections.abc.Iterable[tuple[str, float]]) -> None:
+        """Take over the seconds of silence by entry that another replica has counted."""
+        # The rows may have waited, and the entries may have reported meanwhile.
+        if not self.lag_s():
+            self._silence.take_over(rows)
+
     def _take(self, batch, relayed_by, relay):
         before = {report.name: self._reports.find(report.name) for report in batch.reports}
         self._reports.take(batch, clock.monotonic_s(), relay)
@@ -113,6 +120,20 @@
             self._replica.broadcast(report_packing.pack(self._reports.take_unrelayed(now).reports))
             self._report_metrics()
         self._detect_failures(now)
+        self._tell_of_silence()
+
+    def _tell_of_silence(self):
+        """Tell the others of silent entries: they may have started after their last reports.
+
+        Any of them may lead next, also when this replica, the leader, is lost.
+        """
+        if self.lag_s():
+            return
+        silent_s = self._silence.counted_seconds()
+        late = failure_detector.find_late(self._replica.configuration(), silent_s)
+        if late:
+            rows = tuple((name, silent_s[name]) for name in late)
+            self._replica.broadcast(control_messages.SilentEntries(rows))
 
     def _detect_failures(self, now):
         status, cfg = self._replica.status(), self._replica.configuration()
--- a/oriolelock/control/messages.py
+++ b/oriolelock/control/messages.py
@@ -9,7 +9,15 @@
 
 from oriolelock.wire import codec
 
-__all__ = ["ConfirmRead", "Confirmed", "Forward", "ForwardReply", "GroupMessage", "Join"]
+__all__ = [
+    "ConfirmRead",
+    "Confirmed",
+    "Forward",
+    "ForwardReply",
+    "GroupMessage",
+    "Join",
+    "SilentEntries",
+]
 
 
 @codec.register("group-message")
@@ -71,3 +79,14 @@
     """The state at ``index`` or later was current when the leader received ``ConfirmRead``."""
 
     index: int
+
+
+@codec.register("silent-entries")
+@dataclasses.dataclass(frozen=True)
+class SilentEntries:
+    """Tells which entries are silent, with the seconds that the sender has counted.
+
+    Sent only over connections that negotiate it, see ``wire.channel``.
+    """
+
+    rows: tuple[tuple[str, float], ...]
--- a/oriolelock/control/peer_link.py
+++ b/oriolelock/control/peer_link.py
@@ -10,6 +10,7 @@
 import threading
 
 from oriolelock import logs
+from oriolelock.control import messages
 from oriolelock.settings import control as settings
 from oriolelock.wire import channel, codec, errors, hello, send_queue
 
@@ -79,8 +80,11 @@
         return conn.last_received_s if conn else self._last_heard_s
 
     def send(self, msg: object) -> bool:
-        """Queue a message; returns False if it was dropped."""
-        return self._channel is not None and self._queue.put(codec.encode(msg))
+        """Queue a message; returns False if it was dropped or the peer doesn't know it."""
+        conn = self._channel
+        if conn is None or (isinstance(msg, messages.SilentEntries) and not conn.knows_silence):
+            return False
+        return self._queue.put(codec.encode(msg))
 
     def _run_sender(self):
         while (data := self._queue.get()) is not None:
--- a/oriolelock/control/replica.py
+++ b/oriolelock/control/replica.py
@@ -75,6 +75,8 @@
         self._watch = group_watch.GroupWatch(self._hosts, own, self.last_heard)
         # Called with reports and the name of the replica that relayed them.
         self.take_reports: collections.abc.Callable = lambda batch, sender: None
+        # Called with the rows of ``messages.SilentEntries``.
+        self.take_silence: collections.abc.Callable = lambda rows: None
         # See ``pauses.PauseDetector.lag_s``.
         self.lag_s: collections.abc.Callable[[], float] = lambda: 0.0
 
@@ -286,6 +288,8 @@
             self.take_reports(msg, sender)
         elif isinstance(msg, report_packing.PackedReports):
             self.take_reports(report_packing.unpack(msg), sender)
+        elif isinstance(msg, messages.SilentEntries):
+            self.take_silence(msg.rows)
 
     def _handle_join(self, msg):
         if self.lag_s():
--- a/oriolelock/control/silence.py
+++ b/oriolelock/control/silence.py
@@ -3,7 +3,8 @@
 ~~~~~~~~~~~~~~~~~~~~~~~~~~
 
     How long entries have been silent, counted on each replica whether it leads or not, so that a
-    new leader need not begin anew.
+    new leader need not begin anew. A replica that has started a moment ago takes over what others
+    have counted.
 
     Only time counts in which this replica could hear. While no leader confirms reads, entries find
     no parent to report to, and a replica that is frozen or cut off hears nobody.
@@ -23,7 +24,7 @@
 
 
 class Silence:
-    """``record_confirmed`` is thread-safe; all else is used by one thread.
+    """``record_confirmed`` and ``take_over`` are thread-safe; all else is used by one thread.
 
     Times are monotonic, in seconds.
     """
@@ -37,6 +38,10 @@
         # By entry: the time of its latest report, and seconds of silence since.
         self._measured_s: dict[str, float] = {}
         self._silent_s: dict[str, float] = {}
+        # Entries that this replica could have heard at the last ``advance``.
+        self._hearable: frozenset[str] = frozenset()
+        # By entry, what others have told since the last ``advance``.
+        self._told_s: dict[str, float] = {}
 
     def record_confirmed(self, started_s: float, now: float) -> None:
         """Record that a read begun at ``started_s`` was confirmed."""
@@ -48,6 +53,15 @@
                 self._uncounted_s += started_s - until_s
                 self._heard_until_s = started_s
 
+    def take_over(self, rows: collections.abc.Iterable[tuple[str, float]]) -> None:
+        """Take over the seconds of silence by entry that another replica has counted.
+
+        They count for entries of which this replica has not heard since it started.
+        """
+        with self._lock:
+            for name, silent_s in rows:
+                self._told_s[name] = max(silent_s, self._told_s.get(name, 0.0))
+
     def advance(
         self,
         entries: collections.abc.Iterable[str],
@@ -65,11 +79,12 @@
         """
         with self._lock:
             counted_s, self._uncounted_s = self._uncounted_s, 0.0
+            told_s, self._told_s = self._told_s, {}
             ahead_s = self._ahead_s(now)
         ages = known.ages(now)
         others = set(members) - {self._own_name}
         unheard = {name for name in others if ages.get(name, now) > REPLICA_SILENT_S}
-        silent_s = {}
+        silent_s, hearable = {}, set()
         for name in entries:
             silent_s[name] = self._silent_s.get(name, 0.0)
             heard = known.find(name)
@@ -79,9 +94,21 @@
                 self._measured_s[name] = heard.measured_s
             elif is_leader or _could_hear(relayed_by.get(name), unheard):
                 silent_s[name] += counted_s
-        self._silent_s = silent_s
+                hearable.add(name)
+            if not heard and name in told_s:
+                # The other replica may have counted up to now.
+                silent_s[name] = max(silent_s[name], told_s[name] - ahead_s)
+        self._silent_s, self._hearable = silent_s, frozenset(hearable)
         self._measured_s = {n: at_s for n, at_s in self._measured_s.items() if n in silent_s}
 
+    def counted_seconds(self) -> dict[str, float]:
+        """Return the seconds to tell other replicas, by entry that this one could have heard.
+
+        The time since the last confirmed read is left out: if that was the last one for long, it
+        will not count, and replicas that tell each other must not add it up.
+        """
+        return {n: silent_s for n, silent_s in self._silent_s.items() if n in self._hearable}
+
     def seconds(self, now: float) -> dict[str, float]:
         """Return the seconds of silence by entry, as of the last ``advance``, on a leader."""
         with self._lock:
--- a/oriolelock/wire/channel.py
+++ b/oriolelock/wire/channel.py
@@ -43,6 +43,9 @@
 # Negotiated in the WebSocket handshake (RFC 6455, 1.9), since messages of landed builds can't be
 # extended: they reject further fields.
 AGES_SUBPROTOCOL = "oriolelock-ages"
+# The messages of the one above, and the silence of entries between replicas.
+SILENCE_SUBPROTOCOL = "oriolelock-silence"
+SUBPROTOCOLS = (SILENCE_SUBPROTOCOL, AGES_SUBPROTOCOL)
 
 
 class Channel:
@@ -56,7 +59,9 @@
         self._last_received_s = clock.monotonic_s()
         self.peer = peer
         # Whether both ends know pings and aged deltas; older builds negotiate no subprotocol.
-        self.knows_ages = conn.subprotocol == AGES_SUBPROTOCOL
+        self.knows_ages = conn.subprotocol in SUBPROTOCOLS
+        # Whether both ends know ``control.messages.SilentEntries``.
+        self.knows_silence = conn.subprotocol == SILENCE_SUBPROTOCOL
         self.bytes_sent = 0
         self.bytes_received = 0
         self.messages_sent = 0
@@ -189,7 +194,7 @@
             close_timeout=1,
             ping_interval=None,
             compression="deflate" if offer_compression else None,
-            subprotocols=[AGES_SUBPROTOCOL],
+            subprotocols=SUBPROTOCOLS,
             max_size=MAX_MESSAGE_BYTES,
             proxy=None,
         )
@@ -258,7 +263,7 @@
 
 
 def _select_subprotocol(_conn, offered):
-    return AGES_SUBPROTOCOL if AGES_SUBPROTOCOL in offered else None
+    return next((known for known in SUBPROTOCOLS if known in offered), None)
 
 
 def serve(
--- a/tests/control/test_entries_judged_in_series.py
+++ b/tests/control/test_entries_judged_in_series.py
@@ -8,10 +8,11 @@
 import pytest
 
 from oriolelock.control import instance_monitor
+from oriolelock.control import messages as control_messages
 from oriolelock.distribution import messages, report_packing, reports
 from tests.dispatch import builders
 
-# The leader is replaced by an empty replica with another name, again and again.
+# The leader is replaced by an empty replica with another name, or starts again, again and again.
 INTERVAL_S = 5.0
 SUCCESSOR_AFTER_S = 1.0
 ROUNDS = 10
@@ -25,9 +26,13 @@
 
 
 class Control:
-    """Replicas whose leaders are replaced; ``members`` are those of the group."""
+    """Replicas whose leaders are lost.
 
-    def __init__(self, rng, clock_s):
+    ``leads_again``: a leader that is lost starts again with its name, and leads again.
+    """
+
+    def __init__(self, rng, clock_s, leads_again=False):
+        self.leads_again = leads_again
         self.rng, self.clock_s = rng, clock_s
         self.cfg = builders.configure([], entries=ENTRIES)
         self.leader = None
@@ -42,10 +47,14 @@
 
     def add(self):
         name = f"c{len(self.replicas) + len(self.lost)}"
+        if self.lost and self.leads_again:
+            name = self.lost[-1]
         self.replicas[name] = Replica(self, name)
 
     def elect(self):
         voters = list(self.replicas)[:4]
+        if self.lost and self.leads_again:
+            voters = self.lost[-1:]
         self.leader, self.leads_since_s = self.rng.choice(voters), self.clock_s[0]
 
     def lose_leader(self):
@@ -56,7 +65,8 @@
     def member_names(self):
         """Who is lost is a member until the next leader has led for a moment."""
         is_settled = self.leader and self.clock_s[0] - self.leads_since_s > 0.8
-        return (*self.replicas, *(() if is_settled else self.lost[-1:]))
+        lost = () if is_settled else self.lost[-1:]
+        return tuple(dict.fromkeys((*self.replicas, *lost)))
 
     def apply(self, change):
         self.was_down += [change.member.name] if change.member.state == "down" else []
@@ -68,9 +78,13 @@
         due = [item for item in self.in_flight if item[0] <= now]
         self.in_flight = [item for item in self.in_flight if item[0] > now]
         for _, sender, target, msg in due:
-            if target in self.replicas:
-                batch = report_packing.unpack(msg)
-                self.replicas[target].monitor.take_relayed(batch, sender)
+            if target not in self.replicas:
+                continue
+            monitor = self.replicas[target].monitor
+            if isinstance(msg, control_messages.SilentEntries):
+                monitor.take_silence(msg.rows)
+            else:
+                monitor.take_relayed(report_packing.unpack(msg), sender)
         for replica in list(self.replicas.values()):
             replica.run(now)
 
@@ -151,9 +165,19 @@
 def test_lookups_name_no_entry_that_is_gone_and_all_that_live(seed, monkeypatch):
     """Guards against silence that each leader counts anew, and against entries that are taken for
     dead because their replica was replaced."""
+    play(seed, monkeypatch, leads_again=False)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_the_same_holds_when_a_leader_that_started_again_leads_again(seed, monkeypatch):
+    """It has forgotten how long entries were silent, and is lost before it has counted anew."""
+    play(seed, monkeypatch, leads_again=True)
+
+
+def play(seed, monkeypatch, leads_again):
     rng, clock_s = random.Random(seed), [100.0]
     monkeypatch.setattr(instance_monitor.clock, "monotonic_s", lambda: clock_s[0])
-    control = Control(rng, clock_s)
+    control = Control(rng, clock_s, leads_again)
     entries = {name: Entry(control, name) for name in ENTRIES}
     started_s = clock_s[0] + 4.0
     killed_s = started_s + INTERVAL_S * (2 + rng.random())
--- a/tests/control/test_failure_detector.py
+++ b/tests/control/test_failure_detector.py
@@ -74,3 +74,11 @@
     cfg = make_configuration({"a": "live", "b": "live", "c": "live"})
     detection = detect(cfg, {"a": 0.5, "b": 0.5, "c": 3.5}, {"a", "c"})
     assert new_states(detection) == {"a": "leaving", "c": "down"}
+
+
+def test_late_entries_are_named_unless_most_are_late():
+    """Then they say more of the replica that listens, and would be many to tell of."""
+    cfg = make_configuration({"a": "live", "b": "live", "c": "live", "d": "down"})
+    silent_s = {"a": 2.5, "b": 1.5, "d": 60.0}
+    assert failure_detector.find_late(cfg, silent_s) == ("a",)
+    assert failure_detector.find_late(cfg, {**silent_s, "b": 2.5}) == ()
--- a/tests/control/test_peer_link.py
+++ b/tests/control/test_peer_link.py
@@ -5,7 +5,7 @@
 import pytest
 
 from oriolelock import clock
-from oriolelock.control import hosted, peer_link
+from oriolelock.control import hosted, messages, peer_link
 from oriolelock.settings import control as settings
 from oriolelock.wire import channel, errors, hello
 from tests import waiting
@@ -93,6 +93,22 @@
     assert link.last_heard_s == heard_s
 
 
+@pytest.fixture(params=[None, channel.AGES_SUBPROTOCOL, channel.SILENCE_SUBPROTOCOL])
+def spoken(request, monkeypatch):
+    """The subprotocol that peers select."""
+    monkeypatch.setattr(channel, "_select_subprotocol", lambda conn, offered: request.param)
+    return request.param
+
+
+def test_only_peers_that_know_the_message_are_told_of_silent_entries(spoken, peer, link):
+    """Builds before it would close the connection."""
+    link.start()
+    waiting.until(lambda: link.connected)
+    is_known = spoken == channel.SILENCE_SUBPROTOCOL
+    assert link.send(messages.SilentEntries((("e", 2.5),))) == is_known
+    assert link.send(messages.Confirmed(1))
+
+
 def test_replica_tells_only_of_replicas_that_it_heard(tmp_path, peer):
     """A replica that never answered has no time of its own: zero would look like a long silence."""
     port, http_port, unused_port = cluster.free_ports(3)
--- a/tests/control/test_silence.py
+++ b/tests/control/test_silence.py
@@ -95,6 +95,57 @@
     assert listener.run(0.5) <= silence.MAX_GAP_S
 
 
+def test_leader_that_started_a_moment_ago_takes_over_what_others_counted():
+    listener = Listener()
+    listener.silence.take_over([("e", 2.5), ("other", 9.0)])
+    assert listener.run(0.5, is_leader=True) == 2.5
+    assert listener.run(1.0, is_leader=True) == 3.5
+
+
+def test_what_others_counted_says_nothing_of_an_entry_that_was_heard():
+    """It may have reported to this replica only, or since they counted."""
+    listener = Listener({"e": "c2"})
+    listener.hear("e")
+    listener.silence.take_over([("e", 9.0)])
+    assert listener.run(0.5, is_leader=True) == 0.5
+    listener = Listener()
+    listener.silence.take_over([("e", 9.0)])
+    assert listener.run(0.5, is_leader=True) == 9.0
+    listener.hear("e")
+    assert listener.run(0.5, is_leader=True) == 0.5
+
+
+def test_time_that_others_counted_does_not_count_again():
+    """Their latest confirmed read may be later than that of this replica."""
+    listener = Listener()
+    listener.run(0.5, is_leader=True)
+    listener.silence.take_over([("e", 2.5)])
+    assert listener.run(0.5, is_leader=True, is_confirmed=False) == 2.5
+    assert listener.run(0.5, is_leader=True) == 3.0
+
+
+def test_replicas_that_tell_each_other_count_no_time_without_a_leader():
+    """Entries find no parent meanwhile, and a leader that starts would set them down."""
+    listeners = Listener(), Listener()
+    listeners[0].silence.take_over([("e", 2.1)])
+    for _ in range(20):
+        for number, listener in enumerate(listeners):
+            listener.run(0.5, is_confirmed=False)
+            told = listener.silence.counted_seconds()
+            listeners[1 - number].silence.take_over(told.items())
+    for listener in listeners:
+        assert listener.silence.counted_seconds()["e"] <= 2.1
+
+
+def test_replica_tells_only_of_entries_that_it_could_hear():
+    listener = Listener({"e": "c2"})
+    listener.hear("c2", "e")
+    listener.run(1.0)
+    assert listener.silence.counted_seconds() == {"e": 1.0}
+    listener.run(3.0, heard=("c3",))
+    assert listener.silence.counted_seconds() == {}
+
+
 def test_confirmations_that_arrive_late_do_not_count_time_again():
     listener = Listener({"e": "c2"})
     listener.hear("e")
