Own request path: keep nothing of the old start when the list names a new one of the same endpoint

What callers would see: a request in seven or so sent to an endpoint that has just started, as to a warm one, and slow or refused there; or none for up to a minute, because the old process had been ejected.

Cause: the router kept its route under the endpoint's name. A configuration with another start time or address of that name replaced the row and left in-flight counts, load reports, trust, ejection, adaptive limit and the slow start as they were, and results of requests to the old process counted for the new one.

Change: another start time (both known) or address makes a new route with a slow start from now on; ejection and limit are forgotten; a choice keeps the load state it was made from, so that its result counts only there. A start time that the list omits for a while is no new start, and none is lost behind it.

The own list names no start yet, so that there only a new address shows one.

--- a/oriolelock/admission/limiter.py
+++ b/oriolelock/admission/limiter.py
@@ -86,6 +86,12 @@
             endpoint_limit.slots = slot_count
             endpoint_limit.limit = max(MIN_LIMIT, min(endpoint_limit.limit, slot_count))
 
+    def forget(self, endpoint: str) -> None:
+        """Drop what was observed at an endpoint, because another process has its name now."""
+        endpoint_limit = self._limits.get(endpoint)
+        if endpoint_limit:
+            self._limits[endpoint] = _EndpointLimit(endpoint_limit.slots)
+
     def limit(self, endpoint: str, now: float) -> int:
         """Return how many requests may be in flight: 1 to slots.
 
--- a/oriolelock/routing/choice.py
+++ b/oriolelock/routing/choice.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from oriolelock.model import endpoint
+from oriolelock.routing import load
 
 __all__ = ["Choice"]
 
@@ -16,12 +17,14 @@
 class Choice:
     """An endpoint chosen for ``operation``.
 
-    ``is_remote``: the endpoint is in another region; ``reserved_bytes``: charged to the bandwidth
-    budget; ``is_probe``: the attempt tests whether an ejected endpoint has recovered.
+    ``load`` belongs to the start of the endpoint that was known then; ``is_remote``: the endpoint
+    is in another region; ``reserved_bytes``: charged to the bandwidth budget; ``is_probe``: the
+    attempt tests whether an ejected endpoint has recovered.
     """
 
     endpoint: endpoint.Endpoint
     operation: str
+    load: load.EndpointLoad
     is_remote: bool = False
     is_probe: bool = False
     reserved_bytes: int = 0
--- a/oriolelock/routing/ejection.py
+++ b/oriolelock/routing/ejection.py
@@ -57,6 +57,12 @@
         for name in names:
             self._health_by_name.setdefault(name, _EndpointHealth())
 
+    def forget(self, name: str) -> None:
+        """Drop what is known of an endpoint, because another process has its name now."""
+        if name in self._health_by_name:
+            self._health_by_name[name] = _EndpointHealth()
+            self.ejected.discard(name)
+
     def record_success(self, name: str, latency_ratio: float, now: float) -> bool:
         """Record a complete response that took ``latency_ratio`` times the mean latency.
 
--- a/oriolelock/routing/router.py
+++ b/oriolelock/routing/router.py
@@ -83,7 +83,11 @@
             del self._services[name]
         for name, service_endpoints in by_service.items():
             routes = self._services.setdefault(name, service_routes.ServiceRoutes(name))
-            routes.configure(service_endpoints, cfg.drains.values(), ramp_started_at)
+            drains_in_force = cfg.drains.values()
+            for restarted in routes.configure(
+                service_endpoints, drains_in_force, ramp_started_at, now
+            ):
+                self.limits.forget(restarted)
         self.limits.configure({e.name: e.slots for e in cfg.endpoints.values()})
 
     def _configure_buckets(self, cfg, entries, now):
@@ -214,8 +218,7 @@
 
     def started(self, chosen: choice.Choice, now: float) -> None:
         """Record that an attempt was sent; ``finished`` must follow."""
-        routes = self._services.get(chosen.endpoint.service)
-        route = routes.routes.get(chosen.endpoint.name) if routes else None
+        routes, route = self._find_route(chosen)
         if route is None:
             return
         route.load.in_flight += 1
@@ -228,8 +231,7 @@
         """Record the result of an attempt."""
         if chosen.is_remote and chosen.endpoint.region in self._buckets:
             self._buckets[chosen.endpoint.region].consume(res.size - chosen.reserved_bytes, now)
-        routes = self._services.get(chosen.endpoint.service)
-        route = routes.routes.get(chosen.endpoint.name) if routes else None
+        routes, route = self._find_route(chosen)
         if route is None:
             return
         in_flight = route.load.in_flight
@@ -238,6 +240,12 @@
         if res.report:
             self._apply_report(routes, route, res.report, now)
 
+    def _find_route(self, chosen):
+        """Return the routes of the service, and the route if the same start is still listed."""
+        routes = self._services.get(chosen.endpoint.service)
+        route = routes.routes.get(chosen.endpoint.name) if routes else None
+        return routes, route if route and route.load is chosen.load else None
+
     def apply_load_report(
         self, endpoint_name: str, load_report: result.LoadReport, now: float
     ) -> None:
--- a/oriolelock/routing/selection.py
+++ b/oriolelock/routing/selection.py
@@ -56,12 +56,18 @@
     size = attempt.size if is_remote else 0
     probe = find_probe(routes, region, attempt)
     if probe:
-        return choice.Choice(probe.load.endpoint, attempt.operation, is_remote, True, size)
+        return _make_choice(probe.load, attempt, is_remote, True, size)
     candidates = _candidates(routes, region, attempt, limits)
     if not candidates:
         return None
     endpoint_load = pick(candidates, attempt.now, attempt.rng)
-    return choice.Choice(endpoint_load.endpoint, attempt.operation, is_remote, False, size)
+    return _make_choice(endpoint_load, attempt, is_remote, False, size)
+
+
+def _make_choice(endpoint_load, attempt, is_remote, is_probe, size):
+    return choice.Choice(
+        endpoint_load.endpoint, attempt.operation, endpoint_load, is_remote, is_probe, size
+    )
 
 
 def _candidates(routes, region, attempt, limits):
--- a/oriolelock/routing/service_routes.py
+++ b/oriolelock/routing/service_routes.py
@@ -26,12 +26,26 @@
         self.load = endpoint_load
         self.name = endpoint_load.endpoint.name
         self.ramp_started_at = ramp_started_at
+        # The last known one: the list may omit it for a time.
+        self.started_ms = endpoint_load.endpoint.started_ms
         self.drains: tuple[drain.Drain, ...] = ()
         self.drain_reported_at = float("-inf")
         # Both shares change slowly and are refreshed on each tick.
         self.ramp_share = 1.0
         self.work_share = 1.0
 
+    def is_same_start(self, listed: endpoint.Endpoint) -> bool:
+        """Return whether ``listed``, of the same name, can be the process that is known here."""
+        is_start_known = self.started_ms and listed.started_ms
+        return listed.address == self.load.endpoint.address and (
+            not is_start_known or listed.started_ms == self.started_ms
+        )
+
+    def set_endpoint(self, listed: endpoint.Endpoint) -> None:
+        """Take over what the list says of the same start."""
+        self.load.endpoint = listed
+        self.started_ms = listed.started_ms or self.started_ms
+
     def start_ramp(self, now: float) -> None:
         """Begin a slow start."""
         self.ramp_started_at = now
@@ -75,19 +89,29 @@
         endpoints: collections.abc.Iterable[endpoint.Endpoint],
         planned_drains: collections.abc.Collection[drain.Drain],
         ramp_started_at: float | None,
-    ) -> None:
-        """Keep exactly these endpoints; new ones start their ramp at ``ramp_started_at``."""
-        routes, by_region = {}, {}
+        now: float,
+    ) -> list[str]:
+        """Keep exactly these endpoints; new ones start their ramp at ``ramp_started_at``.
+
+        An endpoint that has started again under its name keeps nothing and starts its ramp now.
+        Returns the names of these.
+        """
+        routes, by_region, restarted = {}, {}, []
         for endpoint_cfg in endpoints:
             route = self.routes.get(endpoint_cfg.name)
             if route is None:
                 route = Route(load.EndpointLoad(endpoint_cfg, self.averages), ramp_started_at)
-            route.load.endpoint = endpoint_cfg
+            elif not route.is_same_start(endpoint_cfg):
+                route = Route(load.EndpointLoad(endpoint_cfg, self.averages), now)
+                self.ejector.forget(route.name)
+                restarted.append(route.name)
+            route.set_endpoint(endpoint_cfg)
             route.drains = drains.find_covering(planned_drains, endpoint_cfg)
             routes[endpoint_cfg.name] = route
             by_region.setdefault(endpoint_cfg.region, []).append(route)
         self.routes, self.by_region = routes, by_region
         self.ejector.configure(routes)
+        return restarted
 
     def refresh(self, now: float, wall_s: float) -> None:
         """Recompute the shares of all routes."""
--- /dev/null
+++ b/tests/routing/test_new_starts.py
@@ -0,0 +1,118 @@
+"""Guards against an endpoint that starts again under its name and is treated as the old one."""
+
+import dataclasses
+
+import pytest
+
+from oriolelock.routing import result
+from tests.routing import builders
+
+KIND = result.Kind
+NEW_START = {"started_ms": 2_000}
+NEW_ADDRESS = {"address": "127.0.0.1:2"}
+
+
+def make_harness(count=3):
+    endpoints = [builders.make_endpoint(f"a{n}") for n in range(count)]
+    return builders.RouterHarness(
+        builders.make_cfg([dataclasses.replace(e, started_ms=1_000) for e in endpoints])
+    )
+
+
+def list_again(harness, name="a0", **fields):
+    endpoints = dict(harness.cfg.endpoints)
+    endpoints[name] = dataclasses.replace(endpoints[name], **fields)
+    harness.configure(dataclasses.replace(harness.cfg, endpoints=endpoints))
+
+
+def start_at(harness, name="a0"):
+    others = [other for other in harness.cfg.endpoints if other != name]
+    return harness.start(exclude=others)
+
+
+def dump_of(harness, name="a0"):
+    return harness.router.dump()["services"]["s"]["endpoints"][name]
+
+
+@pytest.mark.parametrize("fields", [NEW_START, NEW_ADDRESS])
+def test_new_start_under_an_old_name_gets_the_share_of_a_warm_endpoint(fields):
+    harness = make_harness()
+    assert harness.serve(300)["a0"] > 60
+    harness.now = 100.0
+    list_again(harness, **fields)
+    assert harness.serve(300).get("a0", 0) < 40
+    harness.now = 115.0
+    assert harness.serve(300)["a0"] > 60
+
+
+@pytest.mark.parametrize(
+    "fields", [{"slots": 7}, {"started_ms": 0}, {"state": "live", "connections": 9}]
+)
+def test_other_news_of_a_warm_endpoint_slows_it_down(fields):
+    harness = make_harness()
+    harness.now = 100.0
+    list_again(harness, **fields)
+    assert dump_of(harness)["ramp"] == 1.0
+
+
+def test_start_time_that_was_missing_for_a_time_hides_a_new_start():
+    harness = make_harness()
+    harness.now = 100.0
+    list_again(harness, started_ms=0)
+    assert dump_of(harness)["ramp"] == 1.0
+    list_again(harness, started_ms=1_000)
+    assert dump_of(harness)["ramp"] == 1.0
+    list_again(harness, started_ms=0)
+    list_again(harness, **NEW_START)
+    assert dump_of(harness)["ramp"] == 0.1
+
+
+def test_requests_to_the_old_start_count_as_in_flight_at_the_new_one():
+    harness = make_harness(1)
+    old = [start_at(harness) for _ in range(3)]
+    list_again(harness, **NEW_START)
+    assert dump_of(harness)["in_flight"] == 0
+    new = start_at(harness)
+    harness.finish(old[0], KIND.LOST)
+    assert dump_of(harness)["in_flight"] == 1
+    harness.finish(new)
+    harness.finish(old[1], KIND.TIMEOUT)
+    assert dump_of(harness)["in_flight"] == 0
+
+
+def test_failures_of_requests_to_the_old_start_eject_the_new_one():
+    harness = make_harness()
+    old = [start_at(harness) for _ in range(3)]
+    for chosen in old[:2]:
+        harness.finish(chosen, KIND.LOST)
+    for _ in range(2):
+        harness.finish(start_at(harness), KIND.LOST)
+    list_again(harness, **NEW_START)
+    harness.finish(old[2], KIND.LOST)
+    harness.finish(start_at(harness), KIND.LOST)
+    assert harness.router.dump()["services"]["s"]["ejected"] == []
+
+
+def test_ejection_of_the_old_start_holds_for_the_new_one():
+    harness = make_harness()
+    harness.finish(start_at(harness), KIND.REFUSED)
+    assert harness.router.dump()["services"]["s"]["ejected"] == ["a0"]
+    list_again(harness, **NEW_START)
+    assert harness.router.dump()["services"]["s"]["ejected"] == []
+    assert dump_of(harness)["ramp"] == 0.1
+
+
+def test_load_and_limit_of_the_old_start_hold_for_the_new_one():
+    harness = make_harness()
+    for _ in range(20):
+        harness.finish(start_at(harness), KIND.SHED)
+        harness.now += 1.0
+    report = result.LoadReport(6, 6, 9, "draining")
+    harness.router.apply_load_report("a0", report, harness.now)
+    assert harness.router.limits.dump()["a0"] == 1.0 and dump_of(harness)["drained"] == 0.0
+    list_again(harness, **NEW_START)
+    after = dump_of(harness)
+    assert (after["state"], after["trust"], after["drained"]) == ("serving", 1.0, 1.0)
+    assert harness.router.limits.dump()["a0"] == 3.0
+    stale = harness.router.endpoints_with_stale_load(harness.now, 0.9)
+    assert "a0" in {endpoint.name for endpoint in stale}
