Own request path: begin the slow start at once, from its beginning, when an endpoint reports that it is cold

What callers would see: an endpoint that crashed and came back cold while it was in a slow start, or that turned cold then, got half of a warm endpoint's share at once; one that was warm got up to its whole limit until the next tick (50 to 100 ms).

Cause: a report of "cold" was only read by the periodic refresh, and only began a slow start if none was running.

Change: a report that turns from another state to "cold" begins the slow start with that report. Further ones of a cold endpoint don't.

Evidence: test_endpoint_that_turns_cold_during_its_slow_start_goes_on_with_the_old_one and test_endpoint_that_turns_cold_gets_work_as_a_warm_one_until_the_next_tick fail before and pass now; test_reports_of_a_cold_endpoint_begin_its_slow_start_again_and_again holds before and now.

--- a/oriolelock/routing/router.py
+++ b/oriolelock/routing/router.py
@@ -256,9 +256,11 @@
             self._apply_report(routes, routes.routes[endpoint_name], load_report, now)
 
     def _apply_report(self, routes, route, load_report, now):
+        was_cold = route.load.state == "cold"
         if not route.load.apply_report(load_report, now):
             return
-        if routes.ejector.record_load_report(route.name, now - load_report.age_s, now):
+        is_readmitted = routes.ejector.record_load_report(route.name, now - load_report.age_s, now)
+        if is_readmitted or (load_report.state == "cold" and not was_cold):
             route.start_ramp(now)
         if load_report.state == "draining":
             route.drain_reported_at = now
--- a/tests/routing/test_new_starts.py
+++ b/tests/routing/test_new_starts.py
@@ -116,3 +116,39 @@
     assert harness.router.limits.dump()["a0"] == 3.0
     stale = harness.router.endpoints_with_stale_load(harness.now, 0.9)
     assert "a0" in {endpoint.name for endpoint in stale}
+
+
+def report(harness, state, name="a0", age_s=0.0):
+    load_report = result.LoadReport(0, 6, 0, state, age_s)
+    harness.router.apply_load_report(name, load_report, harness.now)
+
+
+def test_endpoint_that_turns_cold_during_its_slow_start_goes_on_with_the_old_one():
+    harness = make_harness()
+    harness.now = 100.0
+    list_again(harness, **NEW_START)
+    harness.now = 108.0
+    report(harness, "serving")
+    harness.serve(1)
+    assert dump_of(harness)["ramp"] > 0.8
+    report(harness, "cold")
+    assert dump_of(harness)["ramp"] == 0.1
+
+
+def test_endpoint_that_turns_cold_gets_work_as_a_warm_one_until_the_next_tick():
+    harness = make_harness(1)
+    for _ in range(3):
+        harness.finish(start_at(harness))
+    report(harness, "cold")
+    assert sum(start_at(harness) is not None for _ in range(3)) == 1
+
+
+def test_reports_of_a_cold_endpoint_begin_its_slow_start_again_and_again():
+    harness = make_harness()
+    report(harness, "cold")
+    for _ in range(40):
+        harness.now += 0.1
+        report(harness, "cold")
+        report(harness, "serving", age_s=5.0)
+        harness.serve(1)
+    assert dump_of(harness)["ramp"] > 0.4
