Own request path: a refused connection ends what was observed of an endpoint's old start

What callers would see: an endpoint that crashed and came back was put out again, for 5 s and more at a time, because of requests that the old process had left open; and its new process got the limit, trust, latency and reports of the old one.

Cause: a refused connection (or a crash) ejected the endpoint, which got a slow start when it was readmitted, but its load state and its adaptive limit went on, and requests sent before it counted as failures afterwards: five that time out put it out again, or lengthen the wait for the first probe.

Change: the refusal is taken for the end of the start. Load state and limit begin anew; a choice carries the start that was known, and completions, failures and sheds of an earlier one count no more. Their in-flight counts still go down one by one, refusals still count.

Evidence: tests/routing/test_new_starts.py, 6 cases fail before and pass now (requests that the old start left open, limit and trust, an old report); test_failures_of_the_new_start_do_not_eject_it holds before and now.

--- a/oriolelock/routing/choice.py
+++ b/oriolelock/routing/choice.py
@@ -17,14 +17,15 @@
 class Choice:
     """An endpoint chosen for ``operation``.
 
-    ``load`` belongs to the start of the endpoint that was known then; ``is_remote``: the endpoint
-    is in another region; ``reserved_bytes``: charged to the bandwidth budget; ``is_probe``: the
-    attempt tests whether an ejected endpoint has recovered.
+    ``load`` and ``start`` are those that were known then; ``is_remote``: the endpoint is in
+    another region; ``reserved_bytes``: charged to the bandwidth budget; ``is_probe``: the attempt
+    tests whether an ejected endpoint has recovered.
     """
 
     endpoint: endpoint.Endpoint
     operation: str
     load: load.EndpointLoad
+    start: int
     is_remote: bool = False
     is_probe: bool = False
     reserved_bytes: int = 0
--- a/oriolelock/routing/feedback.py
+++ b/oriolelock/routing/feedback.py
@@ -5,7 +5,8 @@
     Updates load, health and limits of an endpoint from the result of an attempt.
 
     A silent connection, a cancelled request and a crash caused by a request say nothing about
-    the load of the endpoint or its health under load.
+    the load of the endpoint or its health under load. What was sent before a start of the endpoint
+    says nothing about the process that runs now.
 """
 
 from oriolelock.admission import limiter
@@ -14,6 +15,9 @@
 __all__ = ["apply"]
 
 FAILURES = (result.Kind.ERROR, result.Kind.TIMEOUT, result.Kind.LOST)
+OBSERVATIONS = (result.Kind.COMPLETE, *FAILURES, result.Kind.SHED)
+# Nothing listens at the address, so the process that ran there has probably ended.
+ENDS = (result.Kind.REFUSED, result.Kind.CRASH)
 
 
 def apply(
@@ -26,6 +30,13 @@
     now: float,
 ) -> None:
     """Apply a result to load, ejection and limits; ``in_flight`` includes this request."""
+    if chosen.start == route.load.start or res.kind not in OBSERVATIONS:
+        _apply(routes, route, limits, chosen, res, in_flight, now)
+    if chosen.is_probe:
+        routes.ejector.record_probe_end(route.name)
+
+
+def _apply(routes, route, limits, chosen, res, in_flight, now):
     kind, endpoint_load, ejector = res.kind, route.load, routes.ejector
     if kind is result.Kind.COMPLETE:
         latency_ratio = routes.averages.observe_latency(chosen.operation, res.latency_s)
@@ -36,15 +47,15 @@
     elif kind in FAILURES:
         endpoint_load.observe_error(now)
         ejector.record_failure(route.name, now)
-    elif kind is result.Kind.REFUSED:
-        ejector.record_refusal(route.name, now)
-    elif kind is result.Kind.CRASH:
-        ejector.record_crash(route.name, now)
+    elif kind in ENDS:
+        if route.name not in ejector.ejected or chosen.is_probe:
+            route.restart(now)
+            limits.forget(route.name)
+        record = ejector.record_crash if kind is result.Kind.CRASH else ejector.record_refusal
+        record(route.name, now)
     elif kind is result.Kind.SHED:
         endpoint_load.observe_shed(now)
         limits.record_shed(route.name, now)
     elif kind is result.Kind.DRAINING:
         route.drain_reported_at = now
         route.work_share = 0.0
-    if chosen.is_probe:
-        ejector.record_probe_end(route.name)
--- a/oriolelock/routing/load.py
+++ b/oriolelock/routing/load.py
@@ -43,12 +43,20 @@
 
 
 class EndpointLoad:
-    """In-flight requests of this entry, reported load, latency and errors of one endpoint."""
+    """In-flight requests of this entry, reported load, latency and errors of one endpoint.
+
+    ``start`` counts the starts of the endpoint that this entry has noticed.
+    """
 
     def __init__(self, endpoint_cfg: endpoint.Endpoint, averages: service_load.ServiceLoad):
         self.endpoint = endpoint_cfg
         self.averages = averages
         self.in_flight = 0
+        self.start = 0
+        self._started_at = float("-inf")
+        self._reset()
+
+    def _reset(self):
         self.trust = 1.0
         self.reported_at = float("-inf")
         self.state = "serving"
@@ -60,10 +68,22 @@
         self._latency_ratio = (1.0, 0.0)
         self._error_rate = (0.0, 0.0)
 
+    def restart(self, now: float) -> None:
+        """Forget what was observed before ``now``, when the endpoint is taken to have ended.
+
+        Requests in flight stay counted: each of them still ends once.
+        """
+        self.start += 1
+        self._started_at = now
+        self._reset()
+
     def apply_report(self, load_report: result.LoadReport, now: float) -> bool:
-        """Apply a load report; returns False and ignores it if it is older than the last one."""
+        """Apply a load report; returns False and ignores it if it is older than the last one.
+
+        So is one from before the endpoint's last known start.
+        """
         measured_at = now - max(0.0, load_report.age_s)
-        if measured_at < self.reported_at:
+        if measured_at < max(self.reported_at, self._started_at):
             return False
         self.reported_at = measured_at
         self.state = load_report.state
--- a/oriolelock/routing/selection.py
+++ b/oriolelock/routing/selection.py
@@ -66,7 +66,13 @@
 
 def _make_choice(endpoint_load, attempt, is_remote, is_probe, size):
     return choice.Choice(
-        endpoint_load.endpoint, attempt.operation, endpoint_load, is_remote, is_probe, size
+        endpoint_load.endpoint,
+        attempt.operation,
+        endpoint_load,
+        endpoint_load.start,
+        is_remote,
+        is_probe,
+        size,
     )
 
 
--- a/oriolelock/routing/service_routes.py
+++ b/oriolelock/routing/service_routes.py
@@ -46,6 +46,11 @@
         self.load.endpoint = listed
         self.started_ms = listed.started_ms or self.started_ms
 
+    def restart(self, now: float) -> None:
+        """Forget what was observed of the process that has ended, and begin a slow start."""
+        self.load.restart(now)
+        self.start_ramp(now)
+
     def start_ramp(self, now: float) -> None:
         """Begin a slow start."""
         self.ramp_started_at = now
--- a/tests/routing/test_new_starts.py
+++ b/tests/routing/test_new_starts.py
@@ -152,3 +152,64 @@
         report(harness, "serving", age_s=5.0)
         harness.serve(1)
     assert dump_of(harness)["ramp"] > 0.4
+
+
+def start_six(kind):
+    """Send six requests to one of two endpoints; the first of them ends as ``kind``."""
+    cfg = builders.make_cfg([builders.make_endpoint(f"a{n}", slots=20) for n in range(2)])
+    harness = builders.RouterHarness(cfg)
+    old = [start_at(harness) for _ in range(6)]
+    harness.finish(old[0], kind)
+    assert harness.router.dump()["services"]["s"]["ejected"] == ["a0"]
+    return harness, old[1:]
+
+
+@pytest.mark.parametrize("kind", [KIND.REFUSED, KIND.CRASH])
+def test_requests_that_the_old_start_left_open_eject_the_new_one(kind):
+    harness, old = start_six(kind)
+    harness.now = 1.5
+    harness.finish(start_at(harness))
+    for chosen in old:
+        harness.finish(chosen, KIND.TIMEOUT)
+    assert harness.router.dump()["services"]["s"]["ejected"] == []
+    assert dump_of(harness)["in_flight"] == 0
+
+
+@pytest.mark.parametrize("kind", [KIND.REFUSED, KIND.CRASH])
+def test_requests_that_the_old_start_left_open_delay_the_first_probe(kind):
+    harness, old = start_six(kind)
+    for chosen in old:
+        harness.finish(chosen, KIND.TIMEOUT)
+    harness.now = 1.5
+    assert start_at(harness).is_probe
+
+
+def test_endpoint_that_refused_a_connection_keeps_the_limit_and_trust_of_its_old_start():
+    harness = make_harness()
+    for _ in range(20):
+        harness.finish(start_at(harness), KIND.SHED)
+        harness.now += 1.0
+    assert dump_of(harness)["trust"] < 0.1
+    harness.finish(start_at(harness), KIND.REFUSED)
+    harness.now += 1.5
+    harness.finish(start_at(harness))
+    assert dump_of(harness)["ramp"] == 0.1 and dump_of(harness)["trust"] == 1.0
+    assert harness.router.limits.dump()["a0"] == 3.0
+
+
+def test_report_from_before_a_refused_connection_is_taken_for_one_of_the_new_start():
+    harness = make_harness()
+    harness.now = 10.0
+    harness.finish(start_at(harness), KIND.REFUSED)
+    report(harness, "draining", age_s=0.5)
+    assert dump_of(harness)["state"] == "serving"
+
+
+def test_failures_of_the_new_start_do_not_eject_it():
+    harness, _ = start_six(KIND.REFUSED)
+    harness.now = 1.5
+    harness.finish(start_at(harness))
+    harness.now = 20.0
+    for _ in range(5):
+        harness.finish(start_at(harness), KIND.TIMEOUT)
+    assert harness.router.dump()["services"]["s"]["ejected"] == ["a0"]
