Own request path: notice that an endpoint has started again when all connections to it ended together

An endpoint crashes and is back within 0.2 s, while an entry has only idle connections to it: each is found closed and silently replaced, and the cold process gets the share, the limit and the weight of the warm one, until its first response or report says "cold"; an endpoint that doesn't say so keeps them.

Cause: nothing compared the ends of connections. The pool closed a stale connection and opened another, and libcurl does the same for one that fails as the request is sent; a request lost counted as one failure of many.

Change: endpoints.restart_signs counts ends per address. Two or more connections that had been open together, each used within the last second and reused before, found ended within a second, with no older one open, are a restart. The first end makes the pool look at the idle ones at once, before the request goes on. The router then forgets load, limit and failures of the old start and begins a slow start; ejections and drains stay, requests in flight end one by one. Closed connections are no longer kept as idle ones.

Not counted, so that warm endpoints lose nothing: a single connection, connections idle for over a second (idle time-outs), those that never served a second request (a server that closes after each response), an end while an older connection goes on. An entry that holds one connection to the endpoint therefore notices nothing by this sign.

--- a/oriolelock/endpoints/connection.py
+++ b/oriolelock/endpoints/connection.py
@@ -79,6 +79,8 @@
         self._timer_deadline_s: float | None = None
         self._idle_fd = -1
         self.last_used_s = 0.0
+        self.opened_s = float("inf")
+        self.was_reused = False
         self.generation = 0
 
     @property
@@ -86,13 +88,18 @@
         """Whether a connection from an earlier transfer is still open."""
         return self._multi is not None and self._idle_fd >= 0
 
-    def close_if_stale(self) -> None:
-        """Close an idle connection that the peer closed or sent unsolicited data on."""
+    def close_if_stale(self) -> bool:
+        """Close an idle connection that the peer closed or sent unsolicited data on.
+
+        Returns whether it was closed.
+        """
         if self.is_open:
             poller = select.poll()
             poller.register(self._idle_fd, select.POLLIN)
             if poller.poll(0):
                 self.close()
+                return True
+        return False
 
     def close(self) -> None:
         """Close the TCP connection, if any."""
@@ -132,6 +139,8 @@
         failure.
         """
         reused = self.is_open
+        if not reused:
+            self.opened_s, self.was_reused = clock.monotonic_s(), False
         if self._multi is None:
             self._open()
         handle.setopt(pycurl.HEADERFUNCTION, state.add_header)
@@ -149,6 +158,8 @@
                 or handle.getinfo(pycurl.REQUEST_SIZE) > 0
                 or handle.getinfo(pycurl.CONNECT_TIME) > 0
             )
+            if reused and not state.reconnected and not state.error:
+                self.was_reused = True
         finally:
             state.budget.release(id(state))
             self._multi.remove_handle(handle)
--- a/oriolelock/endpoints/pool.py
+++ b/oriolelock/endpoints/pool.py
@@ -14,7 +14,14 @@
 import pycurl
 
 from oriolelock import clock, logs
-from oriolelock.endpoints import classifier, connection, handle, request, results
+from oriolelock.endpoints import (
+    classifier,
+    connection,
+    handle,
+    request,
+    restart_signs,
+    results,
+)
 from oriolelock.model import endpoint as endpoints
 
 __all__ = ["Pool"]
@@ -24,7 +31,9 @@
 CANCEL_TIMEOUT_S = 1.0
 CANCEL_THREADS = 4
 MAX_PENDING_CANCELS = 256
+ENDED_ERRORS = (*classifier.LOST_ERRORS, *classifier.TRUNCATED_ERRORS)
 
+OnRestart = collections.abc.Callable[[endpoints.Endpoint, float], None]
 log = logs.get_logger("endpoints")
 
 
@@ -36,14 +45,19 @@
     """
 
     idle: collections.deque = dataclasses.field(default_factory=collections.deque)
-    in_use: int = 0
+    in_use: set[connection.Connection] = dataclasses.field(default_factory=set)
     generation: int = 0
+    signs: restart_signs.RestartSigns = dataclasses.field(
+        default_factory=restart_signs.RestartSigns
+    )
 
 
 class Pool:
     """Connection pool; thread-safe.
 
     ``connection_limit`` returns the maximum number of connections to an endpoint.
+    ``on_restart(endpoint, now)`` is called, before a request is sent on, when all connections to
+    an endpoint have ended together.
     """
 
     def __init__(
@@ -51,10 +65,12 @@
         connection_limit: collections.abc.Callable[[endpoints.Endpoint], int],
         idle_timeout_s: float = IDLE_TIMEOUT_S,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        on_restart: OnRestart = lambda endpoint, now: None,
     ):
         self._connection_limit = connection_limit
         self._idle_timeout_s = idle_timeout_s
         self._connect_timeout_s = connect_timeout_s
+        self._on_restart = on_restart
         self._lock = threading.Lock()
         self._connections: dict[str, _EndpointConnections] = {}
         self._cancel_executor = concurrent.futures.ThreadPoolExecutor(CANCEL_THREADS, "cancel")
@@ -74,6 +90,8 @@
             return results.NotSent("no-connection", 0.0)
         is_reusable = False
         try:
+            if conn.close_if_stale():
+                self._note_end(endpoint, conn, start_s)
             if not req.idempotent:
                 conn.close()
             result = self._attempt(conn, req, endpoint, start_s, timeout_s)
@@ -85,7 +103,6 @@
         return result
 
     def _attempt(self, conn, req, endpoint, start_s, timeout_s):
-        conn.close_if_stale()
         reused = conn.is_open
         transfer = self._transfer(conn, req, endpoint, start_s, timeout_s, reused)
         silent_connections = 0
@@ -122,6 +139,8 @@
             )
         finally:
             curl.close()
+        if transfer.reconnected or transfer.error in ENDED_ERRORS:
+            self._note_end(endpoint, conn, clock.monotonic_s())
         return transfer
 
     def _acquire(self, endpoint, now):
@@ -131,15 +150,15 @@
             connections = self._connections.setdefault(endpoint.address, _EndpointConnections())
             while connections.idle and connections.idle[0].last_used_s < now - self._idle_timeout_s:
                 stale.append(connections.idle.popleft())
-            if connections.in_use >= limit:
+            if len(connections.in_use) >= limit:
                 conn = None
             else:
                 # Idle connections also count towards the limit.
-                while connections.idle and connections.in_use + len(connections.idle) > limit:
+                while connections.idle and len(connections.in_use) + len(connections.idle) > limit:
                     stale.append(connections.idle.popleft())
                 conn = connections.idle.pop() if connections.idle else connection.Connection()
                 conn.generation = connections.generation
-                connections.in_use += 1
+                connections.in_use.add(conn)
         for stale_conn in stale:
             stale_conn.close()
         return conn
@@ -149,13 +168,29 @@
             conn.close()
         with self._lock:
             connections = self._connections[endpoint.address]
-            connections.in_use -= 1
-            is_reusable = is_reusable and conn.generation == connections.generation
+            connections.in_use.discard(conn)
+            is_reusable = is_reusable and conn.is_open and conn.generation == connections.generation
             if is_reusable:
                 connections.idle.append(conn)
         if not is_reusable:
             conn.close()
 
+    def _note_end(self, endpoint, conn, now):
+        """Note that the endpoint ended a connection, and look whether it ended all of them."""
+        with self._lock:
+            connections = self._connections[endpoint.address]
+            ended = {conn} | {c for c in connections.idle if c.close_if_stale()}
+            connections.idle = collections.deque(c for c in connections.idle if c not in ended)
+            for c in ended:
+                connections.signs.record_end(c.opened_s, c.last_used_s, c.was_reused, now)
+            # The request may go on over another connection in its place.
+            conn.opened_s, conn.was_reused = now, False
+            still_open = connections.in_use.union(connections.idle)
+            has_restarted = connections.signs.has_restarted([c.opened_s for c in still_open], now)
+        if has_restarted:
+            log.info("{} has started again: all connections to it ended together.", endpoint.name)
+            self._on_restart(endpoint, now)
+
     def _discard_connections(self, endpoint, conn):
         conn.close()
         with self._lock:
@@ -185,7 +220,7 @@
         """Return the number of connections in use and idle by endpoint address."""
         with self._lock:
             return {
-                address: (connections.in_use, len(connections.idle))
+                address: (len(connections.in_use), len(connections.idle))
                 for address, connections in self._connections.items()
             }
 
--- a/oriolelock/entry/daemon.py
+++ b/oriolelock/entry/daemon.py
@@ -61,7 +61,8 @@
             cfg.name, cfg.cluster, cfg.cluster_token, self.uplink, self.counters.count
         )
         self.pool = pool.Pool(
-            lambda target: connection_limits.connection_limit(self._entry_count, target)
+            lambda target: connection_limits.connection_limit(self._entry_count, target),
+            on_restart=self.steering.restarted,
         )
         self.once = client.Client(cfg.name, self.uplink.call, self._is_cut_off)
         self._server: http_server.Server | None = None
--- a/oriolelock/entry/steering.py
+++ b/oriolelock/entry/steering.py
@@ -234,6 +234,11 @@
             self._admit_next(now)
         return is_suspect
 
+    def restarted(self, target: endpoint.Endpoint, now: float) -> None:
+        """Note that an endpoint has probably started again at its address."""
+        with self._lock:
+            self._router.record_restart(target, now)
+
     def reported(self, endpoint_name: str, report: result.LoadReport, now: float) -> None:
         """Process a polled load report."""
         with self._lock:
--- a/oriolelock/routing/ejection.py
+++ b/oriolelock/routing/ejection.py
@@ -63,6 +63,16 @@
             self._health_by_name[name] = _EndpointHealth()
             self.ejected.discard(name)
 
+    def record_restart(self, name: str) -> None:
+        """Record that an endpoint has probably started again.
+
+        Earlier failures no longer count towards an ejection. One that is ejected stays so until
+        its probe.
+        """
+        health = self._health_by_name.get(name)
+        if health:
+            health.consecutive_failures = health.consecutive_slow = 0
+
     def record_success(self, name: str, latency_ratio: float, now: float) -> bool:
         """Record a complete response that took ``latency_ratio`` times the mean latency.
 
--- a/oriolelock/routing/router.py
+++ b/oriolelock/routing/router.py
@@ -240,6 +240,16 @@
         if res.report:
             self._apply_report(routes, route, res.report, now)
 
+    def record_restart(self, restarted: endpoint.Endpoint, now: float) -> None:
+        """Record that an endpoint has probably started again at its address."""
+        routes = self._services.get(restarted.service)
+        route = routes.routes.get(restarted.name) if routes else None
+        if route is None or route.load.endpoint.address != restarted.address:
+            return
+        route.restart(now)
+        routes.ejector.record_restart(route.name)
+        self.limits.forget(route.name)
+
     def _find_route(self, chosen):
         """Return the routes of the service, and the route if the same start is still listed."""
         routes = self._services.get(chosen.endpoint.service)
--- a/tests/fake_endpoint.py
+++ b/tests/fake_endpoint.py
@@ -1,5 +1,6 @@
 """A scripted endpoint: each request is answered by a function that a test gives."""
 
+import socket
 import socketserver
 import threading
 
@@ -40,6 +41,7 @@
         self.behave = behave
         self.requests = []
         self.connections = 0
+        self.open_sockets = set()
         self.changed = threading.Condition()
         outer = self
 
@@ -69,6 +71,7 @@
         with self.changed:
             self.connections += 1
             handler.number = self.connections
+            self.open_sockets.add(handler.request)
         handler.served = 0
         try:
             while seen := self.read(handler):
@@ -79,6 +82,15 @@
                 handler.wfile.write(data)
         except OSError:
             return
+        finally:
+            with self.changed:
+                self.open_sockets.discard(handler.request)
+
+    def end_connections(self, count=None):
+        """End connections, all by default, as a crash would; go on listening."""
+        with self.changed:
+            for sock in list(self.open_sockets)[:count]:
+                sock.shutdown(socket.SHUT_RDWR)
 
     def read(self, handler):
         line = handler.rfile.readline().decode()
--- a/tests/routing/test_new_starts.py
+++ b/tests/routing/test_new_starts.py
@@ -213,3 +213,46 @@
     for _ in range(5):
         harness.finish(start_at(harness), KIND.TIMEOUT)
     assert harness.router.dump()["services"]["s"]["ejected"] == ["a0"]
+
+
+def note_restart(harness, **fields):
+    listed = dataclasses.replace(harness.cfg.endpoints["a0"], **fields)
+    harness.router.record_restart(listed, harness.now)
+
+
+def test_endpoint_that_has_probably_restarted_keeps_share_failures_or_limit_of_its_old_start():
+    cfg = builders.make_cfg([builders.make_endpoint(f"a{n}", slots=20) for n in range(2)])
+    harness = builders.RouterHarness(cfg)
+    old = [start_at(harness) for _ in range(6)]
+    for chosen in old[:4]:
+        harness.finish(chosen, KIND.LOST)
+    note_restart(harness)
+    assert dump_of(harness)["ramp"] == 0.1
+    assert dump_of(harness)["in_flight"] == 2, "they still end, one by one"
+    for chosen in old[4:]:
+        harness.finish(chosen, KIND.LOST)
+    harness.finish(start_at(harness), KIND.LOST)
+    assert harness.router.dump()["services"]["s"]["ejected"] == []
+    assert dump_of(harness)["in_flight"] == 0
+
+
+def test_sign_of_a_restart_readmits_an_ejected_endpoint_or_blocks_its_probes():
+    harness = make_harness()
+    harness.finish(start_at(harness), KIND.REFUSED)
+    note_restart(harness)
+    assert harness.router.dump()["services"]["s"]["ejected"] == ["a0"]
+    harness.now = 1.5
+    probe = start_at(harness)
+    note_restart(harness)
+    harness.finish(probe)
+    second = start_at(harness)
+    assert second.is_probe
+    harness.finish(second)
+    assert dump_of(harness)["ramp"] == 0.1
+    assert harness.router.dump()["services"]["s"]["ejected"] == []
+
+
+def test_connections_to_an_earlier_address_tell_of_the_present_process():
+    harness = make_harness()
+    note_restart(harness, **NEW_ADDRESS)
+    assert dump_of(harness)["ramp"] == 1.0
