Own request path: let the instance list name starts, and a new entry begin with the slow starts under way

What callers would see: an entry that starts, or starts again, sends a full share to an endpoint that has just started, until its first load report; and no process reads a new start under an old id from the instance list.

Cause: the own list had no field for a start, though the endpoint in the configuration has one (started_ms), so two rows of two processes are equal; and an entry's first configuration began no slow start at all.

Change: the list may say "started_ms" (Unix time, ms) for an endpoint; odd values count as unknown, and the row still holds. In an entry's first configuration an endpoint that started less than a slow start ago (10 s) goes on with it from there; a start more than 10 s in the future is not believed, as the clocks then differ. Without the field all is as before. No message between processes changes.

Evidence: test_new_start_under_an_old_id_changes_nothing and test_new_entry_takes_an_endpoint_that_has_just_started_for_a_warm_one fail before and pass now; test_endpoint_with_an_odd_start_time_is_left_out and test_new_endpoint_starts_slowly_but_a_new_entry_does_not hold.

--- a/oriolelock/control/instance_list.py
+++ b/oriolelock/control/instance_list.py
@@ -26,6 +26,8 @@
 MAX_GAP_S = 3.0
 STATES = ("live", "leaving")
 MAX_PORT = 65535
+# In the year 5138.
+MAX_STARTED_MS = 10**14
 
 log = logs.get_logger("control.instances")
 
@@ -116,6 +118,12 @@
     return value
 
 
+def _read_start(row):
+    """Return the Unix time of the start in ms; 0 if the list doesn't say, or oddly."""
+    value = row.get("started_ms")
+    return value if type(value) is int and 0 < value <= MAX_STARTED_MS else 0
+
+
 def _check_port(address):
     port = address.rpartition(":")[2]
     if not (port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) <= MAX_PORT):
@@ -137,6 +145,7 @@
             slots=_read_count(row, "slots"),
             connections=_read_count(row, "connections"),
             state=state,
+            started_ms=_read_start(row),
             **common,
         )
     link_address = _read_text(row, "link_address", "")
--- a/oriolelock/routing/router.py
+++ b/oriolelock/routing/router.py
@@ -64,7 +64,7 @@
             region: sorted({m.name for m in entries if m.region != region} | {self.name})
             for region in {e.region for e in cfg.endpoints.values()} - {self.region}
         }
-        self._configure_services(cfg, now)
+        self._configure_services(cfg, now, wall_s)
         self._configure_buckets(cfg, entries, now)
         self.record_control_contact(now)
         self._is_configured = self._is_configured or bool(cfg.endpoints)
@@ -72,22 +72,21 @@
         self._ticked_at = float("-inf")
         self.tick(now, wall_s)
 
-    def _configure_services(self, cfg, now):
+    def _configure_services(self, cfg, now, wall_s):
         by_service: dict[str, list] = {}
         for endpoint_cfg in cfg.endpoints.values():
             by_service.setdefault(endpoint_cfg.service, []).append(endpoint_cfg)
-        # Endpoints in the first configuration are unknown to this entry but not newly started, so
-        # they need no slow start.
-        ramp_started_at = now if self._is_configured else None
+        # Endpoints in the first configuration are unknown to this entry but few have just started.
+        is_first = not self._is_configured
         for name in [name for name in self._services if name not in by_service]:
             del self._services[name]
         for name, service_endpoints in by_service.items():
             routes = self._services.setdefault(name, service_routes.ServiceRoutes(name))
-            drains_in_force = cfg.drains.values()
-            for restarted in routes.configure(
-                service_endpoints, drains_in_force, ramp_started_at, now
-            ):
-                self.limits.forget(restarted)
+            restarted = routes.configure(
+                service_endpoints, cfg.drains.values(), is_first, now, wall_s
+            )
+            for restarted_name in restarted:
+                self.limits.forget(restarted_name)
         self.limits.configure({e.name: e.slots for e in cfg.endpoints.values()})
 
     def _configure_buckets(self, cfg, entries, now):
--- a/oriolelock/routing/service_routes.py
+++ b/oriolelock/routing/service_routes.py
@@ -93,19 +93,24 @@
         self,
         endpoints: collections.abc.Iterable[endpoint.Endpoint],
         planned_drains: collections.abc.Collection[drain.Drain],
-        ramp_started_at: float | None,
+        is_first: bool,
         now: float,
+        wall_s: float,
     ) -> list[str]:
-        """Keep exactly these endpoints; new ones start their ramp at ``ramp_started_at``.
+        """Keep exactly these endpoints; new ones start their ramp now.
 
-        An endpoint that has started again under its name keeps nothing and starts its ramp now.
-        Returns the names of these.
+        ``is_first``: all are new to this entry, and start their ramp only if the list says that
+        they have just started. An endpoint that has started again under its name keeps nothing
+        and starts its ramp now. Returns the names of these.
         """
         routes, by_region, restarted = {}, {}, []
         for endpoint_cfg in endpoints:
             route = self.routes.get(endpoint_cfg.name)
             if route is None:
-                route = Route(load.EndpointLoad(endpoint_cfg, self.averages), ramp_started_at)
+                started_at = (
+                    slow_start.find_start(endpoint_cfg.started_ms, now, wall_s) if is_first else now
+                )
+                route = Route(load.EndpointLoad(endpoint_cfg, self.averages), started_at)
             elif not route.is_same_start(endpoint_cfg):
                 route = Route(load.EndpointLoad(endpoint_cfg, self.averages), now)
                 self.ejector.forget(route.name)
--- a/tests/control/test_instance_list.py
+++ b/tests/control/test_instance_list.py
@@ -124,6 +124,19 @@
     assert list(instance_list.parse(body)) == ["p2"]
 
 
+def test_new_start_under_an_old_id_changes_nothing():
+    diff, machine = instance_list.InstanceDiff(), config_state.ConfigState()
+    apply_reading(diff, machine, {**ENDPOINT, "started_ms": 1_700_000_000_000})
+    changed = apply_reading(diff, machine, {**ENDPOINT, "started_ms": 1_700_000_009_000})
+    assert [change.endpoint.started_ms for change in changed] == [1_700_000_009_000]
+
+
+@pytest.mark.parametrize("value", [None, "1", True, -1, 1.5, 10**30, [], {}])
+def test_endpoint_with_an_odd_start_time_is_left_out(value):
+    listed = instance_list.parse(json.dumps([{**ENDPOINT, "started_ms": value}]).encode())
+    assert listed["p1"].started_ms == 0
+
+
 def test_unreachable_list_is_reported():
     with pytest.raises(instance_list.ListUnreadable):
         instance_list.fetch("http://127.0.0.1:1/instances")
--- a/tests/routing/test_new_starts.py
+++ b/tests/routing/test_new_starts.py
@@ -256,3 +256,17 @@
     harness = make_harness()
     note_restart(harness, **NEW_ADDRESS)
     assert dump_of(harness)["ramp"] == 1.0
+
+
+def test_new_entry_takes_an_endpoint_that_has_just_started_for_a_warm_one():
+    started_ms = {"a0": 3_000, "a1": 60_000, "a2": 0, "a3": -5_000, "a4": -60_000}
+    endpoints = [
+        dataclasses.replace(
+            builders.make_endpoint(name),
+            started_ms=int(1000 * builders.WALL_S) - age_ms if age_ms else 0,
+        )
+        for name, age_ms in started_ms.items()
+    ]
+    harness = builders.RouterHarness(builders.make_cfg(endpoints))
+    shares = [dump_of(harness, name)["ramp"] for name in started_ms]
+    assert shares == [pytest.approx(0.37), 1.0, 1.0, 0.1, 1.0]
