Own request path: a region that returns as a whole keeps its slow start, while others have room

What callers would see: after a whole region was lost and came back, or all its endpoints crashed and started again under their names, its entries sent all their work there within the first second, to cold endpoints, although each of them was in a slow start.

Cause: an endpoint in a slow start is passed over by chance, but if all of a region were, the choice fell back to any of them. With one endpoint of three that protects; with all of them it does nothing, apart from the limit of requests at once, which short requests pass many times a second.

Change: if all endpoints that are left in the own region are passed over for their slow start, warm endpoints of other regions are asked first, within their headroom, the link's budget and their own slow starts. If none takes the request, the choice falls back as before. Drains fall back as before.

Evidence: test_region_that_returns_cold_as_a_whole_gets_all_its_work_at_once fails before (part of the region in its first second 1.0, bound 0.4) and passes now; test_region_that_returns_cold_is_left_unused_when_the_others_are_full and test_work_moves_between_regions_that_are_all_cold hold before and now.

--- a/oriolelock/routing/router.py
+++ b/oriolelock/routing/router.py
@@ -176,7 +176,7 @@
         return chosen or self._choose_local_or_spill(routes, attempt)
 
     def _choose_local_or_spill(self, routes, attempt):
-        local = selection.choose_in(routes, self.region, False, attempt, self.limits, self._pick)
+        local = self._choose_local(routes, attempt, within_ramps=True)
         if local:
             endpoint_load = routes.routes[local.endpoint.name].load
             if local.is_probe or endpoint_load.occupancy(attempt.now) < SPILL_OCCUPANCY:
@@ -187,9 +187,21 @@
             if region != self.region and region not in routes.no_spill_regions
         }
         regions = spill.order_regions(headroom, attempt.rng)
-        return self._choose_remote(routes, regions, attempt) or local
+        if local:
+            return self._choose_remote(routes, regions, attempt) or local
+        # Those that are left here may all be in a slow start; others elsewhere are warm.
+        return (
+            self._choose_remote(routes, regions, attempt, within_ramps=True)
+            or self._choose_local(routes, attempt)
+            or self._choose_remote(routes, regions, attempt)
+        )
 
-    def _choose_remote(self, routes, regions, attempt):
+    def _choose_local(self, routes, attempt, within_ramps=False):
+        return selection.choose_in(
+            routes, self.region, False, attempt, self.limits, self._pick, within_ramps
+        )
+
+    def _choose_remote(self, routes, regions, attempt, within_ramps=False):
         for region in regions:
             bucket = self._buckets.get(region)
             if bucket is None or not bucket.can_send(attempt.size, attempt.now):
@@ -197,7 +209,9 @@
             has_headroom = self._spill_headroom(routes, region, attempt.now) > 0
             if not has_headroom and selection.find_probe(routes, region, attempt) is None:
                 continue
-            chosen = selection.choose_in(routes, region, True, attempt, self.limits, self._pick)
+            chosen = selection.choose_in(
+                routes, region, True, attempt, self.limits, self._pick, within_ramps
+            )
             if chosen:
                 return chosen
         return None
--- a/oriolelock/routing/selection.py
+++ b/oriolelock/routing/selection.py
@@ -51,13 +51,17 @@
     attempt: Attempt,
     limits: limiter.Limiter,
     pick: collections.abc.Callable,
+    within_ramps: bool = False,
 ) -> choice.Choice | None:
-    """Return the choice within a region, or None if no endpoint may take the attempt."""
+    """Return the choice within a region, or None if no endpoint may take the attempt.
+
+    ``within_ramps``: none in a slow start takes more than its share, even if no other is left.
+    """
     size = attempt.size if is_remote else 0
     probe = find_probe(routes, region, attempt)
     if probe:
         return _make_choice(probe.load, attempt, is_remote, True, size)
-    candidates = _candidates(routes, region, attempt, limits)
+    candidates = _candidates(routes, region, attempt, limits, within_ramps)
     if not candidates:
         return None
     endpoint_load = pick(candidates, attempt.now, attempt.rng)
@@ -76,7 +80,7 @@
     )
 
 
-def _candidates(routes, region, attempt, limits):
+def _candidates(routes, region, attempt, limits, within_ramps):
     preferred, fallback = [], []
     for route in routes.by_region.get(region, ()):
         if not routes.accepts_new_work(route) or route.name in attempt.exclude:
@@ -88,7 +92,10 @@
             limit = min(limit, max(1, int(limit * route.ramp_share)))
         if route.load.in_flight >= limit:
             continue
-        share = route.work_share * route.ramp_share
-        is_preferred = share >= 1.0 or attempt.rng.random() < share
-        (preferred if is_preferred else fallback).append(route.load)
+        is_within_ramp = route.ramp_share >= 1.0 or attempt.rng.random() < route.ramp_share
+        is_within_drain = route.work_share >= 1.0 or attempt.rng.random() < route.work_share
+        if is_within_ramp and is_within_drain:
+            preferred.append(route.load)
+        elif is_within_ramp or not within_ramps:
+            fallback.append(route.load)
     return preferred or fallback
--- a/tests/routing/test_new_starts.py
+++ b/tests/routing/test_new_starts.py
@@ -270,3 +270,40 @@
     harness = builders.RouterHarness(builders.make_cfg(endpoints))
     shares = [dump_of(harness, name)["ramp"] for name in started_ms]
     assert shares == [pytest.approx(0.37), 1.0, 1.0, 0.1, 1.0]
+
+
+def make_returning_region(entries=1):
+    """All endpoints of the entry's own region were refused and have just been readmitted."""
+    harness = builders.RouterHarness(builders.make_cfg(builders.two_regions(), entries=entries))
+    harness.report_all()
+    for name in ("a0", "a1", "a2"):
+        others = [other for other in harness.cfg.endpoints if other != name]
+        harness.finish(harness.start(exclude=others), KIND.REFUSED)
+    harness.now = 2.0
+    harness.report_all()
+    return harness
+
+
+def test_region_that_returns_cold_as_a_whole_gets_all_its_work_at_once():
+    harness = make_returning_region()
+    shares = []
+    for harness.now in (2.0, 7.0, 13.0):
+        harness.report_all()
+        counts = harness.serve(400)
+        shares.append(sum(count for name, count in counts.items() if name[0] == "a") / 400)
+    assert shares[0] < 0.4 and shares[2] == 1.0
+    assert shares[0] < shares[1] < 1.0
+
+
+def test_region_that_returns_cold_is_left_unused_when_the_others_are_full():
+    harness = make_returning_region()
+    harness.report_all(in_flight=6, regions="b")
+    counts = harness.serve(100)
+    assert {name[0] for name in counts} == {"a"}
+
+
+def test_work_moves_between_regions_that_are_all_cold():
+    harness = make_returning_region()
+    harness.report_all(state="cold")
+    counts = harness.serve(200)
+    assert sum(count for name, count in counts.items() if name[0] == "b") < 60
