Own request path: take a refused poll of an endpoint's load for its end, as a refused request

What callers would see: an entry that sends an endpoint nothing, as those of other regions do, keeps it as a warm one while it is down and after it is back: its first requests are refused, or go to the new process with a full share.

Cause: the load poller, which asks each second where no response came, dropped all failures of a poll.

Change: a poll whose connection was refused (not one that timed out) ejects the endpoint and ends what was observed of its start; the next report after the ejection readmits it with a slow start. Refused polls don't lengthen an ejection and end no probe.

--- a/oriolelock/endpoints/load_poller.py
+++ b/oriolelock/endpoints/load_poller.py
@@ -9,6 +9,7 @@
 """
 
 import collections.abc
+import errno
 import io
 import json
 import threading
@@ -35,7 +36,7 @@
     """Polls in one background thread.
 
     ``due_endpoints(now)`` returns the endpoints to poll; ``on_report(name, report, age_s)`` is
-    called with each report.
+    called with each report, ``on_refused(name)`` with each endpoint where nothing listens.
     """
 
     def __init__(
@@ -45,9 +46,11 @@
         ],
         on_report: OnReport,
         interval_s: float = INTERVAL_S,
+        on_refused: collections.abc.Callable[[str], None] = lambda name: None,
     ):
         self._due_endpoints = due_endpoints
         self._on_report = on_report
+        self._on_refused = on_refused
         self._interval_s = interval_s
         self._multi = pycurl.CurlMulti()
         self._handles: dict[str, pycurl.Curl] = {}
@@ -111,9 +114,12 @@
                 self._multi.select(SELECT_TIMEOUT_S)
         remaining = 1
         while remaining:
-            remaining, done, _ = self._multi.info_read()
+            remaining, done, failed = self._multi.info_read()
             for curl in done:
                 self._process_response(curl)
+            for curl, _, _ in failed:
+                if curl.getinfo(pycurl.OS_ERRNO) == errno.ECONNREFUSED:
+                    self._on_refused(curl.endpoint)
 
     def _process_response(self, curl):
         try:
--- a/oriolelock/entry/background.py
+++ b/oriolelock/entry/background.py
@@ -45,7 +45,11 @@
             REPORT_THREADS, "crash-report"
         )
         self._report_permits = threading.BoundedSemaphore(MAX_PENDING_REPORTS)
-        self._poller = load_poller.LoadPoller(decisions.unreported, self._on_load_report)
+        self._poller = load_poller.LoadPoller(
+            decisions.unreported,
+            self._on_load_report,
+            on_refused=lambda name: decisions.poll_refused(name, clock.monotonic_s()),
+        )
         self._ticker = threading.Thread(target=self._run, name="ticker", daemon=True)
 
     def on_config(self, cfg: configuration.Configuration) -> None:
--- a/oriolelock/entry/steering.py
+++ b/oriolelock/entry/steering.py
@@ -244,6 +244,11 @@
         with self._lock:
             self._router.apply_load_report(endpoint_name, report, now)
 
+    def poll_refused(self, endpoint_name: str, now: float) -> None:
+        """Note that nothing listened at an endpoint when its load was polled."""
+        with self._lock:
+            self._router.record_refused_poll(endpoint_name, now)
+
     def unreported(self, now: float) -> list[endpoint.Endpoint]:
         """Return the endpoints without a recent load report."""
         with self._lock:
--- a/oriolelock/routing/router.py
+++ b/oriolelock/routing/router.py
@@ -253,6 +253,16 @@
         if res.report:
             self._apply_report(routes, route, res.report, now)
 
+    def record_refused_poll(self, endpoint_name: str, now: float) -> None:
+        """Record that nothing listens at an endpoint; one that is ejected already stays so."""
+        endpoint_cfg = self._cfg.endpoints.get(endpoint_name)
+        routes = self._services.get(endpoint_cfg.service) if endpoint_cfg else None
+        if routes is None or endpoint_name in routes.ejector.ejected:
+            return
+        routes.routes[endpoint_name].restart(now)
+        self.limits.forget(endpoint_name)
+        routes.ejector.record_refusal(endpoint_name, now)
+
     def record_restart(self, restarted: endpoint.Endpoint, now: float) -> None:
         """Record that an endpoint has probably started again at its address."""
         routes = self._services.get(restarted.service)
--- a/tests/endpoints/test_load_poller.py
+++ b/tests/endpoints/test_load_poller.py
@@ -62,3 +62,15 @@
 def test_only_a_closed_port_counts_as_refusing(live_endpoint):
     assert not liveness.is_refusing(live_endpoint.address)
     assert liveness.is_refusing(closed_address())
+
+
+def test_endpoint_where_nothing_listens_goes_unnoticed(live_endpoint):
+    dead = dataclasses.replace(live_endpoint.model("dead"), address=closed_address())
+    refused = []
+    poller = load_poller.LoadPoller(
+        lambda now: [live_endpoint.model("a"), dead],
+        lambda name, report, age_s: None,
+        on_refused=refused.append,
+    )
+    poller.poll(0.0)
+    assert refused == ["dead"]
--- a/tests/entry/test_restarted_endpoint.py
+++ b/tests/entry/test_restarted_endpoint.py
@@ -37,3 +37,16 @@
     waiting.until(lambda: not running.endpoint.open_sockets)
     running.send_request()
     assert dump_of(running)["ramp"] < 0.5
+
+
+def test_idle_endpoint_that_ended_is_taken_for_a_live_one(start):
+    """Only the polls of its load meet it."""
+    running = start().wait_ready()
+    running.send_request()
+    running.endpoint.close()
+    running.endpoint.end_connections()
+
+    def ejected():
+        return running.entry.dump()["steering"]["router"]["services"]["proofs"]["ejected"]
+
+    waiting.until(lambda: ejected() == ["e1"], 10)
--- a/tests/routing/test_new_starts.py
+++ b/tests/routing/test_new_starts.py
@@ -307,3 +307,23 @@
     harness.report_all(state="cold")
     counts = harness.serve(200)
     assert sum(count for name, count in counts.items() if name[0] == "b") < 60
+
+
+def test_endpoint_whose_poll_was_refused_gets_work_as_a_warm_one_when_it_is_back():
+    harness = make_harness()
+    harness.router.record_refused_poll("a0", harness.now)
+    assert "a0" not in harness.serve(50)
+    harness.now = 1.5
+    report(harness, "serving")
+    assert dump_of(harness)["ramp"] == 0.1
+    assert harness.serve(300).get("a0", 0) < 40
+
+
+def test_refused_polls_lengthen_an_ejection():
+    harness = make_harness()
+    harness.finish(start_at(harness), KIND.REFUSED)
+    for harness.now in (0.5, 0.9):
+        harness.router.record_refused_poll("a0", harness.now)
+    harness.now = 1.1
+    assert start_at(harness).is_probe
+    harness.router.record_refused_poll("unknown", harness.now)
