Count a waiting request under the lock that looks whether there are too many

What callers saw: in a flood of one priority more of its requests waited than their share of the threads, until their deadlines, and fewer threads were left to read requests of the others.

Cause: Steering.admit looked under the lock whether the waiting threads of a priority are at their bound, and _wait counted the thread under the lock again later: requests that arrived together all passed the look.

Change: the request is counted where the look is made.

--- a/oriolelock/entry/steering.py
+++ b/oriolelock/entry/steering.py
@@ -123,6 +123,7 @@
             is_full = self._waiting[op.priority] >= self._max_waiting[op.priority]
             if is_full and self._scheduler.cancel(item, now):
                 return outcomes.NotRun("queue-full", decision.expected_wait_s * 1000)
+            self._waiting[op.priority] += 1
         return self._wait(item, is_gone)
 
     def wait_again(
@@ -137,11 +138,10 @@
             self._scheduler.requeue(item, now)
             # Nothing has changed since no endpoint was found, so no request is admitted now.
             self._refuse_evicted()
+            self._waiting[item.priority] += 1
         return self._wait(item, is_gone)
 
     def _wait(self, item, is_gone):
-        with self._lock:
-            self._waiting[item.priority] += 1
         try:
             return self._wait_for_turn(item, is_gone)
         finally:
--- a/tests/entry/test_steering.py
+++ b/tests/entry/test_steering.py
@@ -99,6 +99,30 @@
             decisions.leave(fut.result(), clock.monotonic_s())
 
 
+class LockWithPause:
+    """A lock after which its thread pauses, so that others run before the next step."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+
+    def __enter__(self):
+        self._lock.acquire()
+
+    def __exit__(self, *exc_info):
+        self._lock.release()
+        time.sleep(0.02)
+
+
+def test_requests_that_arrive_together_take_more_than_their_share_of_the_threads(pool):
+    decisions, policy = make_steering(threads=20, worker_slots=4)
+    admit(decisions, policy)
+    decisions._lock = LockWithPause()
+    futures = [pool.submit(admit, decisions, policy, left_s=3.0) for _ in range(12)]
+    concurrent.futures.wait(futures)
+    reasons = [fut.result().reason for fut in futures]
+    assert reasons.count("deadline-passed") == 3 and reasons.count("queue-full") == 9
+
+
 def test_request_without_free_endpoint_waits_again(pool):
     decisions, policy = make_steering(in_flight_limit=50)
     admitted = admit(decisions, policy)
