--- a/oriolelock/entry/steering.py
+++ b/oriolelock/entry/steering.py
@@ -123,6 +123,7 @@
             is_full = self._waiting[op.priority] >= self._max_waiting[op.priority]
             if is_full and self._scheduler.cancel(item, now):
                 return outcomes.NotRun("queue-full", decision.expected_wait_s * 1000)
+            self._waiting[op.priority] += 1
         return self._wait(item, is_gone)
 
     def wait_again(
@@ -137,11 +138,10 @@
             self._scheduler.requeue(item, now)
             # Nothing has changed since no endpoint was found, so no request is admitted now.
             self._refuse_evicted()
+            self._waiting[item.priority] += 1
         return self._wait(item, is_gone)
 
     def _wait(self, item, is_gone):
-        with self._lock:
-            self._waiting[item.priority] += 1
         try:
             return self._wait_for_turn(item, is_gone)
         finally:
@@ -234,11 +234,21 @@
             self._admit_next(now)
         return is_suspect
 
+    def restarted(self, target: endpoint.Endpoint, now: float) -> None:
+        """Note that an endpoint has probably started again at its address."""
+        with self._lock:
+            self._router.record_restart(target, now)
+
     def reported(self, endpoint_name: str, report: result.LoadReport, now: float) -> None:
         """Process a polled load report."""
         with self._lock:
             self._router.apply_load_report(endpoint_name, report, now)
 
+    def poll_refused(self, endpoint_name: str, now: float) -> None:
+        """Note that nothing listened at an endpoint when its load was polled."""
+        with self._lock:
+            self._router.record_refused_poll(endpoint_name, now)
+
     def unreported(self, now: float) -> list[endpoint.Endpoint]:
         """Return the endpoints without a recent load report."""
         with self._lock:
--- a/oriolelock/routing/router.py
+++ b/oriolelock/routing/router.py
@@ -64,7 +64,7 @@
             region: sorted({m.name for m in entries if m.region != region} | {self.name})
             for region in {e.region for e in cfg.endpoints.values()} - {self.region}
         }
-        self._configure_services(cfg, now)
+        self._configure_services(cfg, now, wall_s)
         self._configure_buckets(cfg, entries, now)
         self.record_control_contact(now)
         self._is_configured = self._is_configured or bool(cfg.endpoints)
@@ -72,18 +72,21 @@
         self._ticked_at = float("-inf")
         self.tick(now, wall_s)
 
-    def _configure_services(self, cfg, now):
+    def _configure_services(self, cfg, now, wall_s):
         by_service: dict[str, list] = {}
         for endpoint_cfg in cfg.endpoints.values():
             by_service.setdefault(endpoint_cfg.service, []).append(endpoint_cfg)
-        # Endpoints in the first configuration are unknown to this entry but not newly started, so
-        # they need no slow start.
-        ramp_started_at = now if self._is_configured else None
+        # Endpoints in the first configuration are unknown to this entry but few have just started.
+        is_first = not self._is_configured
         for name in [name for name in self._services if name not in by_service]:
             del self._services[name]
         for name, service_endpoints in by_service.items():
             routes = self._services.setdefault(name, service_routes.ServiceRoutes(name))
-            routes.configure(service_endpoints, cfg.drains.values(), ramp_started_at)
+            restarted = routes.configure(
+                service_endpoints, cfg.drains.values(), is_first, now, wall_s
+            )
+            for restarted_name in restarted:
+                self.limits.forget(restarted_name)
         self.limits.configure({e.name: e.slots for e in cfg.endpoints.values()})
 
     def _configure_buckets(self, cfg, entries, now):
@@ -173,7 +176,7 @@
         return chosen or self._choose_local_or_spill(routes, attempt)
 
     def _choose_local_or_spill(self, routes, attempt):
-        local = selection.choose_in(routes, self.region, False, attempt, self.limits, self._pick)
+        local = self._choose_local(routes, attempt, within_ramps=True)
         if local:
             endpoint_load = routes.routes[local.endpoint.name].load
             if local.is_probe or endpoint_load.occupancy(attempt.now) < SPILL_OCCUPANCY:
@@ -184,9 +187,21 @@
             if region != self.region and region not in routes.no_spill_regions
         }
         regions = spill.order_regions(headroom, attempt.rng)
-        return self._choose_remote(routes, regions, attempt) or local
+        if local:
+            return self._choose_remote(routes, regions, attempt) or local
+        # Those that are left here may all be in a slow start; others elsewhere are warm.
+        return (
+            self._choose_remote(routes, regions, attempt, within_ramps=True)
+            or self._choose_local(routes, attempt)
+            or self._choose_remote(routes, regions, attempt)
+        )
+
+    def _choose_local(self, routes, attempt, within_ramps=False):
+        return selection.choose_in(
+            routes, self.region, False, attempt, self.limits, self._pick, within_ramps
+        )
 
-    def _choose_remote(self, routes, regions, attempt):
+    def _choose_remote(self, routes, regions, attempt, within_ramps=False):
         for region in regions:
             bucket = self._buckets.get(region)
             if bucket is None or not bucket.can_send(attempt.size, attempt.now):
@@ -194,7 +209,9 @@
             has_headroom = self._spill_headroom(routes, region, attempt.now) > 0
             if not has_headroom and selection.find_probe(routes, region, attempt) is None:
                 continue
-            chosen = selection.choose_in(routes, region, True, attempt, self.limits, self._pick)
+            chosen = selection.choose_in(
+                routes, region, True, attempt, self.limits, self._pick, within_ramps
+            )
             if chosen:
                 return chosen
         return None
@@ -214,8 +231,7 @@
 
     def started(self, chosen: choice.Choice, now: float) -> None:
         """Record that an attempt was sent; ``finished`` must follow."""
-        routes = self._services.get(chosen.endpoint.service)
-        route = routes.routes.get(chosen.endpoint.name) if routes else None
+        routes, route = self._find_route(chosen)
         if route is None:
             return
         route.load.in_flight += 1
@@ -228,8 +244,7 @@
         """Record the result of an attempt."""
         if chosen.is_remote and chosen.endpoint.region in self._buckets:
             self._buckets[chosen.endpoint.region].consume(res.size - chosen.reserved_bytes, now)
-        routes = self._services.get(chosen.endpoint.service)
-        route = routes.routes.get(chosen.endpoint.name) if routes else None
+        routes, route = self._find_route(chosen)
         if route is None:
             return
         in_flight = route.load.in_flight
@@ -238,6 +253,32 @@
         if res.report:
             self._apply_report(routes, route, res.report, now)
 
+    def record_refused_poll(self, endpoint_name: str, now: float) -> None:
+        """Record that nothing listens at an endpoint; one that is ejected already stays so."""
+        endpoint_cfg = self._cfg.endpoints.get(endpoint_name)
+        routes = self._services.get(endpoint_cfg.service) if endpoint_cfg else None
+        if routes is None or endpoint_name in routes.ejector.ejected:
+            return
+        routes.routes[endpoint_name].restart(now)
+        self.limits.forget(endpoint_name)
+        routes.ejector.record_refusal(endpoint_name, now)
+
+    def record_restart(self, restarted: endpoint.Endpoint, now: float) -> None:
+        """Record that an endpoint has probably started again at its address."""
+        routes = self._services.get(restarted.service)
+        route = routes.routes.get(restarted.name) if routes else None
+        if route is None or route.load.endpoint.address != restarted.address:
+            return
+        route.restart(now)
+        routes.ejector.record_restart(route.name)
+        self.limits.forget(route.name)
+
+    def _find_route(self, chosen):
+        """Return the routes of the service, and the route if the same start is still listed."""
+        routes = self._services.get(chosen.endpoint.service)
+        route = routes.routes.get(chosen.endpoint.name) if routes else None
+        return routes, route if route and route.load is chosen.load else None
+
     def apply_load_report(
         self, endpoint_name: str, load_report: result.LoadReport, now: float
     ) -> None:
@@ -248,9 +289,11 @@
             self._apply_report(routes, routes.routes[endpoint_name], load_report, now)
 
     def _apply_report(self, routes, route, load_report, now):
+        was_cold = route.load.state == "cold"
         if not route.load.apply_report(load_report, now):
             return
-        if routes.ejector.record_load_report(route.name, now - load_report.age_s, now):
+        is_readmitted = routes.ejector.record_load_report(route.name, now - load_report.age_s, now)
+        if is_readmitted or (load_report.state == "cold" and not was_cold):
             route.start_ramp(now)
         if load_report.state == "draining":
             route.drain_reported_at = now
