Answer 502 when an endpoint's answer bears a status from 600 to 999

Callers of the entry for routes got such an answer as it was: "HTTP/1.1 999", with the endpoint's stamp and body, also after a 100 and by way of another entry; with X-Not-Run the request was sent to a second endpoint and refused with 503. A health check that was answered with 999 and X-Not-Run counted as healthy. All other invalid statuses (000, 099, 1xx as the last answer, 101, 199, 1000, 20, -20) got 502 already: the parser rejects them.

Cause: h11 takes each status from 200 to 999 as that of a final response, and nothing after it looked at the range. RFC 9110 (section 15) has valid statuses end at 599 and lets a client treat others as a failure.

Now the connection to the endpoint reports such a response as lost, as it does with one that can't be parsed, so that the rest follows for requests, delegated requests and health checks alike: it counts as a failure of the endpoint, its other headers are not believed, the connection is closed, a request that may be repeated is retried within the budget, any other gets 502 without the stamp and is not sent again. A response to an earlier request is still skipped first, by its id.

--- a/oriolelock/http1/messages.py
+++ b/oriolelock/http1/messages.py
@@ -7,7 +7,19 @@
 
 import dataclasses
 
-__all__ = ["BODILESS_STATUSES", "Body", "Headers", "Request", "Response", "find", "make_body"]
+__all__ = [
+    "BODILESS_STATUSES",
+    "Body",
+    "FINAL_STATUSES",
+    "Headers",
+    "Request",
+    "Response",
+    "find",
+    "make_body",
+]
+
+# Statuses that a complete response may have (RFC 9110, section 15).
+FINAL_STATUSES = range(200, 600)
 
 # Responses with these statuses have no body, whatever length they announce.
 BODILESS_STATUSES = (204, 304)
--- a/oriolelock/http1/outbound.py
+++ b/oriolelock/http1/outbound.py
@@ -317,6 +317,9 @@
         if response_id is None and expected_id is not None and self._is_reused:
             self._finish(transfers.Lost("response without a request id"))
             return
+        if self._head.status_code not in messages.FINAL_STATUSES:
+            self._finish(transfers.Lost(f"invalid status {self._head.status_code}"))
+            return
         body = messages.make_body(self._body)
         response = messages.Response(self._head.status_code, headers, body)
         reusable = reusable and not trailing_bytes and not self._send_buffer
--- a/tests/http1/test_outbound.py
+++ b/tests/http1/test_outbound.py
@@ -98,6 +98,15 @@
     assert dict(result.response.headers)[b"x-request-id"] == b"1"
 
 
+@pytest.mark.parametrize("status", [b"600", b"999"])
+def test_response_with_an_invalid_status_is_lost(running, status):
+    response = OK.replace(b"200", status)
+    assert isinstance(exchange(running, response % b"1", close_after=False), transfers.Lost)
+    # An extra response to an earlier request does not fail this one.
+    result = exchange(running, response % b"0" + OK % b"1", close_after=False)
+    assert result.response.status == 200
+
+
 class TwoResponses:
     """Endpoint whose first response is followed later by a second copy, without a request id."""
 
