--- a/oriolelock/http1/outbound.py
+++ b/oriolelock/http1/outbound.py
@@ -320,6 +320,10 @@
         if self._head.status_code not in messages.FINAL_STATUSES:
             self._finish(transfers.Lost(f"invalid status {self._head.status_code}"))
             return
+        if not self._head.http_version.startswith(b"1."):
+            # Other major versions have other rules of framing (RFC 9110, section 2.5).
+            self._finish(transfers.Lost("not a version of HTTP/1"))
+            return
         body = messages.make_body(self._body)
         response = messages.Response(self._head.status_code, headers, body)
         reusable = reusable and not trailing_bytes and not self._send_buffer
--- a/tests/http1/test_outbound.py
+++ b/tests/http1/test_outbound.py
@@ -107,6 +107,19 @@
     assert result.response.status == 200
 
 
+@pytest.mark.parametrize("version", [b"0.9", b"2.0", b"9.9", b"2", b"1", b"1.10"])
+def test_response_of_another_major_version_is_lost(running, version):
+    response = OK.replace(b"HTTP/1.1", b"HTTP/" + version)
+    assert isinstance(exchange(running, response % b"1"), transfers.Lost)
+
+
+@pytest.mark.parametrize("version", [b"1.0", b"1.1", b"1.2"])
+@pytest.mark.parametrize("reason", [b"", b" ", b" O K"])
+def test_response_of_a_minor_version_or_without_a_reason_is_complete(running, version, reason):
+    response = OK.replace(b"HTTP/1.1 200 OK", b"HTTP/%s 200%s" % (version, reason))
+    assert exchange(running, response % b"1").response.body == b"hi"
+
+
 class TwoResponses:
     """Endpoint whose first response is followed later by a second copy, without a request id."""
 
