End the wait for the body of a 101 that nobody asked for

Callers of the product's own entry whose endpoint answered 101 and kept the connection open waited for their whole deadline (3 s in the test) and got 504, also where the request may be repeated.

Cause: libcurl takes a 101 that was not asked for as final, ignores its length and reads on until the connection ends.

Now the transfer ends at that status line, and the response counts as malformed: 502 at once, or a retry. The entry never asks for another protocol: "Upgrade" is not forwarded. The same holds for 1010 to 1019, of which libcurl reads three digits.

--- a/oriolelock/endpoints/connection.py
+++ b/oriolelock/endpoints/connection.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import re
 import select
 
 import pycurl
@@ -17,6 +18,8 @@
 
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 MAX_RESPONSE_HEADER_BYTES = 64 * 1024
+# No request asks for another protocol. libcurl would take what follows for a body without an end.
+PROTOCOL_SWITCH = re.compile(rb"HTTP/\S*\s+101")
 # Upper bound for one poll, so that libcurl's timers are checked even if a callback was missed.
 MAX_POLL_INTERVAL_S = 0.5
 
@@ -44,7 +47,12 @@
     status: int = 0
 
     def add_header(self, line: bytes) -> int:
-        """Add a header line; a new status line discards earlier ones, as after ``100 Continue``."""
+        """Add a header line; a new status line discards earlier ones, as after ``100 Continue``.
+
+        Returns its length; anything less ends the transfer.
+        """
+        if PROTOCOL_SWITCH.match(line):
+            return 0
         if line.startswith(b"HTTP/"):
             self.header_lines.clear()
             self.headers_end = False
--- a/tests/endpoints/test_pool.py
+++ b/tests/endpoints/test_pool.py
@@ -107,6 +107,8 @@
         b"HTTP/1.1 000 X",
         b"HTTP/1.1 099 X",
         b"HTTP/1.1 100 X",
+        b"HTTP/1.1 101 X",
+        b"HTTP/1.1 1010 X",
         b"HTTP/1.1 199 X",
         b"HTTP/1.1 600 X",
         b"HTTP/1.1 999 X",
--- a/tests/entry/test_invalid_statuses.py
+++ b/tests/entry/test_invalid_statuses.py
@@ -9,7 +9,7 @@
 from oriolelock.once import messages as once
 from tests import fake_endpoint, waiting
 
-INVALID = ["000", "099", "100", "199", "600", "999", "1000", "2000", "20"]
+INVALID = ["000", "099", "100", "101", "199", "600", "999", "1000", "2000", "20"]
 BEFORE = [b"", b"HTTP/1.1 100 Continue\r\n\r\n"]
 STAMP = "X-Stamp: s\r\n"
 
