Give no recorded answer with an invalid status to a resent request

A caller that resent a request with its idempotency key got the recorded status whatever it was: "101", "600", "999" with outcome "complete".

Cause: the status of a record was not looked at before it was written to the caller.

Now a record whose status lies outside 200 to 599 counts as one without a usable answer: 502, "earlier-attempt-unknown". The request ran, so it is not sent again.

Of the 6 statuses, 0, 199 and 1000 were never recorded by a build that we know of; they complete the range.

--- a/oriolelock/endpoints/results.py
+++ b/oriolelock/endpoints/results.py
@@ -17,16 +17,23 @@
     "InvalidResponse",
     "Completed",
     "ConnectionLost",
+    "FINAL_STATUSES",
     "NotSent",
     "RefusedByEndpoint",
     "Result",
     "TimedOut",
 ]
 
+# Statuses that a complete response may have (RFC 9110, section 15).
+FINAL_STATUSES = range(200, 600)
+
 
 @dataclasses.dataclass(frozen=True)
 class Completed:
-    """A complete response to the request. Header names are as sent by the endpoint."""
+    """A complete response to the request, with a status of ``FINAL_STATUSES``.
+
+    Header names are as sent by the endpoint.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
--- a/oriolelock/entry/claim_outcomes.py
+++ b/oriolelock/entry/claim_outcomes.py
@@ -6,6 +6,7 @@
 """
 
 from oriolelock import outcomes
+from oriolelock.endpoints import results
 from oriolelock.once import client, messages
 
 __all__ = ["outcome_of"]
@@ -18,7 +19,7 @@
             return outcomes.NotRun("record-unreachable", 1000.0)
         case messages.InProgress():
             return outcomes.Unknown("in-progress")
-        case messages.Recorded(answer=messages.Answer(too_large=False) as stored):
+        case messages.Recorded(answer=stored) if _is_usable(stored):
             headers = (("Content-Type", stored.content_type),) if stored.content_type else ()
             return outcomes.Complete(stored.status, headers, stored.body)
         case messages.Recorded() | messages.EarlierUnknown():
@@ -31,3 +32,8 @@
         case messages.RecordFull():
             return outcomes.NotRun("record-full", 1000.0)
     return outcomes.NotRun("record-unreachable", 1000.0)
+
+
+def _is_usable(stored):
+    # Earlier builds recorded other statuses too, of endpoints in trouble.
+    return not stored.too_large and stored.status in results.FINAL_STATUSES
--- a/tests/entry/test_invalid_statuses.py
+++ b/tests/entry/test_invalid_statuses.py
@@ -46,6 +46,17 @@
     assert response.getheader("X-Stamp") is None
 
 
+@pytest.mark.parametrize("status", [0, 101, 199, 600, 999, 1000])
+def test_an_invalid_status_that_was_recorded_is_not_given_to_a_resent_request(start, status):
+    """Records are kept for a day, and other builds may have written them."""
+    running = start().wait_ready()
+    recorded = once.Answer(status, "text/x", b"done")
+    running.parent.on_call = lambda payload: once.Recorded(recorded)
+    response = send_once(running)
+    assert (response.status, outcome_of(response)) == (502, ("unknown", "earlier-attempt-unknown"))
+    assert running.endpoint.requests == []
+
+
 @pytest.mark.parametrize("body", [b"", b"begun"])
 def test_an_invalid_status_with_half_a_body_is_not_passed_on(start, body):
     running = start().wait_ready()
