Read no load report from an answer whose status is invalid

An endpoint that answered the poll of its load with status 600 or 999 and a readable body counted as one that reports: its headroom was used for the choice of endpoints. With 000, 099 and 101 there was no report.

Cause: the poller looked at the body only.

Now the status must lie in 200 to 599.

--- a/oriolelock/endpoints/load_poller.py
+++ b/oriolelock/endpoints/load_poller.py
@@ -16,7 +16,7 @@
 import pycurl
 
 from oriolelock import clock, logs
-from oriolelock.endpoints import load_report
+from oriolelock.endpoints import load_report, results
 from oriolelock.model import endpoint as endpoints
 
 __all__ = ["INTERVAL_S", "LoadPoller", "poll_once", "poll_after_delay"]
@@ -116,6 +116,8 @@
                 self._process_response(curl)
 
     def _process_response(self, curl):
+        if curl.getinfo(pycurl.RESPONSE_CODE) not in results.FINAL_STATUSES:
+            return
         try:
             data = json.loads(curl.body.getvalue())
             fields = {name: int(data[name]) for name in ("in_flight", "slots", "queued")}
--- a/tests/endpoints/test_load_poller.py
+++ b/tests/endpoints/test_load_poller.py
@@ -9,7 +9,9 @@
 from oriolelock.endpoints import liveness, load_poller, load_report
 from tests import fake_endpoint, memory, waiting
 from tests.dispatch import builders
-from tests.http1 import test_endless_responses
+from tests.http1 import raw_endpoint, test_endless_responses
+
+SOUND_REPLY = fake_endpoint.LOAD_REPLY
 
 
 @pytest.fixture
@@ -46,6 +48,26 @@
     assert growth[0] < 8 * 2**20
 
 
+@pytest.mark.parametrize(
+    "status_line",
+    [
+        b"HTTP/1.1 000 X",
+        b"HTTP/1.1 099 X",
+        b"HTTP/1.1 999 X",
+        b"HTTP/1.1 600 X",
+        b"HTTP/1.1 101 X",
+    ],
+)
+def test_answer_with_an_invalid_status_is_no_load_report(live_endpoint, monkeypatch, status_line):
+    reply = fake_endpoint.LOAD_REPLY.replace(b"HTTP/1.1 200 OK", status_line)
+    monkeypatch.setattr(fake_endpoint, "LOAD_REPLY", reply)
+    sound_endpoint = raw_endpoint.RawEndpoint(lambda conn, head, body: conn.sendall(SOUND_REPLY))
+    address = ":".join(map(str, sound_endpoint.address))
+    sound_target = dataclasses.replace(live_endpoint.model("b"), address=address)
+    # The poller runs on and reads the other reports.
+    assert set(load_poller.poll_once([live_endpoint.model("a"), sound_target])) == {"b"}
+
+
 def test_poller_repeats_and_stops(live_endpoint):
     received = []
     poller = load_poller.LoadPoller(
