Give a failure of another entry no status that promises something

A caller whose request had been handed to another entry got that entry's status for each outcome "failed": 200 and 204 without a stamp, 408, 429 and 503, which promise that the request did not run, or 404.

Cause: the delegating entry trusted the status beside the outcome.

Now a "failed" with another status than 502 or 504 becomes 502.

--- a/oriolelock/gateway/peer_request.py
+++ b/oriolelock/gateway/peer_request.py
@@ -26,6 +26,8 @@
 PEER_REASONS = frozenset(("stopping", "not-ready", "unknown-route"))
 # The peer has no endpoint for the service either.
 NO_ENDPOINT_REASONS = frozenset(("cut-off", "no-endpoint", "endpoint-unreachable"))
+# Statuses of failures that promise neither that the request ran nor that it did not.
+FAILURE_STATUSES = (502, 504)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -155,7 +157,8 @@
             else:
                 self._on_end(self._result)
         else:
-            status = response.status if kind == "failed" else 502
+            is_failure = kind == "failed" and response.status in FAILURE_STATUSES
+            status = response.status if is_failure else 502
             self._on_end(Failed(status, reason or "unknown outcome"))
 
 
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -43,7 +43,12 @@
 def make_cut_fleet(make_fleet, respond, **options):
     """Return entries of which the first has found out that it is cut off."""
     fleet = make_fleet(respond, **options)
-    entry = fleet[0]
+    cut_off(fleet[0])
+    return fleet
+
+
+def cut_off(entry):
+    """Cut the entry off from all endpoints, and let it find out."""
     test_cut_off_entry.cut(entry, "refuse")
 
     def learn():
@@ -51,7 +56,6 @@
             entry.core.connectivity.record_failure(view, True, 0.0)
 
     entry.loop_thread.call(learn)
-    return fleet
 
 
 def requests_of(entry):
--- a/tests/gateway/test_invalid_statuses.py
+++ b/tests/gateway/test_invalid_statuses.py
@@ -1,5 +1,7 @@
 """Endpoints in trouble, whose answers bear a status that no final answer may have."""
 
+import dataclasses
+
 import pytest
 
 from oriolelock import clock
@@ -117,3 +119,50 @@
     check(gateway, view)
     assert not view.needs_health_check
     assert gateway.send(b"/once/1")[0] == 200
+
+
+def answering_as_entry(status, outcome):
+    """Return what answers a delegated request as another entry, whatever it says."""
+
+    def respond(conn, head, body):
+        outcome_header = b"Oriolelock-Outcome: %s\r\n" % outcome
+        conn.sendall(conftest.make_response(head, status, b"done", outcome_header))
+
+    return respond
+
+
+@pytest.mark.parametrize("path", [b"/once/1", b"/safe/1"])
+@pytest.mark.parametrize(
+    ("status", "outcome"),
+    [
+        (200, b"failed.200"),
+        (204, b"failed.204"),
+        (408, b"failed.408"),
+        (429, b"failed.429"),
+        (503, b"failed.503"),
+        (404, b"failed.404"),
+        (502, b"failed.502"),
+        (504, b"failed.504"),
+        (600, b"failed.600"),
+        (999, b"failed.999"),
+        (600, b"complete"),
+        (999, b"complete"),
+        (999, b"refused.stopping"),
+        (200, b"nonsense"),
+        (200, b""),
+    ],
+)
+def test_a_failure_of_another_entry_is_no_success_and_no_refusal(make_fleet, path, status, outcome):
+    """The request may have run; of these statuses only 502 and 504 promise nothing."""
+    entry, second = make_fleet(sound)
+    false_entry = conftest.raw_endpoint.RawEndpoint(answering_as_entry(status, outcome))
+    address = ":".join(map(str, false_entry.address))
+    entry.members["e2"] = dataclasses.replace(second.member(), peer_address=address)
+    entry.configure()
+    test_delegation.cut_off(entry)
+    found, head, body = entry.send(path)
+    assert (found, body) == (504 if status == 504 else 502, b"failed\n")
+    assert b"x-stamp" not in head
+    assert len(false_entry.requests) == 1
+    assert test_delegation.requests_of(entry) == []
+    false_entry.close()
