Keep to the rate of cold endpoints in the cases that a random simulation found

Callers would have got 502 and 504 from cold endpoints in cases that the change before did not cover. Entries tell what they know within their region; across regions only news, and what one that hears too few asks for.

--- a/oriolelock/dispatch/chooser.py
+++ b/oriolelock/dispatch/chooser.py
@@ -129,7 +129,8 @@
 
     def _raise_doubt(self, view, now, wall_s):
         if not self.restarts.is_recent(view.restart_digest, now):
-            self.restarts.raise_doubt(view.restart_digest, now, wall_s)
+            unchecked = restarts.State.UNCHECKED
+            self.restarts.raise_doubt(view.restart_digest, now, wall_s, unchecked)
 
     def _doubt_new_start(self, view, was_known, now, wall_s):
         # The list may leave out that an endpoint is cold.
@@ -141,12 +142,14 @@
         if is_settled and not self.restarts.is_known_since(
             view.restart_digest, started_s or int(wall_s)
         ):
-            self.restarts.raise_doubt(view.restart_digest, now, wall_s)
+            unchecked = restarts.State.UNCHECKED
+            self.restarts.raise_doubt(view.restart_digest, now, wall_s, unchecked)
 
     def doubt_all(self, now: float, wall_s: float) -> None:
         """Let the health of all endpoints be checked, as nobody knows how long they are up."""
+        unchecked = restarts.State.UNCHECKED
         for view in self.views.values():
-            self.restarts.raise_doubt(view.restart_digest, now, wall_s)
+            self.restarts.raise_doubt(view.restart_digest, now, wall_s, unchecked)
 
     def view_of_restart(self, digest: int) -> endpoint_view.EndpointView | None:
         """Return the endpoint with this ``restart_digest``."""
@@ -156,15 +159,14 @@
         self, report: restarts.Report, now: float
     ) -> endpoint_view.EndpointView | None:
         """Apply what another entry knows; returns the endpoint if its state changed."""
-        if not self.restarts.merge(report, now):
-            return None
         view = self._by_restart_digest.get(report.endpoint_digest)
-        if view is None:
+        period_s = self.cold_period_s(view) if view else FALLBACK_COLD_MS / 1000.0
+        if not self.restarts.merge(report, period_s, now) or view is None:
             return None
         state = self.restarts.state(report.endpoint_digest, now)
         if state is restarts.State.COLD:
             view.record_cold(self.restarts.cold_left_s(report.endpoint_digest, now), now)
-        if state is not restarts.State.IN_DOUBT:
+        if not state.is_open:
             view.withdraw_refusal()
         return view
 
@@ -275,7 +277,7 @@
     def _is_eligible(self, view, context, now):
         if not self._is_allowed(view.endpoint, context) or not view.is_usable(now):
             return False
-        if self.restarts.state(view.restart_digest, now) is restarts.State.IN_DOUBT:
+        if self.restarts.state(view.restart_digest, now).is_open:
             return False
         return not self.is_limited(view, now) or self.may_send_cold(view, now)
 
@@ -327,7 +329,7 @@
 
     def may_check(self, view: endpoint_view.EndpointView, now: float) -> bool:
         """Return whether this entry may check an endpoint's health out of turn."""
-        if self.restarts.state(view.restart_digest, now) is restarts.State.IN_DOUBT:
+        if self.restarts.state(view.restart_digest, now).is_open:
             return False
         return not self.is_limited(view, now) or self.may_send_cold(view, now)
 
@@ -357,7 +359,7 @@
         is_current = self.views.get(name) is view
         if not is_current or name in self._drained or not view.is_staying(now):
             return False
-        if self.restarts.state(view.restart_digest, now) is restarts.State.IN_DOUBT:
+        if self.restarts.state(view.restart_digest, now).is_open:
             return False
         return was_limited or not self.is_limited(view, now)
 
--- a/oriolelock/dispatch/observation.py
+++ b/oriolelock/dispatch/observation.py
@@ -50,9 +50,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class EntryStatus:
-    """``is_initiated``: whether the sender knows of all endpoints that may have restarted."""
+    """``is_initiated``: whether the sender knows of all endpoints that may have restarted;
+    ``wants_reply``: whether it hears too few entries.
+    """
 
     is_initiated: bool
+    wants_reply: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/oriolelock/dispatch/restarts.py
+++ b/oriolelock/dispatch/restarts.py
@@ -40,9 +40,17 @@
 class State(enum.IntEnum):
     """What became of a doubt, in the order of time; the values are sent to other entries."""
 
+    # Signs of an end were seen.
     IN_DOUBT = 1
-    COLD = 2
-    SETTLED = 3
+    # It may be cold again without an end, which only a health check tells.
+    UNCHECKED = 2
+    COLD = 3
+    SETTLED = 4
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the endpoint gets no requests until a health check."""
+        return self <= State.UNCHECKED
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,6 +81,10 @@
     sign_s: float
     observed_s: float
     cold_until_s: float = float("-inf")
+    # When the endpoint that said so has started, as far as known.
+    started_s: float = float("-inf")
+    # Whether only a health check could end it.
+    was_unchecked: bool = False
 
 
 def endpoint_digest(instance: endpoint.Endpoint) -> int:
@@ -93,8 +105,10 @@
     ``rate``: requests per second that the endpoint tolerates while cold; ``local``: entries of the
     endpoint's region, which come first; ``age_s``: seconds since the doubt was raised.
     """
+    if age_s < 0.0:
+        return None
     interval_s = max(MIN_CHECK_INTERVAL_S, cold_quota.INTERVAL_S / max(1, int(rate)))
-    turn = int(max(0.0, age_s) / interval_s)
+    turn = int(age_s / interval_s)
     names = [*ranking.order(name, local), *ranking.order(name, remote)]
     return turn if names and names[turn % len(names)] == own else None
 
@@ -142,24 +156,37 @@
             if is_old or position >= MAX_UNLISTED:
                 del self._doubts[key]
 
-    def raise_doubt(self, digest: int, now: float, wall_s: float) -> bool:
-        """Record a sign of an end; returns False if the endpoint is in doubt already.
+    def raise_doubt(
+        self, digest: int, now: float, wall_s: float, state: State = State.IN_DOUBT
+    ) -> bool:
+        """Record a doubt of this state; returns False if the endpoint is in doubt already.
 
         ``wall_s``: Unix time, from which entries that see the same end derive the same number.
         """
         known = self._doubts.get(digest)
         self._unsure_s.pop(digest, None)
-        if known is not None and known.state is State.IN_DOUBT:
-            known.sign_s = now
+        if known is not None and known.state.is_open:
+            known.sign_s, known.state = now, max(known.state, state)
+            known.was_unchecked = known.state is State.UNCHECKED
             return False
         number = max(known.number + 1 if known else 0, int(wall_s))
-        self._doubts[digest] = _Doubt(number, State.IN_DOUBT, now, now, now)
+        # The turns of checks begin anew.
+        known_s = max(now, known.observed_s + MIN_CHECK_INTERVAL_S) if known else now
+        self._doubts[digest] = _Doubt(number, state, known_s, now, now)
+        self._doubts[digest].was_unchecked = state is State.UNCHECKED
         return True
 
-    def record_cold(self, digest: int, cold_s: float, now: float, wall_s: float) -> bool:
+    def is_of_earlier_start(self, digest: int, connected_s: float, now: float) -> bool:
+        """Return whether a connection was opened before the known start of a cold endpoint."""
+        is_cold = self.state(digest, now) is State.COLD
+        return is_cold and connected_s < self._doubts[digest].started_s
+
+    def record_cold(
+        self, digest: int, cold_s: float, period_s: float, now: float, wall_s: float
+    ) -> bool:
         """Record that an endpoint has said that it is cold for ``cold_s`` seconds.
 
-        Returns whether this is new.
+        ``period_s``: how long endpoints are cold after a start. Returns whether this is new.
         """
         known = self._doubts.get(digest)
         self._unsure_s.pop(digest, None)
@@ -169,6 +196,7 @@
         is_new = known.state is not State.COLD
         known.state, known.observed_s = State.COLD, now
         known.cold_until_s = max(known.cold_until_s, now + cold_s)
+        known.started_s = now + cold_s - period_s
         return is_new
 
     def settle(self, digest: int, now: float) -> bool:
@@ -203,13 +231,14 @@
             return State.SETTLED
         if known.state is State.COLD and now >= known.cold_until_s + COLD_SLACK_S:
             # It may have started again meanwhile, as hardly an entry had a connection to it.
-            known.number, known.state = known.number + 1, State.IN_DOUBT
+            known.number, known.state = known.number + 1, State.UNCHECKED
             known.known_s = known.observed_s = now
+            known.was_unchecked = True
         return known.state
 
     def doubt_age_s(self, digest: int, now: float) -> float | None:
         """Return since how many seconds an endpoint is in doubt; None if it is not."""
-        if self.state(digest, now) is not State.IN_DOUBT:
+        if not self.state(digest, now).is_open:
             return None
         return now - self._doubts[digest].known_s
 
@@ -217,34 +246,36 @@
         """Return for how many seconds an endpoint stays cold by its own word, 0 if unknown."""
         if self.state(digest, now) is not State.COLD:
             return 0.0
-        return self._doubts[digest].cold_until_s - now
+        return max(0.0, self._doubts[digest].cold_until_s - now)
 
     def withdraw_doubts(self, now: float) -> None:
         """Forget open doubts, for an entry that may be cut off and learns the others' anew."""
         for digest, known in self._doubts.items():
-            if known.state is State.IN_DOUBT:
+            if known.state.is_open:
                 self.mark_unsure(digest, now)
         self._doubts = {
-            digest: known
-            for digest, known in self._doubts.items()
-            if known.state is not State.IN_DOUBT
+            digest: known for digest, known in self._doubts.items() if not known.state.is_open
         }
 
     def is_recent(self, digest: int, now: float) -> bool:
-        """Return whether an endpoint is in doubt, cold, or was so a short while ago."""
+        """Return whether an endpoint is in doubt, or its health was checked a short while ago."""
         known = self._doubts.get(digest)
         if known is None:
             return False
-        is_settled = self.state(digest, now) is State.SETTLED
-        return not is_settled or now - known.observed_s <= RECENT_S
+        if self.state(digest, now) is State.SETTLED:
+            return known.was_unchecked and now - known.observed_s <= RECENT_S
+        return known.state is State.COLD or known.was_unchecked
 
     def is_known_since(self, digest: int, started_s: int) -> bool:
         """Return whether a doubt was raised after the start of an endpoint, a Unix time."""
         known = self._doubts.get(digest)
         return known is not None and known.number >= started_s
 
-    def merge(self, report: Report, now: float) -> bool:
-        """Apply what another entry knows; returns whether this changed the state."""
+    def merge(self, report: Report, period_s: float, now: float) -> bool:
+        """Apply what another entry knows; returns whether this changed the state.
+
+        ``period_s``: how long endpoints are cold after a start.
+        """
         key, known = report.endpoint_digest, self._doubts.get(report.endpoint_digest)
         before = self.state(key, now)
         is_news = report.state is not State.SETTLED or (
@@ -259,7 +290,8 @@
         observed_s = now - report.age_s
         if known is None or known.number < report.number:
             sign_s = known.sign_s if known else float("-inf")
-            known = _Doubt(report.number, State.IN_DOUBT, now, sign_s, observed_s)
+            known_s = max(now, known.observed_s + MIN_CHECK_INTERVAL_S) if known else now
+            known = _Doubt(report.number, State.IN_DOUBT, known_s, sign_s, observed_s)
             self._doubts[key] = known
             if key not in self._listed:
                 self._forget_unlisted(now)
@@ -268,9 +300,11 @@
             known.number, known.state = report.number + 1, State.IN_DOUBT
         else:
             known.state = max(known.state, report.state)
+            known.was_unchecked = known.was_unchecked or report.state is State.UNCHECKED
             known.observed_s = observed_s
         if report.state is State.COLD:
             known.cold_until_s = max(known.cold_until_s, now + report.cold_s)
+            known.started_s = now + report.cold_s - period_s
         return self.state(key, now) is not before
 
     def report(self, digest: int, now: float) -> Report | None:
@@ -279,7 +313,7 @@
         if known is None:
             return None
         state = self.state(digest, now)
-        cold_s = known.cold_until_s - now if state is State.COLD else 0.0
+        cold_s = self.cold_left_s(digest, now)
         return Report(digest, known.number, state, cold_s, max(0.0, now - known.observed_s))
 
     def reports(self, now: float) -> list[Report]:
@@ -291,6 +325,6 @@
         return [self.report(digest, now) for digest in reversed(self._doubts)]
 
     def counts(self, now: float) -> dict[State, int]:
-        """Return the number of endpoints in doubt and of those that are cold."""
+        """Return the number of endpoints by state, without settled ones."""
         states = [self.state(digest, now) for digest in list(self._doubts)]
-        return {state: states.count(state) for state in (State.IN_DOUBT, State.COLD)}
+        return {state: states.count(state) for state in State if state is not State.SETTLED}
--- a/oriolelock/gateway/gossip.py
+++ b/oriolelock/gateway/gossip.py
@@ -68,7 +68,11 @@
 RATIO_UNIT = 100
 MAX_RATIO = 1000 * RATIO_UNIT
 MAX_LOAD = 1_000_000
+WANTS_REPLY = 2
 MAX_COLD_MS = 600_000
+MAX_AGE_MS = 3_600_000
+# Numbers of doubts begin with Unix times in seconds.
+MAX_DOUBT = 1 << 40
 # Recipients of a report that this entry is cut off.
 CUT_OFF_FAN_OUT = 32
 SYMPTOM_FAN_OUT = 20
@@ -154,7 +158,8 @@
 ) -> bytes:
     """Encode a datagram of endpoints that may have restarted, authenticated as the others."""
     rows = [_restart_row(report) for report in reports]
-    return _authenticated((RESTARTS_FORMAT_VERSION, [(int(status.is_initiated),), *rows]), token)
+    flags = int(status.is_initiated) + WANTS_REPLY * status.wants_reply
+    return _authenticated((RESTARTS_FORMAT_VERSION, [(flags,), *rows]), token)
 
 
 def _restart_row(report):
@@ -207,7 +212,7 @@
         rate = endpoint_limits.UNLIMITED
     elif type(rate) not in (int, float) or not 0.0 <= rate < endpoint_limits.UNLIMITED:
         raise ValueError("rate is not a finite non-negative number")
-    return observation.LimitReport(endpoint, float(rate), age_ms / 1000.0)
+    return observation.LimitReport(endpoint, float(rate), min(age_ms, MAX_AGE_MS) / 1000.0)
 
 
 def _parse_cut_off(entry):
@@ -230,13 +235,14 @@
     if not all(type(value) is int and value >= 0 for value in (first, *values)):
         raise ValueError("field is not a non-negative integer")
     if not values:
-        return observation.EntryStatus(bool(first))
+        return observation.EntryStatus(bool(first & 1), bool(first & WANTS_REPLY))
     if values == (0,):
         return restarts.Suspicion(first)
     number, state, cold_ms, age_ms = values
-    return restarts.Report(
-        first, number, restarts.State(state), min(cold_ms, MAX_COLD_MS) / 1000.0, age_ms / 1000.0
-    )
+    if number > MAX_DOUBT:
+        raise ValueError("impossible number of a doubt")
+    cold_s, age_s = min(cold_ms, MAX_COLD_MS) / 1000.0, min(age_ms, MAX_AGE_MS) / 1000.0
+    return restarts.Report(first, number, restarts.State(state), cold_s, age_s)
 
 
 def _parse_symptom(endpoint, domain, ratio):
--- a/oriolelock/gateway/health_checks.py
+++ b/oriolelock/gateway/health_checks.py
@@ -11,7 +11,7 @@
 import random
 
 from oriolelock import clock, events
-from oriolelock.dispatch import chooser, endpoint_view, restarts
+from oriolelock.dispatch import chooser, endpoint_view
 from oriolelock.gateway import connectivity, facts, request_metrics
 from oriolelock.gateway import dialect as dialects
 from oriolelock.http1 import buffer_budget, messages, outbound, transfers
@@ -160,7 +160,7 @@
             return
         outcome = _outcome(health, result)
         state = self._chooser.restarts.state(view.restart_digest, now)
-        if health is None and state is restarts.State.IN_DOUBT and not was_ejected:
+        if health is None and state.is_open and not was_ejected:
             # It gets no requests, and the next entry checks it soon.
             view.end_check()
             self._on_checked(view, outcome)
--- a/oriolelock/gateway/restart_gossip.py
+++ b/oriolelock/gateway/restart_gossip.py
@@ -5,8 +5,9 @@
     Tells other entries which endpoints may have started again, and whether the others are heard.
 
     News go to all entries at once, up to a number, and those that hear them pass them on. In short
-    intervals each entry sends all that it knows to a few others, so that an entry that hears from
-    them knows of all doubts.
+    intervals each entry sends all that it knows to a few others of its region, so that one that
+    hears from them knows of all doubts, and now and then to one of another region. An entry that
+    hears too few asks others anywhere.
 """
 
 import collections.abc
@@ -25,12 +26,14 @@
 
 __all__ = ["RestartGossip"]
 
-INTERVAL_S = 0.2
+INTERVAL_S = 0.25
 TICK_S = 0.1
-# Recipients of all that an entry knows, in a small fleet and in a large one.
-SMALL_FLEET = 12
-SMALL_FLEET_FAN_OUT = 6
-FAN_OUT = 4
+# Recipients of all that an entry knows.
+FAN_OUT = 3
+# Entries that are asked, if too few are heard.
+ASKED_FAN_OUT = 4
+# Between datagrams to another region, while there is something to tell.
+REMOTE_INTERVAL_S = 1.0
 # Recipients of news, and of news that are passed on.
 MAX_NEWS_RECIPIENTS = 64
 RELAY_FAN_OUT = 5
@@ -61,6 +64,8 @@
         self._chooser = selector
         self._rng = rng
         self._peers: list[gossip.Address] = []
+        self._local_peers: list[gossip.Address] = []
+        self._told_remote_s = float("-inf")
         self._fleet = fleet_contact.FleetContact()
         self._was_informed = False
         # Digests of endpoints whose news are sent at the next turn of the loop.
@@ -75,8 +80,13 @@
         loop.call_each(TICK_S, self._tick)
         loop.call_each(INTERVAL_S, self._send_all)
 
-    def use_peers(self, peers: collections.abc.Iterable[gossip.Address]) -> None:
-        """Replace the addresses of the other entries, those of other regions included."""
+    def use_peers(
+        self,
+        local: collections.abc.Iterable[gossip.Address],
+        peers: collections.abc.Iterable[gossip.Address],
+    ) -> None:
+        """Replace the addresses of the other entries: of the region, and of all regions."""
+        self._local_peers = sorted(local)
         self._peers = sorted(peers)
         self._fleet.configure(self._peers)
 
@@ -99,10 +109,12 @@
         # An entry that does not hear the others may be the one that is cut off.
         if self._fleet.is_informed(now) and (is_clear or self._count_votes(digest, now)):
             self._raise_doubt(view, reason, now)
-        elif self._chooser.restarts.state(digest, now) is not restarts.State.IN_DOUBT:
+        elif not self._chooser.restarts.state(digest, now).is_open:
+            is_new = self._chooser.restarts.unsure_age_s(digest, now) is None
             self._chooser.restarts.mark_unsure(digest, now)
-            log.notable("endpoint-unsure", endpoint=view.endpoint.name, reason=reason)
-            self._tell(digest)
+            if is_new:
+                log.notable("endpoint-unsure", endpoint=view.endpoint.name, reason=reason)
+                self._tell(digest)
 
     def _count_votes(self, digest, now):
         votes = self._votes.get(digest, {})
@@ -120,11 +132,16 @@
         now, digest = clock.monotonic_s(), view.restart_digest
         left_s = min(health.cold_ms / 1000.0, cold_s)
         if left_s > 0.0:
-            if self._chooser.restarts.record_cold(digest, left_s, now, clock.wall_s()):
+            if self._chooser.restarts.record_cold(digest, left_s, cold_s, now, clock.wall_s()):
                 view.withdraw_refusal()
                 self._record_change(view, "health check", now)
-        elif health.tells_cold and self._chooser.restarts.settle(digest, now):
-            self._record_change(view, "health check", now)
+        elif health.tells_cold:
+            was_unsure = self._chooser.restarts.unsure_age_s(digest, now) is not None
+            if self._chooser.restarts.settle(digest, now):
+                self._record_change(view, "health check", now)
+            elif was_unsure:
+                self._chooser.restarts.vouch(digest, now, clock.wall_s())
+                self._tell(digest)
 
     def record_response(
         self, view: endpoint_view.EndpointView, connected_s: float, cold_s: float
@@ -157,7 +174,7 @@
 
     def _note_outcome(self, view, now):
         state = self._chooser.restarts.state(view.restart_digest, now)
-        if state is not restarts.State.IN_DOUBT:
+        if not state.is_open:
             self.signs.record_settled(view, state is restarts.State.COLD)
         if state is restarts.State.COLD:
             self._on_restarted(view)
@@ -192,19 +209,32 @@
         self._send([*filter(None, reports), *suspicions], MAX_NEWS_RECIPIENTS)
 
     def _send_all(self):
-        reports = self._chooser.restarts.reports(clock.monotonic_s())
-        is_small = len(self._peers) <= SMALL_FLEET
-        self._send(reports, SMALL_FLEET_FAN_OUT if is_small else FAN_OUT)
+        now = clock.monotonic_s()
+        reports = self._chooser.restarts.reports(now)
+        self._send_to(reports, self._sample(self._local_peers, FAN_OUT))
+        if self._fleet.needs_replies(now):
+            status = observation.EntryStatus(self._fleet.is_initiated, wants_reply=True)
+            asked = self._sample(self._peers, ASKED_FAN_OUT)
+            self._datagrams.send_restarts(status, reports, asked)
+        elif reports and now - self._told_remote_s >= REMOTE_INTERVAL_S:
+            self._told_remote_s = now
+            self._send_to(reports, self._sample(self._peers, 1))
+
+    def _sample(self, peers, count):
+        return self._rng.sample(peers, min(count, len(peers)))
 
     def _send(self, reports, fan_out):
-        peers = self._rng.sample(self._peers, min(fan_out, len(self._peers)))
+        self._send_to(reports, self._sample(self._peers, fan_out))
+
+    def _send_to(self, reports, peers):
         status = observation.EntryStatus(self._fleet.is_initiated)
         self._datagrams.send_restarts(status, reports, peers)
 
     def _record_heard(self, sender, status, suspicions):
-        # Entries of older versions send no status.
-        is_initiated, now = status is None or status.is_initiated, clock.monotonic_s()
-        self._fleet.record(sender, is_initiated, now)
+        now = clock.monotonic_s()
+        self._fleet.record(sender, status.is_initiated if status else None, now)
+        if status is not None and status.wants_reply:
+            self._send_to(self._chooser.restarts.reports(now), [sender])
         for suspicion in suspicions:
             self._apply_suspicion(sender, suspicion.endpoint_digest, now)
 
@@ -216,14 +246,21 @@
         self._asked_s[digest] = now
         own_age_s = self._chooser.restarts.unsure_age_s(digest, now)
         is_suspected = own_age_s is not None and own_age_s <= VOTE_LIFETIME_S
-        if is_suspected + self._count_votes(digest, now) >= MIN_VOTES:
-            self.record_sign(view, "several entries", True)
+        has_enough = is_suspected + self._count_votes(digest, now) >= MIN_VOTES
+        if not view.is_staying(now) or self._chooser.restarts.state(digest, now).is_open:
+            return
+        if has_enough and self._fleet.is_informed(now):
+            self._raise_doubt(view, "several entries", now)
+        elif own_age_s is None and not view.contact.is_fresh(now):
+            # Not told, as it is only heard.
+            self._chooser.restarts.mark_unsure(digest, now)
 
     def _tick(self):
         now = clock.monotonic_s()
         if self._fleet.tick(now):
             log.notable("no-informed-entry", endpoints=len(self._chooser.views))
             self._chooser.doubt_all(now, clock.wall_s())
+            self._send(self._chooser.restarts.reports(now), MAX_NEWS_RECIPIENTS)
         is_informed = self._fleet.is_informed(now)
         if is_informed != self._was_informed:
             self._was_informed = is_informed
--- a/oriolelock/gateway/restart_signs.py
+++ b/oriolelock/gateway/restart_signs.py
@@ -39,16 +39,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Suspect:
-    """``idle_s``: for how long the connection that ended was idle, None if it was in use."""
+    """``idle_s``: for how long the connection that ended was idle, None if it was in use;
+    ``was_last``: whether no other one was open.
+    """
 
     view: endpoint_view.EndpointView
     contact: contact.Contact
     idle_s: float | None
     was_reset: bool
+    was_last: bool
 
 
 def _has_ended(suspect, now):
-    if not suspect.contact.open_count:
+    if suspect.was_last or not suspect.contact.open_count:
         return True
     # An endpoint that ended silently resets each connection when it is used next.
     return suspect.was_reset and not suspect.contact.is_fresh(now, RESET_FRESH_S)
@@ -98,7 +101,13 @@
             now >= conn.usable_until_s or idle_s >= self._idle_limit_s(view.endpoint.service)
         ):
             return
-        self._suspect(_Suspect(view, ended_contact, idle_s, conn.was_reset))
+        was_last = not ended_contact.open_count
+        digest = view.restart_digest
+        if conn.was_reset and self._chooser.restarts.is_of_earlier_start(
+            digest, conn.connected_s, now
+        ):
+            return
+        self._suspect(_Suspect(view, ended_contact, idle_s, conn.was_reset, was_last))
 
     def _idle_limit_s(self, service):
         return IDLE_LIMIT_RATIO * self._idle_limits_s.get(service, float("inf"))
@@ -106,6 +115,9 @@
     def _suspect(self, suspect):
         if not self._suspects:
             self._loop.call_later(JUDGE_DELAY_S, self._judge)
+        earlier = self._suspects.get(suspect.view.endpoint.name)
+        if earlier is not None and earlier.was_last:
+            suspect = dataclasses.replace(suspect, was_last=True)
         self._suspects[suspect.view.endpoint.name] = suspect
 
     def _judge(self):
@@ -126,7 +138,7 @@
         self._attempts.append((now, view.endpoint.name, True))
         if view.contact.open_count:
             # It may have too many connections.
-            self._suspect(_Suspect(view, view.contact, None, False))
+            self._suspect(_Suspect(view, view.contact, None, False, False))
             return
         recent = [attempt for attempt in self._attempts if now - attempt[0] <= ATTEMPTS_WINDOW_S]
         refused = {name for _, name, was_refused in recent if was_refused}
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -4,9 +4,11 @@
 import socket
 import time
 
+import hypothesis
 import pytest
+from hypothesis import strategies as st
 
-from oriolelock.dispatch import endpoint_limits, endpoint_view, observation
+from oriolelock.dispatch import endpoint_limits, endpoint_view, observation, restarts
 from oriolelock.gateway import gossip, signing
 
 OBSERVATIONS = [
@@ -204,3 +206,169 @@
     wait_until(lambda: received["b"] == OBSERVATIONS)
     assert time.monotonic() - start_s < gossip.MAX_HOLD_S + 2 * gossip.INTERVAL_S
     assert peers["a"].sent == 1
+
+
+RESTARTS = [
+    restarts.Report(7, 1_800_000_000, restarts.State.IN_DOUBT, 0.0, 0.25),
+    restarts.Report(2**32 - 1, 0, restarts.State.COLD, 2.5, 0.0),
+    restarts.Report(8, 3, restarts.State.SETTLED, 0.0, 29.999),
+]
+
+
+@pytest.mark.parametrize("is_initiated", [False, True])
+@pytest.mark.parametrize("reports", [[], RESTARTS])
+def test_endpoints_that_may_have_restarted_and_the_senders_status_are_read_back(
+    is_initiated, reports
+):
+    status = observation.EntryStatus(is_initiated)
+    data = gossip.encode_restarts(status, reports, "token")
+    assert gossip.decode(data, "token") == [status, *reports]
+
+
+def test_suspicions_are_read_back_beside_reports():
+    status = observation.EntryStatus(True)
+    suspicion = restarts.Suspicion(2**32 - 1)
+    data = gossip.encode_restarts(status, [RESTARTS[0], suspicion], "token")
+    assert gossip.decode(data, "token") == [status, RESTARTS[0], suspicion]
+
+
+def test_largest_datagram_of_restarts_fits_the_size_limit():
+    largest = restarts.Report(2**32 - 1, 2**32, restarts.State.SETTLED, 600.0, 600.0)
+    reports = [largest] * gossip.MAX_REPORTS_PER_DATAGRAM
+    data = gossip.encode_restarts(observation.EntryStatus(True), reports, "token")
+    assert len(data) <= gossip.MAX_DATAGRAM_BYTES
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        (),
+        (-1,),
+        (True,),
+        ("x",),
+        (1, 2),
+        (-1, 0),
+        (1, False),
+        (1, 2, 1, 0),
+        (1, 2, 0, 0, 0),
+        (1, 2, 5, 0, 0),
+        (1, 2, "1", 0, 0),
+        (1, 2, 1.0, 0, 0),
+        (1, -2, 1, 0, 0),
+        (1, 2, 1, -1, 0),
+        (1, 2, 1, 0, -1),
+        (1, 2, 1, 0.5, 0),
+        (1, 2, 1, 0, float("nan")),
+        (1, 2, 1, 0, 0, 0),
+        (None, 2, 1, 0, 0),
+    ],
+)
+def test_malformed_restarts_are_rejected(row):
+    payload = gossip.cbor2.dumps((gossip.RESTARTS_FORMAT_VERSION, [(1,), row]))
+    with pytest.raises(gossip.Unreadable):
+        gossip.decode(signing.sign(payload, "token"), "token")
+
+
+@pytest.mark.parametrize("field", [1, 3, 4])
+def test_enormous_numbers_in_restarts_are_bounded_or_rejected(field):
+    """Guards against a number that no later doubt can exceed, and overflows of times."""
+    row = [1, 2, restarts.State.COLD.value, 3, 4]
+    row[field] = 10**400
+    payload = gossip.cbor2.dumps((gossip.RESTARTS_FORMAT_VERSION, [(1,), row]))
+    try:
+        _, report = gossip.decode(signing.sign(payload, "token"), "token")
+    except gossip.Unreadable:
+        return
+    assert report.number < 2**63
+    assert report.cold_s <= gossip.MAX_COLD_MS / 1000.0
+    assert report.age_s < 1e9
+
+
+@hypothesis.given(
+    st.booleans(),
+    st.lists(
+        st.builds(
+            restarts.Report,
+            st.integers(0, 2**32 - 1),
+            st.integers(0, 2**40),
+            st.sampled_from(restarts.State),
+            st.integers(0, gossip.MAX_COLD_MS).map(lambda ms: ms / 1000.0),
+            st.integers(0, 10**6).map(lambda ms: ms / 1000.0),
+        ),
+        max_size=gossip.MAX_REPORTS_PER_DATAGRAM,
+    ),
+)
+def test_any_restarts_are_read_back(is_initiated, reports):
+    status = observation.EntryStatus(is_initiated)
+    data = gossip.encode_restarts(status, reports, "token")
+    assert gossip.decode(data, "token") == [status, *reports]
+
+
+VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=3)
+    | st.binary(max_size=3),
+    lambda inner: st.lists(inner, max_size=5),
+    max_leaves=12,
+)
+
+
+@hypothesis.given(st.sampled_from(sorted(gossip.PARSERS)), VALUES)
+def test_authenticated_rows_of_any_kind_are_read_or_rejected(version, rows):
+    payload = gossip.cbor2.dumps((version, rows))
+    try:
+        reports = gossip.decode(signing.sign(payload, "token"), "token")
+    except gossip.Unreadable:
+        return
+    assert isinstance(reports, list)
+
+
+def test_restarts_are_sent_in_parts_that_each_tell_the_status(running):
+    peers, received = make_pair(running)
+    heard = []
+    address = peers["b"]._sock.getsockname()
+    peers["b"].on_heard = lambda sender, status, _: heard.append((sender, status))
+    count = gossip.MAX_REPORTS_PER_DATAGRAM + 1
+    reports = [restarts.Report(n, 1, restarts.State.IN_DOUBT) for n in range(count)]
+    status = observation.EntryStatus(True)
+    running.call(lambda: peers["a"].send_restarts(status, reports, [address]))
+    wait_until(lambda: len(heard) == 2)
+    assert sorted(received["b"], key=lambda report: report.endpoint_digest) == reports
+    assert heard == [(peers["a"]._sock.getsockname(), status)] * 2
+
+
+def test_entry_that_knows_of_no_restart_still_tells_its_status(running):
+    peers, received = make_pair(running)
+    heard = []
+    address = peers["b"]._sock.getsockname()
+    peers["b"].on_heard = lambda sender, status, _: heard.append(status)
+    status = observation.EntryStatus(False)
+    running.call(lambda: peers["a"].send_restarts(status, [], [address]))
+    wait_until(lambda: heard == [status])
+    assert received["b"] == []
+
+
+def test_datagrams_of_older_versions_tell_no_status(running):
+    peers, _ = make_pair(running)
+    heard = []
+    address = peers["b"]._sock.getsockname()
+    peers["b"].on_heard = lambda sender, status, _: heard.append(status)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.sendto(gossip.encode(OBSERVATIONS, "token"), address)
+    wait_until(lambda: heard == [None])
+
+
+def test_unreadable_datagrams_are_not_heard(running):
+    """Guards against strangers by whom an entry would count as one that hears the others."""
+    peers, _ = make_pair(running)
+    heard = []
+    address = peers["b"]._sock.getsockname()
+    peers["b"].on_heard = lambda sender, status, _: heard.append(status)
+    data = gossip.encode_restarts(observation.EntryStatus(True), [], "another token")
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.sendto(data, address)
+    wait_until(lambda: peers["b"].unreadable == 1)
+    assert heard == []
