Keep contact with an endpoint that the list leaves out for a while

Contact now goes with the start that the list names, and a sign is applied to the view that is current.

--- a/oriolelock/dispatch/chooser.py
+++ b/oriolelock/dispatch/chooser.py
@@ -15,6 +15,7 @@
 
 from oriolelock.dispatch import (
     cold_quota,
+    contact,
     decisions,
     endpoint_limits,
     endpoint_view,
@@ -70,6 +71,8 @@
         self.limits = endpoint_limits.EndpointLimits(name, self._census)
         self.restarts = restarts.Restarts()
         self._by_restart_digest: dict[int, endpoint_view.EndpointView] = {}
+        # By digest of the view: contact with endpoints that are not listed now.
+        self._removed_contacts: dict[int, contact.Contact] = {}
         # Tells at a time whether news of other entries would have reached this one.
         self.is_informed: collections.abc.Callable[[float], bool] = lambda now: True
         self._regions = region_choice.RegionChoice(region, shift_speed, self._estimator, rng)
@@ -81,7 +84,9 @@
         self._census.configure(cfg.members.values(), now)
         drained = self._find_drained(cfg, wall_s)
         for name in [name for name in self.views if name not in cfg.endpoints]:
-            del self.views[name]
+            removed = self.views.pop(name)
+            if removed.contact.open_count:
+                self._removed_contacts[_view_digest(removed)] = removed.contact
         for instance in cfg.endpoints.values():
             self._configure_endpoint(instance, now, wall_s)
         for name in self._drained - drained:
@@ -89,6 +94,9 @@
             if name in self.views:
                 self._raise_doubt(self.views[name], now, wall_s)
         self._drained = drained
+        self._removed_contacts = {
+            digest: known for digest, known in self._removed_contacts.items() if known.open_count
+        }
         self._by_restart_digest = {view.restart_digest: view for view in self.views.values()}
         self.restarts.retain(self._by_restart_digest, now)
         self._by_service = {}
@@ -116,6 +124,10 @@
         if view is None or _is_restarted(view.endpoint, instance):
             self.limits.forget(instance.name)
             new_view = self.views[instance.name] = endpoint_view.EndpointView(instance)
+            # The list may have left out the endpoint for a while.
+            known_contact = self._removed_contacts.pop(_view_digest(new_view), None)
+            if known_contact is not None:
+                new_view.contact = known_contact
             new_view.record_cold(self.restarts.cold_left_s(new_view.restart_digest, now), now)
             if self._is_configured and not instance.cold:
                 self._doubt_new_start(new_view, view is not None, now, wall_s)
--- a/oriolelock/gateway/restart_gossip.py
+++ b/oriolelock/gateway/restart_gossip.py
@@ -104,7 +104,9 @@
         If it is not clear whether the fault is this entry's, the signs that others see decide.
         """
         now, digest = clock.monotonic_s(), view.restart_digest
-        if self._chooser.views.get(view.endpoint.name) is not view or not view.is_staying(now):
+        # A configuration may have replaced the view since the connection was opened.
+        view = self._chooser.view_of_restart(digest)
+        if view is None or not view.is_staying(now):
             return
         # An entry that does not hear the others may be the one that is cut off.
         if self._fleet.is_informed(now) and (is_clear or self._count_votes(digest, now)):
--- a/tests/dispatch/test_chooser.py
+++ b/tests/dispatch/test_chooser.py
@@ -135,3 +135,17 @@
     restarted = builders.make_endpoint("x1", started_ms=2)
     chooser.configure(builders.configure([restarted]), 1.0, 1000.0)
     assert not chooser.views["x1"].has_object("k")
+
+
+def test_row_that_is_left_out_for_a_while_does_not_hide_open_connections():
+    """Guards against an end that goes unnoticed, as the list left out the endpoint before."""
+    listed = [builders.make_endpoint("x1"), builders.make_endpoint("x2")]
+    chooser = builders.make_chooser(builders.configure(listed))
+    contact = chooser.views["x1"].contact
+    contact.opened(True, 1.0)
+    for time_s, endpoints in ((2.0, listed[1:]), (3.0, listed)):
+        chooser.configure(builders.configure(endpoints), time_s, 1000.0 + time_s)
+    assert chooser.views["x1"].contact is contact
+    restarted = builders.make_endpoint("x1", started_ms=1_003_000)
+    chooser.configure(builders.configure([restarted, listed[1]]), 4.0, 1004.0)
+    assert chooser.views["x1"].contact is not contact
