End doubts of endpoints whose health checks do not tell, and of those that are gone

A check that only a doubt asked for ejects nobody. - doubts of endpoints that are gone were told from entry to entry for good: they end by the age that goes with them, and only listed endpoints are told. - the cold time grew with each hop (3.0 s became 6 s at 185 entries): it moves by steps of over 0.5 s. - an answer on its way wiped out a sign that came after it; such a sign gets a number of its own. - turns of checks fell to the dead entries of a region first: entries of both kinds alternate. - news that are passed on go together, the end of a doubt is told for 5 s only, checks in doubt obey pauses and announced rates, tables are pruned, and the first upgraded entry of a region needs to hear one other entry.

Of the tests, five said what the code did before: which entries check first, the number of states (a row with state 5 was malformed, 6 is), the arguments of is_known_since, told digests that are not listed. Each still checks as much. Found by tests of the states: 20 hops keep the cold time, doubts of endpoints that are not listed end.

--- a/oriolelock/dispatch/chooser.py
+++ b/oriolelock/dispatch/chooser.py
@@ -152,7 +152,7 @@
             return
         is_settled = self.restarts.state(view.restart_digest, now) is restarts.State.SETTLED
         if is_settled and not self.restarts.is_known_since(
-            view.restart_digest, started_s or int(wall_s)
+            view.restart_digest, started_s or wall_s, now, wall_s
         ):
             unchecked = restarts.State.UNCHECKED
             self.restarts.raise_doubt(view.restart_digest, now, wall_s, unchecked)
@@ -176,7 +176,7 @@
         if not self.restarts.merge(report, period_s, now) or view is None:
             return None
         state = self.restarts.state(report.endpoint_digest, now)
-        if state is restarts.State.COLD:
+        if state.is_cold:
             view.record_cold(self.restarts.cold_left_s(report.endpoint_digest, now), now)
         if not state.is_open:
             view.withdraw_refusal()
--- a/oriolelock/dispatch/endpoint_view.py
+++ b/oriolelock/dispatch/endpoint_view.py
@@ -178,6 +178,13 @@
             self.cold_until_s = max(self.cold_until_s, now + cold_s)
             self.clear_objects()
 
+    def record_words(self, health: Health, now: float) -> None:
+        """Record what the endpoint says of leaving and of requests that it does not want."""
+        if health.is_leaving:
+            self.record_fact(Fact.LEAVING, now)
+        if health.pause_s > 0.0:
+            self.record_pause(health.pause_s, now)
+
     def end_check(self) -> None:
         """Record the end of a health check that has no effect."""
         self.health_check_pending = False
@@ -387,11 +394,8 @@
         """
         self.health_check_pending = self._is_unreachable = False
         self._was_refused = was_refused
-        is_own = health is not None and health.endpoint_id in ("", self.endpoint.name)
-        if is_own and health.is_leaving:
-            self.record_fact(Fact.LEAVING, now)
-        if is_own and health.pause_s > 0.0:
-            self.record_pause(health.pause_s, now)
+        if health is not None and health.endpoint_id in ("", self.endpoint.name):
+            self.record_words(health, now)
         if health is None or not health.is_healthy:
             self.record_failure(now)
             return
--- a/oriolelock/dispatch/fleet_contact.py
+++ b/oriolelock/dispatch/fleet_contact.py
@@ -71,7 +71,7 @@
         if not self._is_configured or self.is_initiated:
             return False
         heard = self._count_heard(now)
-        if heard < min(MIN_PEERS, len(self._peers)):
+        if heard < self._needed():
             self._waiting_since_s = None
             return False
         if self._waiting_since_s is None:
@@ -94,16 +94,20 @@
         if is_initiated and self._is_configured:
             self.is_initiated = True
 
+    def _needed(self):
+        # Entries of older versions are heard within the region only.
+        return min(MIN_PEERS if self._telling else 1, len(self._peers))
+
     def _count_heard(self, now, max_age_s=FRESH_S):
         return sum(now - heard_s <= max_age_s for heard_s in self._heard_s.values())
 
     def needs_replies(self, now: float) -> bool:
         """Return whether this entry hears so few others that it should ask some."""
-        wanted = min(MIN_PEERS + 1, len(self._peers))
+        wanted = self._needed()
         return not self.is_initiated or self._count_heard(now, FRESH_S / 2) < wanted
 
     def is_informed(self, now: float) -> bool:
         """Return whether news of the other entries would have reached this one."""
         if not self.is_initiated:
             return False
-        return self._count_heard(now) >= min(MIN_PEERS, len(self._peers))
+        return self._count_heard(now) >= self._needed()
--- a/oriolelock/dispatch/restarts.py
+++ b/oriolelock/dispatch/restarts.py
@@ -14,19 +14,23 @@
 import collections.abc
 import dataclasses
 import enum
+import itertools
 
 from oriolelock.dispatch import cold_quota, ranking
 from oriolelock.model import endpoint
 
 __all__ = ["Report", "Restarts", "State", "Suspicion", "check_turn", "endpoint_digest"]
 
-# How long the end of a doubt is remembered and told.
+# How long the end of a doubt is remembered, and told.
 SETTLED_MEMORY_S = 30.0
+SETTLED_TOLD_S = 5.0
 # How long reports of endpoints are kept that are not listed here.
 UNLISTED_MEMORY_S = 30.0
 MAX_UNLISTED = 1000
 # Between the checks of two entries.
 MIN_CHECK_INTERVAL_S = 0.25
+# Between what entries compute of the end of a cold period.
+MERGE_SLACK_S = 0.5
 # Until bytes that an endpoint sent before its end have arrived.
 IN_TRANSIT_S = 0.15
 # Between the ends of the cold period at the endpoint and here.
@@ -44,14 +48,21 @@
     IN_DOUBT = 1
     # It may be cold again without an end, which only a health check tells.
     UNCHECKED = 2
-    COLD = 3
-    SETTLED = 4
+    # It is up, but its health checks do not tell whether it is cold.
+    ASSUMED_COLD = 3
+    COLD = 4
+    SETTLED = 5
 
     @property
     def is_open(self) -> bool:
         """Whether the endpoint gets no requests until a health check."""
         return self <= State.UNCHECKED
 
+    @property
+    def is_cold(self) -> bool:
+        """Whether the endpoint gets requests at the rate of a cold one only."""
+        return self in (State.ASSUMED_COLD, State.COLD)
+
 
 @dataclasses.dataclass(frozen=True)
 class Report:
@@ -83,6 +94,8 @@
     cold_until_s: float = float("-inf")
     # When the endpoint that said so has started, as far as known.
     started_s: float = float("-inf")
+    # Reports of the end of the doubt must have been observed later.
+    signs_until_s: float = float("-inf")
     # Whether only a health check could end it.
     was_unchecked: bool = False
 
@@ -109,7 +122,10 @@
         return None
     interval_s = max(MIN_CHECK_INTERVAL_S, cold_quota.INTERVAL_S / max(1, int(rate)))
     turn = int(age_s / interval_s)
-    names = [*ranking.order(name, local), *ranking.order(name, remote)]
+    # Those of one region may all be lost.
+    orders = ranking.order(name, local), ranking.order(name, remote)
+    pairs = itertools.zip_longest(*orders)
+    names = [entry for pair in pairs for entry in pair if entry is not None]
     return turn if names and names[turn % len(names)] == own else None
 
 
@@ -148,11 +164,12 @@
         """Forget endpoints that are not among ``digests``, after a time."""
         self._listed = digests
         self._forget_unlisted(now)
+        self._unsure_s = {key: at_s for key, at_s in self._unsure_s.items() if key in digests}
 
     def _forget_unlisted(self, now):
         unlisted = [key for key in self._doubts if key not in self._listed]
         for position, key in enumerate(reversed(unlisted)):
-            is_old = now - self._doubts[key].known_s > UNLISTED_MEMORY_S
+            is_old = now - self._doubts[key].observed_s > UNLISTED_MEMORY_S
             if is_old or position >= MAX_UNLISTED:
                 del self._doubts[key]
 
@@ -167,6 +184,8 @@
         self._unsure_s.pop(digest, None)
         if known is not None and known.state.is_open:
             known.sign_s, known.state = now, max(known.state, state)
+            # What another entry observed before may be on its way.
+            known.signs_until_s = now + IN_TRANSIT_S
             known.was_unchecked = known.state is State.UNCHECKED
             return False
         number = max(known.number + 1 if known else 0, int(wall_s))
@@ -178,23 +197,30 @@
 
     def is_of_earlier_start(self, digest: int, connected_s: float, now: float) -> bool:
         """Return whether a connection was opened before the known start of a cold endpoint."""
-        is_cold = self.state(digest, now) is State.COLD
+        is_cold = self.state(digest, now).is_cold
         return is_cold and connected_s < self._doubts[digest].started_s
 
     def record_cold(
-        self, digest: int, cold_s: float, period_s: float, now: float, wall_s: float
+        self,
+        digest: int,
+        cold_s: float,
+        period_s: float,
+        now: float,
+        wall_s: float,
+        state: State = State.COLD,
     ) -> bool:
-        """Record that an endpoint has said that it is cold for ``cold_s`` seconds.
+        """Record that an endpoint is cold for ``cold_s`` seconds.
 
-        ``period_s``: how long endpoints are cold after a start. Returns whether this is new.
+        ``period_s``: how long endpoints are cold after a start; ``state``: ``COLD`` if it has said
+        so. Returns whether this is new.
         """
         known = self._doubts.get(digest)
         self._unsure_s.pop(digest, None)
         if known is None or self.state(digest, now) is State.SETTLED:
             number = max(known.number + 1 if known else 0, int(wall_s))
             known = self._doubts[digest] = _Doubt(number, State.IN_DOUBT, now, now, now)
-        is_new = known.state is not State.COLD
-        known.state, known.observed_s = State.COLD, now
+        is_new = known.state is not state
+        known.state, known.observed_s = state, now
         known.cold_until_s = max(known.cold_until_s, now + cold_s)
         known.started_s = now + cold_s - period_s
         return is_new
@@ -229,6 +255,8 @@
         known = self._doubts.get(digest)
         if known is None:
             return State.SETTLED
+        if known.state is State.ASSUMED_COLD and now >= known.cold_until_s:
+            known.state, known.observed_s = State.SETTLED, now
         if known.state is State.COLD and now >= known.cold_until_s + COLD_SLACK_S:
             # It may have started again meanwhile, as hardly an entry had a connection to it.
             known.number, known.state = known.number + 1, State.UNCHECKED
@@ -244,7 +272,7 @@
 
     def cold_left_s(self, digest: int, now: float) -> float:
         """Return for how many seconds an endpoint stays cold by its own word, 0 if unknown."""
-        if self.state(digest, now) is not State.COLD:
+        if not self.state(digest, now).is_cold:
             return 0.0
         return max(0.0, self._doubts[digest].cold_until_s - now)
 
@@ -264,12 +292,12 @@
             return False
         if self.state(digest, now) is State.SETTLED:
             return known.was_unchecked and now - known.observed_s <= RECENT_S
-        return known.state is State.COLD or known.was_unchecked
+        return known.state.is_cold or known.was_unchecked
 
-    def is_known_since(self, digest: int, started_s: int) -> bool:
-        """Return whether a doubt was raised after the start of an endpoint, a Unix time."""
+    def is_known_since(self, digest: int, started_s: float, now: float, wall_s: float) -> bool:
+        """Return whether the end of a doubt was observed after ``started_s``, a Unix time."""
         known = self._doubts.get(digest)
-        return known is not None and known.number >= started_s
+        return known is not None and wall_s - (now - known.observed_s) >= started_s
 
     def merge(self, report: Report, period_s: float, now: float) -> bool:
         """Apply what another entry knows; returns whether this changed the state.
@@ -277,6 +305,7 @@
         ``period_s``: how long endpoints are cold after a start.
         """
         key, known = report.endpoint_digest, self._doubts.get(report.endpoint_digest)
+        observed_s = now - report.age_s
         before = self.state(key, now)
         is_news = report.state is not State.SETTLED or (
             now - report.age_s > self._unsure_s.get(key, now) + IN_TRANSIT_S
@@ -287,7 +316,8 @@
             rank, other_rank = (known.number, known.state), (report.number, report.state)
             if rank > other_rank or (rank == other_rank and known.state is State.SETTLED):
                 return False
-        observed_s = now - report.age_s
+        elif key not in self._listed and report.age_s > UNLISTED_MEMORY_S:
+            return False
         if known is None or known.number < report.number:
             sign_s = known.sign_s if known else float("-inf")
             known_s = max(now, known.observed_s + MIN_CHECK_INTERVAL_S) if known else now
@@ -295,15 +325,19 @@
             self._doubts[key] = known
             if key not in self._listed:
                 self._forget_unlisted(now)
-        if report.state is State.SETTLED and observed_s < known.sign_s:
+        if report.state is State.SETTLED and observed_s < max(known.sign_s, known.signs_until_s):
             # A later sign than what ended the other entry's doubt.
             known.number, known.state = report.number + 1, State.IN_DOUBT
+            known.observed_s = known.sign_s
+            return True
         else:
             known.state = max(known.state, report.state)
             known.was_unchecked = known.was_unchecked or report.state is State.UNCHECKED
             known.observed_s = observed_s
-        if report.state is State.COLD:
-            known.cold_until_s = max(known.cold_until_s, now + report.cold_s)
+        # Each hop of the news takes time, which must not add up.
+        is_longer = now + report.cold_s > known.cold_until_s + MERGE_SLACK_S
+        if report.state.is_cold and is_longer:
+            known.cold_until_s = now + report.cold_s
             known.started_s = now + report.cold_s - period_s
         return self.state(key, now) is not before
 
@@ -322,7 +356,12 @@
             is_settled = self.state(digest, now) is State.SETTLED
             if is_settled and now - self._doubts[digest].observed_s > SETTLED_MEMORY_S:
                 del self._doubts[digest]
-        return [self.report(digest, now) for digest in reversed(self._doubts)]
+        return [
+            self.report(digest, now)
+            for digest, known in reversed(self._doubts.items())
+            if digest in self._listed
+            and (known.state is not State.SETTLED or now - known.observed_s <= SETTLED_TOLD_S)
+        ]
 
     def counts(self, now: float) -> dict[State, int]:
         """Return the number of endpoints by state, without settled ones."""
--- a/oriolelock/gateway/health_checks.py
+++ b/oriolelock/gateway/health_checks.py
@@ -106,8 +106,9 @@
         return max(limit_wait_s, view.pause_s(now))
 
     def _is_doubt_check_due(self, view, now):
-        is_possible = view.is_staying(now) and not view.health_check_pending
-        return is_possible and self._chooser.is_check_due(view, now)
+        if not view.is_staying(now) or view.health_check_pending or self._hold_s(view, now) > 0.0:
+            return False
+        return self._chooser.is_check_due(view, now)
 
     def _is_check_due(self, view, now):
         if not view.needs_health_check or view.health_check_pending or now < view.ejected_until_s:
@@ -138,7 +139,7 @@
 
         def finished(result):
             timer.cancel()
-            self._apply(view, result)
+            self._apply(view, result, conn.connected_s > 0.0)
 
         def expired():
             conn.abort()
@@ -146,7 +147,7 @@
 
         conn.send(req, CONNECT_TIMEOUT_S, finished, outbound.MAX_HEALTH_BODY_BYTES)
 
-    def _apply(self, view, result):
+    def _apply(self, view, result, was_connected):
         now = clock.monotonic_s()
         health = None
         if isinstance(result, transfers.Answered):
@@ -160,9 +161,14 @@
             return
         outcome = _outcome(health, result)
         state = self._chooser.restarts.state(view.restart_digest, now)
-        if health is None and state.is_open and not was_ejected:
+        is_other = health is not None and not is_own
+        if state.is_open and not was_ejected and not is_other and not _is_healthy(health):
             # It gets no requests, and the next entry checks it soon.
             view.end_check()
+            if is_own:
+                view.record_words(health, now)
+            if was_connected and not (health is None and isinstance(result, transfers.Lost)):
+                self._on_health(view, health or endpoint_view.Health(False))
             self._on_checked(view, outcome)
             return
         cold_s = self._chooser.cold_period_s(view)
@@ -176,6 +182,10 @@
         self._on_checked(view, outcome)
 
 
+def _is_healthy(health):
+    return health is not None and health.is_healthy
+
+
 def _outcome(health, result):
     if health is not None:
         return Outcome.ANSWERED
--- a/oriolelock/gateway/restart_gossip.py
+++ b/oriolelock/gateway/restart_gossip.py
@@ -26,10 +26,12 @@
 
 __all__ = ["RestartGossip"]
 
-INTERVAL_S = 0.25
+INTERVAL_S = 0.4
 TICK_S = 0.1
 # Recipients of all that an entry knows.
 FAN_OUT = 3
+# Recipients of a doubt of all endpoints.
+ALL_RECIPIENTS = 12
 # Entries that are asked, if too few are heard.
 ASKED_FAN_OUT = 4
 # Between datagrams to another region, while there is something to tell.
@@ -37,9 +39,13 @@
 # Recipients of news, and of news that are passed on.
 MAX_NEWS_RECIPIENTS = 64
 RELAY_FAN_OUT = 5
+# In which news are gathered that are passed on.
+RELAY_DELAY_S = 0.02
 # Entries that see unclear signs of the same end within this time.
 MIN_VOTES = 2
 VOTE_LIFETIME_S = 1.0
+# How long others may be answered that ask whether an endpoint has ended.
+ASKED_FOR_S = 5.0
 
 log = events.Events("gateway")
 
@@ -70,6 +76,8 @@
         self._was_informed = False
         # Digests of endpoints whose news are sent at the next turn of the loop.
         self._news: set[int] = set()
+        # And those of which news are passed on.
+        self._relayed: set[int] = set()
         # What others suspect: by endpoint's digest and sender, when that was heard.
         self._votes: dict[int, dict[gossip.Address, float]] = {}
         # By endpoint's digest: since when others ask whether it has ended.
@@ -88,6 +96,13 @@
         """Replace the addresses of the other entries: of the region, and of all regions."""
         self._local_peers = sorted(local)
         self._peers = sorted(peers)
+        now = clock.monotonic_s()
+        self._votes = {
+            digest: recent
+            for digest, votes in self._votes.items()
+            if (recent := {k: at_s for k, at_s in votes.items() if now - at_s <= VOTE_LIFETIME_S})
+        }
+        self._asked_s = {k: at_s for k, at_s in self._asked_s.items() if now - at_s <= ASKED_FOR_S}
         self._fleet.configure(self._peers)
 
     def counts(self, now: float) -> dict[restarts.State, int]:
@@ -133,11 +148,13 @@
         """Apply a response to a health check; ``cold_s``: longest time for which it is cold."""
         now, digest = clock.monotonic_s(), view.restart_digest
         left_s = min(health.cold_ms / 1000.0, cold_s)
-        if left_s > 0.0:
+        if not health.is_healthy or not health.tells_cold:
+            self.record_up(view, cold_s)
+        elif left_s > 0.0:
             if self._chooser.restarts.record_cold(digest, left_s, cold_s, now, clock.wall_s()):
                 view.withdraw_refusal()
                 self._record_change(view, "health check", now)
-        elif health.tells_cold:
+        else:
             was_unsure = self._chooser.restarts.unsure_age_s(digest, now) is not None
             if self._chooser.restarts.settle(digest, now):
                 self._record_change(view, "health check", now)
@@ -145,6 +162,16 @@
                 self._chooser.restarts.vouch(digest, now, clock.wall_s())
                 self._tell(digest)
 
+    def record_up(self, view: endpoint_view.EndpointView, cold_s: float) -> None:
+        """Record that an endpoint in doubt is up, and does not tell whether it is cold."""
+        now, digest = clock.monotonic_s(), view.restart_digest
+        if self._chooser.restarts.state(digest, now).is_open:
+            assumed = restarts.State.ASSUMED_COLD
+            wall_s = clock.wall_s()
+            self._chooser.restarts.record_cold(digest, cold_s, cold_s, now, wall_s, assumed)
+            view.record_cold(cold_s, now)
+            self._record_change(view, "health check", now)
+
     def record_response(
         self, view: endpoint_view.EndpointView, connected_s: float, cold_s: float
     ) -> None:
@@ -166,8 +193,12 @@
         if view is not None:
             self._note_outcome(view, now)
             self._log_state(view, "gossip", now)
-            if len(self._peers) > MAX_NEWS_RECIPIENTS:
-                self._send([report], RELAY_FAN_OUT)
+            current = self._chooser.restarts.report(view.restart_digest, now)
+            if current.number > report.number:
+                # This entry has seen a later sign.
+                self._tell(view.restart_digest)
+            elif len(self._peers) > MAX_NEWS_RECIPIENTS:
+                self._relay(view.restart_digest)
 
     def _record_change(self, view, source, now):
         self._note_outcome(view, now)
@@ -177,8 +208,8 @@
     def _note_outcome(self, view, now):
         state = self._chooser.restarts.state(view.restart_digest, now)
         if not state.is_open:
-            self.signs.record_settled(view, state is restarts.State.COLD)
-        if state is restarts.State.COLD:
+            self.signs.record_settled(view, state.is_cold)
+        if state.is_cold:
             self._on_restarted(view)
 
     def _log_state(self, view, source, now):
@@ -198,6 +229,17 @@
             self._loop.call_soon(self._send_news)
         self._news.add(digest)
 
+    def _relay(self, digest):
+        if not self._relayed:
+            self._loop.call_later(RELAY_DELAY_S, self._send_relayed)
+        self._relayed.add(digest)
+
+    def _send_relayed(self):
+        now, relayed = clock.monotonic_s(), self._relayed
+        self._relayed = set()
+        reports = [self._chooser.restarts.report(digest, now) for digest in relayed]
+        self._send([*filter(None, reports)], RELAY_FAN_OUT)
+
     def _send_news(self):
         now, news = clock.monotonic_s(), self._news
         self._news = set()
@@ -262,7 +304,7 @@
         if self._fleet.tick(now):
             log.notable("no-informed-entry", endpoints=len(self._chooser.views))
             self._chooser.doubt_all(now, clock.wall_s())
-            self._send(self._chooser.restarts.reports(now), MAX_NEWS_RECIPIENTS)
+            self._send(self._chooser.restarts.reports(now), ALL_RECIPIENTS)
         is_informed = self._fleet.is_informed(now)
         if is_informed != self._was_informed:
             self._was_informed = is_informed
--- a/tests/dispatch/test_restarts.py
+++ b/tests/dispatch/test_restarts.py
@@ -10,7 +10,7 @@
 from oriolelock.dispatch import restarts
 from tests.dispatch import builders
 
-IN_DOUBT, UNCHECKED, COLD, SETTLED = restarts.State
+IN_DOUBT, UNCHECKED, ASSUMED_COLD, COLD, SETTLED = restarts.State
 COLD_S = 3.0
 WALL_S = 1_000.0
 
@@ -237,10 +237,11 @@
 
 def test_doubt_that_was_raised_before_a_start_says_nothing_of_it():
     known = raised(wall_s=1000.0)
-    assert known.is_known_since(7, 999)
-    assert known.is_known_since(7, 1000)
-    assert not known.is_known_since(7, 1001)
-    assert not known.is_known_since(8, 0)
+    # Raised at 0 s of the entry's clock, which is the Unix time 1000.
+    assert known.is_known_since(7, 999.0, 5.0, 1005.0)
+    assert known.is_known_since(7, 1000.0, 5.0, 1005.0)
+    assert not known.is_known_since(7, 1001.0, 5.0, 1005.0)
+    assert not known.is_known_since(8, 0.0, 5.0, 1005.0)
 
 
 def test_ended_doubts_are_told_for_a_while_so_that_all_entries_learn_of_the_end():
@@ -259,6 +260,7 @@
 
 def test_latest_doubts_are_told_first():
     known = restarts.Restarts()
+    known.retain(set(range(5)), 0.0)
     for digest in range(5):
         known.raise_doubt(digest, 0.1 * digest, WALL_S)
     assert [report.endpoint_digest for report in known.reports(1.0)] == [4, 3, 2, 1, 0]
@@ -367,7 +369,7 @@
     assert {own for _, own in taken} <= set(names)
 
 
-def test_local_entries_check_first_and_each_has_its_turn():
+def test_entries_of_both_kinds_check_by_turns_as_a_region_may_be_lost():
     local, remote = ["e1", "e2"], ["e3", "e4", "e5"]
     order = [
         own
@@ -375,7 +377,8 @@
         for own in (*local, *remote)
         if restarts.check_turn("x", 4.0, local, remote, own, (turn + 0.5) * 0.275) is not None
     ]
-    assert set(order[:2]) == set(local)
+    assert set(order[:4:2]) == set(local)
+    assert set(order[1:4:2]) < set(remote)
     assert sorted(order) == ["e1", "e2", "e3", "e4", "e5"]
 
 
@@ -417,4 +420,39 @@
         now = step * 0.05
         use_at_random(known, rng, now)
         assert all(report.age_s >= 0.0 for report in known.reports(now))
-        assert set(known.counts(now)) == {IN_DOUBT, UNCHECKED, COLD}
+        assert set(known.counts(now)) == {IN_DOUBT, UNCHECKED, ASSUMED_COLD, COLD}
+
+
+def test_doubts_of_endpoints_that_are_not_listed_end():
+    """Guards against doubts that entries tell each other for good, as nobody can check them."""
+    first, second = restarts.Restarts(), restarts.Restarts()
+    for known in (first, second):
+        known.retain({7}, 0.0)
+    first.raise_doubt(7, 0.0, WALL_S)
+    for step in range(100):
+        now = 1.0 + step
+        for known, other in ((first, second), (second, first)):
+            listed = {7} if step < 3 else set()
+            known.retain(listed, now)
+            for report in known.reports(now):
+                other.merge(report, COLD_S, now)
+    assert first.report(7, 101.0) is None
+    assert second.report(7, 101.0) is None
+
+
+def test_cold_time_does_not_grow_with_each_hop():
+    """Guards against endpoints that get less long after they are warm."""
+    known = [restarts.Restarts() for _ in range(20)]
+    known[0].record_cold(7, COLD_S, COLD_S, 0.0, WALL_S)
+    for number in range(1, 200):
+        now = 0.01 * number
+        report = known[(number - 1) % 20].report(7, now - 0.01)
+        known[number % 20].merge(report, COLD_S, now)
+    assert max(item.cold_left_s(7, 2.0) for item in known) <= COLD_S - 2.0 + 0.5 + 0.01
+
+
+def test_endpoint_whose_checks_do_not_tell_is_settled_after_the_cold_time():
+    known = raised()
+    assert known.record_cold(7, COLD_S, COLD_S, 0.0, WALL_S, ASSUMED_COLD)
+    assert known.state(7, COLD_S - 0.1) is ASSUMED_COLD
+    assert known.state(7, COLD_S) is SETTLED
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -251,7 +251,7 @@
         (1, False),
         (1, 2, 1, 0),
         (1, 2, 0, 0, 0),
-        (1, 2, 5, 0, 0),
+        (1, 2, 6, 0, 0),
         (1, 2, "1", 0, 0),
         (1, 2, 1.0, 0, 0),
         (1, -2, 1, 0, 0),
