--- a/oriolelock/dispatch/chooser.py
+++ b/oriolelock/dispatch/chooser.py
@@ -92,7 +92,8 @@
         for name in self._drained - drained:
             # The endpoint may have become cold during the drain; a health check reports that.
             if name in self.views:
-                self._raise_doubt(self.views[name], now, wall_s)
+                digest, unchecked = self.views[name].restart_digest, restarts.State.UNCHECKED
+                self.restarts.raise_doubt(digest, now, wall_s, unchecked)
         self._drained = drained
         self._removed_contacts = {
             digest: known for digest, known in self._removed_contacts.items() if known.open_count
--- a/oriolelock/gateway/daemon.py
+++ b/oriolelock/gateway/daemon.py
@@ -12,6 +12,7 @@
 import uuid
 
 from oriolelock import clock, events
+from oriolelock.dispatch import restarts
 from oriolelock.distribution import errors, relay, tree, uplink
 from oriolelock.distribution import messages as distribution
 from oriolelock.gateway import core, crash_reports, delegated_flow, delegation, flow
@@ -204,6 +205,7 @@
 
     def _handle_metrics(self, exchange):
         now = clock.monotonic_s()
+        doubts = self.core.restarts.counts(now)
         age_s = self._uplink.control_age_s(now)
         gauges = {
             "routes_revision": self.core.revision,
@@ -213,6 +215,10 @@
             "endpoints_ejected": self.core.chooser.ejected_count(),
             "services_cut_off": len(self.core.connectivity.cut_off_services()),
             "endpoints_limited": self.core.chooser.limits.limited_count(now),
+            "endpoints_in_doubt": doubts[restarts.State.IN_DOUBT]
+            + doubts[restarts.State.UNCHECKED],
+            "endpoints_cold": doubts[restarts.State.ASSUMED_COLD] + doubts[restarts.State.COLD],
+            "informed": int(self.core.restarts.is_informed(now)),
             "entries_cut_off": len(self.core.cut_off_entries(now)),
             "entries": self.core.chooser.entry_count(now),
             "connections": len(self._servers[0]),
