--- a/oriolelock/dispatch/restarts.py
+++ b/oriolelock/dispatch/restarts.py
@@ -255,7 +255,7 @@
         known = self._doubts.get(digest)
         if known is None:
             return State.SETTLED
-        if known.state is State.ASSUMED_COLD and now >= known.cold_until_s:
+        if known.state is State.ASSUMED_COLD and now >= known.cold_until_s + COLD_SLACK_S:
             known.state, known.observed_s = State.SETTLED, now
         if known.state is State.COLD and now >= known.cold_until_s + COLD_SLACK_S:
             # It may have started again meanwhile, as hardly an entry had a connection to it.
