--- a/review/lib-2/small_deployment.py
+++ b/review/lib-2/small_deployment.py
@@ -58,6 +58,23 @@
     daemon_threads = True
     request_queue_size = 256
 
+    def __init__(self, address, respond):
+        super().__init__(address, Connection)
+        self.respond = respond
+        self.connections = set()
+        self._thread = threading.Thread(target=self.serve_forever, args=(0.02,), daemon=True)
+        self._thread.start()
+
+    def handle_error(self, request, client_address):
+        """Ignore connections that end early."""
+
+    def end(self):
+        """Stop listening and reset all connections, as when a process is killed."""
+        self.socket.close()
+        for conn in list(self.connections):
+            conn.reset()
+        threading.Thread(target=self.shutdown, daemon=True).start()
+
 
 @dataclasses.dataclass
 class Message:
@@ -78,21 +95,30 @@
 
     def handle(self):
         self.buffer = b""
+        self.server.connections.add(self)
         try:
             while True:
                 req = self._read()
                 if req is None or not self.server.respond(self, req):
                     return
-        except OSError:
+        except (OSError, ValueError):
+            # The connection has ended, or was reset by this stand-in.
             return
+        finally:
+            self.server.connections.discard(self)
 
     def send(self, data):
         self.request.sendall(data)
 
     def reset(self):
-        """Close the connection with a reset."""
-        self.request.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
-        self.request.close()
+        """Close the connection with a reset, also while another thread waits for it to read."""
+        try:
+            self.request.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            # Wakes up a thread that reads; the close that follows resets.
+            self.request.shutdown(socket.SHUT_RD)
+            self.request.close()
+        except OSError:
+            pass
 
     def _fill(self):
         data = self.request.recv(65536)
@@ -126,10 +152,8 @@
     """The list of endpoints; ``rows()`` returns its entries as tables."""
 
     def __init__(self, address, rows):
-        self._server = _Server(address, Connection)
-        self._server.respond = self._respond
+        self._server = _Server(address, self._respond)
         self.rows = rows
-        threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
     def _respond(self, conn, req):
         zone = req.path.partition("zone=")[2].partition("&")[0]
@@ -154,9 +178,10 @@
         self.started_ms = int(time.time() * 1000) - 60_000
         self.runs = []
         self._record = record
-        self._server = _Server(address, Connection)
-        self._server.respond = self._respond
-        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        self._lock = threading.Lock()
+        self.is_up = True
+        self.cold_until_s = 0.0
+        self._server = _Server(address, self._respond)
 
     def row(self):
         """Return its entry in the platform's list."""
@@ -167,15 +192,46 @@
             "version": "v1",
             "slots": self.slots,
             "state": self.state,
-            "coldRemaining": "0ms",
+            "coldRemaining": f"{self.cold_left_ms()}ms",
             "id": self.name,
             "born": self.started_ms,
         }
 
+    def cold_left_ms(self):
+        return max(0, int((self.cold_until_s - time.monotonic()) * 1000))
+
+    def crash(self, down_s=3.0, cold_s=3.0):
+        """End as a process that is killed, and start again under the same id after ``down_s``.
+
+        Returns whether the endpoint was up.
+        """
+        with self._lock:
+            was_up, self.is_up = self.is_up, False
+        if not was_up:
+            return False
+        self._record.write(f"crash of {self.name}")
+        self._server.end()
+
+        def start_again():
+            self.started_ms = int(time.time() * 1000)
+            self.cold_until_s = time.monotonic() + cold_s
+            self._server = _Server(self.address, self._respond)
+            self.is_up = True
+            self._record.write(f"start of {self.name}")
+
+        timer = threading.Timer(down_s, start_again)
+        timer.daemon = True
+        timer.start()
+        return True
+
     def _respond(self, conn, req):
         if req.path == "/health":
-            load = f"X-Server-Load: 0,0,{self.slots}"
-            conn.send(response("200 OK", (f"X-Instance-Id: {self.name}", load)))
+            headers = (
+                f"X-Instance-Id: {self.name}",
+                f"X-Server-Load: 0,0,{self.slots}",
+                f"X-Cold-Ms: {self.cold_left_ms()}",
+            )
+            conn.send(response("200 OK", headers))
             return True
         echo = f"X-Request-Id: {req.id}"
         if not req.id:
@@ -233,7 +289,7 @@
             for zone in (ZONES * per_service)[:per_service]:
                 self.add_endpoint(service, zone)
         self.platform = Platform(
-            (f"{self._net}.250", self.port["list"]), lambda: [e.row() for e in self.endpoints]
+            (f"{self._net}.250", self.port["list"]), lambda: [e.row() for e in self.endpoints if e.is_up]
         )
         self.machines = {}
         for number, zone in enumerate(control_zones or ZONES[:3], 1):
