--- a/review/lib-2/small_deployment.py
+++ b/review/lib-2/small_deployment.py
@@ -149,17 +149,26 @@
 
 
 class Platform:
-    """The list of endpoints; ``rows()`` returns its entries as tables."""
+    """The list of endpoints; ``rows()`` returns its entries as tables.
+
+    ``odd_entry``: the bytes of one more entry, left by another writer.
+    """
 
     def __init__(self, address, rows):
         self._server = _Server(address, self._respond)
         self.rows = rows
+        self.odd_entry = b""
 
     def _respond(self, conn, req):
         zone = req.path.partition("zone=")[2].partition("&")[0]
         rows = [row for row in self.rows() if not zone or row["zone"] == zone]
-        listed = {"columns": COLUMNS, "rows": [[row.get(c) for c in COLUMNS] for row in rows]}
-        body = json.dumps({"instances": listed, "nextPageToken": None}).encode()
+        entries = [json.dumps([row.get(c) for c in COLUMNS]).encode() for row in rows]
+        if self.odd_entry:
+            entries.insert(len(entries) // 2, self.odd_entry)
+        body = b'{"instances":{"columns":%s,"rows":[%s]},"nextPageToken":null}' % (
+            json.dumps(COLUMNS).encode(),
+            b",".join(entries),
+        )
         conn.send(response("200 OK", ("Content-Type: application/json",), body))
         return True
 
@@ -231,7 +240,8 @@
                 f"X-Server-Load: 0,0,{self.slots}",
                 f"X-Cold-Ms: {self.cold_left_ms()}",
             )
-            conn.send(response("200 OK", headers))
+            status = "200 OK" if self.state == "ready" else "503 Service Unavailable"
+            conn.send(response(status, (*headers, *self._leaving_headers())))
             return True
         echo = f"X-Request-Id: {req.id}"
         if not req.id:
@@ -249,6 +259,20 @@
         conn.send(self.answer(req))
         return True
 
+    def _leaving_headers(self):
+        return () if self.state == "ready" else ("Server-Leaving: 1", "Connection: close")
+
+    def end(self):
+        """End as planned, for good; the list no longer names the endpoint."""
+        self._record.write(f"end of {self.name}")
+        self.is_up = False
+        self._server.end()
+
+    def drain(self):
+        """Announce in the list and in all answers that the endpoint leaves."""
+        self._record.write(f"{self.name} is draining")
+        self.state = "draining"
+
     def run(self, req):
         """Run a request."""
         self.runs.append((time.monotonic(), req.id))
@@ -262,6 +286,7 @@
             f"X-Server-Stamp: stamp.{req.id}.{self.name}",
             f"X-Server-Load: 1,0,{self.slots}",
             "Keep-Alive: timeout=10",
+            *self._leaving_headers(),
         )
         return response("200 OK", headers, f"answer to {req.id} by {self.name}".encode())
 
