--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,5 @@
-"""Three of five entries are lost for good: does the directory still name them?"""
+"""A control replica is frozen, another one is added, and the leader loses its disk."""
 
-import json
 import os
 import signal
 import sys
@@ -9,70 +8,84 @@
 import small_deployment
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-# One region has more than half of the entries.
-ENTRY_ZONES = ("perth-a", "perth-a", "perth-b", "bunbury-a", "geraldton-a")
-LOST = ("front-1", "front-2", "front-3")
-# Of the site swanquill; the rule adds 3 s to it.
-CONTACT_WINDOW_S = 3.0
-WATCH_S = 25.0
-# The rule allows three.
-MOST_ANSWERS = 3
+ENTRY_ZONES = ("perth-a", "bunbury-a")
+# Of the site: the longest freeze of a replica is 7.8 s.
+FREEZE_S = 5.0
+# After the leader's log says that the frozen one is to be removed.
+LOSS_DELAY_S = 0.015
+DOWN_S = 1.0
+RECOVERY_S = 15.0
+READ_S = 8.0
 
 
-def ask(deployment, name, zone):
-    """Return the addresses in an answer of the directory, None for a failure."""
-    region = zone.partition("-")[0]
-    path = f"/oriolelock/resolve?name={small_deployment.HOST}&region={region}&zone={zone}"
-    try:
-        status, _, body = deployment.call(name, "directory", "GET", path)
-    except OSError:
-        return None
-    return json.loads(body).get("addresses") if status == 200 else None
+def wait_for_removal(deployment, leader, removed, until_s):
+    """Wait until the leader's log names the removal of a replica; returns whether it does."""
+    path = deployment.log_path(leader)
+    wanted = f'"member":"{deployment.machines[removed].ip}:'.encode()
+    with open(path, "rb") as log:
+        rest = b""
+        while time.monotonic() < until_s:
+            lines = (rest + log.read()).split(b"\n")
+            rest = lines.pop()
+            if any(b'"Remove"' in line and wanted in line for line in lines):
+                return True
+            time.sleep(0.0005)
+    return False
+
+
+def read_config(deployment, record):
+    """Read the config from all replicas for a while; returns the first one that comes."""
+    until_s = time.monotonic() + READ_S
+    while time.monotonic() < until_s:
+        for name in deployment.names("control"):
+            try:
+                status, _, body = deployment.call(
+                    name, "control", "GET", "/oriolelock/Config.Get", timeout_s=2.0
+                )
+            except OSError as exc:
+                status, body = type(exc).__name__, b""
+            record.write(f"read at {name}: {status}")
+            if status == 200:
+                return body
+        time.sleep(0.3)
+    return None
 
 
 def main():
     record = small_deployment.Record("record.txt")
     deployment = small_deployment.Deployment(record, ENTRY_ZONES)
-    names = {
-        f"{machine.ip}:{deployment.port['front']}": name
-        for name, machine in deployment.machines.items()
-    }
     try:
         deployment.start_all()
         routes = {"r-a": small_deployment.route("svc-a", "/a/")}
         if deployment.replace_config(2, 0, routes) != 200 or not deployment.wait_ready():
             return 2
         time.sleep(6.0)
-        asked = [name for name in deployment.names("entry") if name not in LOST]
-        before = ask(deployment, asked[0], ENTRY_ZONES[0])
-        if not before:
+        leader = deployment.leader()
+        if leader is None or read_config(deployment, record) is None:
             return 2
-        lost_s = time.monotonic()
+        frozen = next(name for name in deployment.names("control") if name != leader)
+        record.write(f"the leader is {leader}")
+        if TROUBLE:
+            deployment.signal(frozen, signal.SIGSTOP)
+        frozen_s = time.monotonic()
+        added = deployment.add_control(deployment.machines[frozen].zone)
         if TROUBLE:
-            for name in LOST:
-                deployment.signal(name, signal.SIGKILL)
-        wrong = right = 0
-        while time.monotonic() - lost_s < WATCH_S:
-            for name in asked:
-                for zone in ENTRY_ZONES:
-                    age_s = time.monotonic() - lost_s
-                    found = ask(deployment, name, zone)
-                    if found is None:
-                        record.write(f"asked {name} for {zone}: no answer")
-                        continue
-                    named = sorted(names[address] for address in found)
-                    dead = [n for n in named if deployment.processes[n].poll() is not None]
-                    is_late = age_s > CONTACT_WINDOW_S + 3.0
-                    is_wrong = is_late and dead and len(dead) < len(named)
-                    wrong, right = wrong + bool(is_wrong), right + (not is_wrong)
-                    note = ", wrong" if is_wrong else ""
-                    record.write(f"asked {name} for {zone} {age_s:.1f} s after: {named}{note}")
-            time.sleep(1.0)
-        alive = all(deployment.processes[n].poll() is None for n in (*asked, "core-1", "core-2"))
-        if not alive or not right:
+            if not wait_for_removal(deployment, leader, frozen, frozen_s + FREEZE_S):
+                return 2
+            time.sleep(LOSS_DELAY_S)
+            deployment.signal(leader, signal.SIGKILL)
+            time.sleep(DOWN_S)
+            deployment.wipe(leader)
+            deployment.start(leader)
+            time.sleep(max(0.0, frozen_s + FREEZE_S - time.monotonic()))
+            deployment.signal(frozen, signal.SIGCONT)
+        time.sleep(3.0 + RECOVERY_S)
+        if any(process.poll() is not None for process in deployment.processes.values()):
             return 2
-        print(f"{wrong} answers named a lost entry beside a running one, {right} did not")
-        return 1 if wrong > MOST_ANSWERS else 0
+        found = read_config(deployment, record)
+        changed = deployment.replace_config(3, 2, routes)
+        print(f"config read back: {'yes' if found else 'no'}; next change: {changed}; added {added}")
+        return 0 if found and b'"r2"' in found else 1
     finally:
         deployment.close()
 
--- a/review/lib-2/small_deployment.py
+++ b/review/lib-2/small_deployment.py
@@ -32,8 +32,6 @@
 )
 ZONES = ("perth-a", "bunbury-a", "geraldton-a", "perth-b", "bunbury-b", "geraldton-b")
 COLUMNS = ("service", "address", "zone", "version", "slots", "state", "coldRemaining", "id", "born")
-# Of the sockets of stand-ins; None: the system's own.
-RECEIVE_BUFFER_BYTES = None
 # Final answers with which the operator's call ends.
 FINAL = (400, 409, 412, 413, 422)
 
@@ -61,14 +59,8 @@
     request_queue_size = 256
 
     def __init__(self, address, respond):
-        super().__init__(address, Connection, bind_and_activate=False)
-        if RECEIVE_BUFFER_BYTES:
-            size = RECEIVE_BUFFER_BYTES
-            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
-        self.server_bind()
-        self.server_activate()
+        super().__init__(address, Connection)
         self.respond = respond
-        self.on_head = lambda conn, req: None
         self.connections = set()
         self._thread = threading.Thread(target=self.serve_forever, args=(0.02,), daemon=True)
         self._thread.start()
@@ -143,7 +135,6 @@
         headers = {name.strip().lower(): value.strip() for name, _, value in pairs}
         length = int(headers.get("content-length", 0))
         method, path, _ = first.split(" ")
-        self.server.on_head(self, Message(method, path, headers, b""))
         while len(self.buffer) < length:
             if not self._fill():
                 return None
@@ -195,20 +186,11 @@
         self.state, self.on_request = "ready", None
         self.started_ms = int(time.time() * 1000) - 60_000
         self.runs = []
-        # When it began to work on requests, by id, where ``on_head`` says so.
-        self.started = {}
         self._record = record
         self._lock = threading.Lock()
         self.is_up = True
         self.cold_until_s = 0.0
-        self._serve()
-
-    def _serve(self):
-        self._server = _Server(self.address, self._respond)
-        self._server.on_head = self.on_head
-
-    def on_head(self, conn, req):
-        """Called with the head of a request, before its body is read."""
+        self._server = _Server(address, self._respond)
 
     def row(self):
         """Return its entry in the platform's list."""
@@ -242,7 +224,7 @@
         def start_again():
             self.started_ms = int(time.time() * 1000)
             self.cold_until_s = time.monotonic() + cold_s
-            self._serve()
+            self._server = _Server(self.address, self._respond)
             self.is_up = True
             self._record.write(f"start of {self.name}")
 
@@ -321,8 +303,6 @@
 class Deployment:
     """``entry_zones`` and ``control_zones``: the zone of each machine."""
 
-    endpoint_type = Endpoint
-
     def __init__(self, record, entry_zones, services=("svc-a",), per_service=6, control_zones=None):
         self.record = record
         self._folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
@@ -355,10 +335,35 @@
         number = len(self.endpoints) + 1
         address = (f"{self._net}.{100 + number}", self.port["endpoint"])
         name = f"i-{service}-{number}"
-        endpoint = self.endpoint_type(name, service, zone, address, self.record, **fields)
+        endpoint = Endpoint(name, service, zone, address, self.record, **fields)
         self.endpoints.append(endpoint)
         return self.endpoints[-1]
 
+    def add_control(self, zone):
+        """Start one more control replica, with an empty disk; returns its name."""
+        number = len(self.names("control")) + 1
+        name = f"core-{number}"
+        self.machines[name] = Machine("control", f"{self._net}.{9 + number}", zone)
+        self.start(name)
+        return name
+
+    def wipe(self, name):
+        """Remove what the disk of a machine holds; its process must have ended."""
+        self.processes[name].wait()
+        shutil.rmtree(self._folder / name / "data")
+        self.record.write(f"the disk of {name} is lost")
+
+    def leader(self):
+        """Return the name of the control replica that leads, None if none says so."""
+        for name in self.names("control"):
+            try:
+                text = self.call(name, "control", "GET", "/metrics")[2].decode()
+            except OSError:
+                continue
+            if "oriolelock_control_is_leader 1" in text:
+                return name
+        return None
+
     def names(self, role):
         """Return the names of the machines with a role."""
         return [name for name, machine in self.machines.items() if machine.role == role]
@@ -446,10 +451,9 @@
         self.processes[name].send_signal(number)
         self.record.write(f"{signal.Signals(number).name} to {name}")
 
-    def log_lines(self, name):
-        """Return the log of a machine."""
-        path = self._folder / name / "log"
-        return path.read_text(errors="replace").splitlines() if path.exists() else []
+    def log_path(self, name):
+        """Return the path of the log of a machine."""
+        return self._folder / name / "log"
 
     def close(self):
         """End all processes and remove the folder."""
