--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,7 +2,6 @@
 
 import os
 import signal
-import sys
 import time
 
 import small_deployment
@@ -90,4 +89,4 @@
         deployment.close()
 
 
-sys.exit(main())
+small_deployment.run(main)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -4,7 +4,6 @@
 """
 
 import os
-import sys
 import threading
 import time
 
@@ -129,4 +128,4 @@
         deployment.close()
 
 
-sys.exit(main())
+small_deployment.run(main)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -3,7 +3,6 @@
 import json
 import os
 import signal
-import sys
 import time
 
 import small_deployment
@@ -77,4 +76,4 @@
         deployment.close()
 
 
-sys.exit(main())
+small_deployment.run(main)
--- a/review/lib-2/small_deployment.py
+++ b/review/lib-2/small_deployment.py
@@ -16,10 +16,12 @@
 import socket
 import socketserver
 import subprocess
+import sys
 import tempfile
 import threading
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "cards.example"
@@ -536,6 +538,17 @@
         return not waiting
 
 
+def run(main):
+    """Exit with the result of ``main()``, with 2 if it fails or is ended by SIGTERM."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    try:
+        code = main()
+    except Exception:
+        traceback.print_exc()
+        code = 2
+    sys.exit(code)
+
+
 def route(service, prefix, kind="safe", timeout="1200ms", attempts=2):
     """Return a route of the config."""
     return {
