--- a/oriolelock/admission/quarantine.py
+++ b/oriolelock/admission/quarantine.py
@@ -8,11 +8,11 @@
 import collections
 import collections.abc
 
-import xxhash
-
+from oriolelock.admission import crash_index
+from oriolelock.admission import fingerprint as fingerprints
 from oriolelock.model import crash_record
 
-__all__ = ["Quarantine", "fingerprint"]
+__all__ = ["Quarantine"]
 
 # A fingerprint that completed within this time is not blamed for a crash: if a whole region fails,
 # every popular request is in flight on some failing endpoint.
@@ -23,18 +23,12 @@
 MAX_SUSPECTS = 1000
 
 
-def fingerprint(service: str, operation: str, path: str, body: bytes) -> str:
-    """Return the xxh3-128 hash of a request as 32 hex digits."""
-    digest = xxhash.xxh3_128()
-    for part in (service.encode(), operation.encode(), path.encode(), body):
-        # The length prefix distinguishes ("ab", "c") from ("a", "bc").
-        digest.update(b"%d:" % len(part))
-        digest.update(part)
-    return digest.hexdigest()
-
-
 class Quarantine:
-    """Crashes observed by this entry, combined with the crash records of control."""
+    """Crashes observed by this entry, combined with the crash records of control.
+
+    A request is blocked at any of the levels of its fingerprint. A complete response to a request
+    counts for all levels that comprise it.
+    """
 
     def __init__(self):
         self._completed: collections.OrderedDict[str, float] = collections.OrderedDict()
@@ -43,19 +37,24 @@
         self._deaths: collections.OrderedDict[str, list[tuple[str, float]]] = (
             collections.OrderedDict()
         )
-        self._blocked_until: collections.OrderedDict[str, float] = collections.OrderedDict()
+        # By level: when the quarantine began and ends.
+        self._blocked: collections.OrderedDict[str, tuple[float, float]] = collections.OrderedDict()
         self._crashes: collections.abc.Mapping[str, crash_record.CrashRecord] = {}
+        self._index = crash_index.CrashIndex({})
 
     def configure(self, crashes: collections.abc.Mapping[str, crash_record.CrashRecord]) -> None:
         """Apply the crash records of a new configuration."""
-        self._crashes = crashes
+        if crashes is not self._crashes:
+            self._crashes = crashes
+            self._index = crash_index.CrashIndex(crashes)
 
     def record_completion(self, request_fingerprint: str, now: float) -> None:
         """Record that a request with this fingerprint got a complete response."""
-        self._completed[request_fingerprint] = now
-        self._completed.move_to_end(request_fingerprint)
+        for level in fingerprints.levels(request_fingerprint):
+            self._completed[level] = now
+            self._completed.move_to_end(level)
         self._first_ignored_death.pop(request_fingerprint, None)
-        if len(self._completed) > MAX_COMPLETED:
+        while len(self._completed) > MAX_COMPLETED:
             self._completed.popitem(last=False)
 
     def record_death(self, request_fingerprint: str, endpoint: str, now: float) -> bool:
@@ -80,17 +79,46 @@
         self._deaths[request_fingerprint] = deaths[-crash_record.QUARANTINE_DEATHS :]
         if len(deaths) >= crash_record.QUARANTINE_DEATHS:
             self.block(request_fingerprint, now)
+        else:
+            self._block_wider_level(request_fingerprint, now)
         for table in (self._deaths, self._first_ignored_death):
             while len(table) > MAX_SUSPECTS:
                 table.popitem(last=False)
         return True
 
-    def block(self, request_fingerprint: str, now: float) -> None:
-        """Reject the request from now on, for ``QUARANTINE_S``."""
-        self._blocked_until.pop(request_fingerprint, None)
-        self._blocked_until[request_fingerprint] = now + crash_record.QUARANTINE_S
-        while len(self._blocked_until) > MAX_SUSPECTS:
-            self._blocked_until.popitem(last=False)
+    def _block_wider_level(self, request_fingerprint, now):
+        """Block the narrowest level whose requests crashed endpoints, each of them once."""
+        seen = [
+            crash_index.Death(name, endpoint, at_s)
+            for name, deaths in self._deaths.items()
+            for endpoint, at_s in deaths
+            if now - at_s < crash_record.WINDOW_S
+        ]
+        latest = next(d for d in reversed(seen) if d.fingerprint == request_fingerprint)
+        level = self._convicted_level(seen, latest, now)
+        if level:
+            self.block(level, now)
+
+    def _convicted_level(self, deaths, latest, now):
+        level, _ = crash_index.narrowest_level(
+            deaths,
+            latest,
+            lambda found: len(found) >= crash_record.QUARANTINE_DEATHS,
+            self._is_convicted,
+            crash_record.SAME_DEATH_S,
+        )
+        return "" if level and self.completed_recently(level, now) else level
+
+    def _is_convicted(self, request_fingerprint):
+        crash = self._crashes.get(request_fingerprint)
+        return request_fingerprint in self._blocked or (crash is not None and crash.until_s > 0.0)
+
+    def block(self, level: str, now: float) -> None:
+        """Reject the requests of a level from now on, for ``QUARANTINE_S``."""
+        self._blocked.pop(level, None)
+        self._blocked[level] = (now, now + crash_record.QUARANTINE_S)
+        while len(self._blocked) > MAX_SUSPECTS:
+            self._blocked.popitem(last=False)
 
     def may_retry(self, request_fingerprint: str, now: float, wall_s: float) -> bool:
         """Return whether the entry may retry the request."""
@@ -106,25 +134,56 @@
 
     def is_blocked(self, request_fingerprint: str, now: float, wall_s: float) -> bool:
         """Return whether the request must be rejected as quarantined."""
-        blocked_until = self._blocked_until.get(request_fingerprint)
-        crash = self._crashes.get(request_fingerprint)
-        if blocked_until is None and crash is None:
+        if not self._blocked and not self._crashes:
             return False
-        if self.completed_recently(request_fingerprint, now):
-            return False
-        return (blocked_until is not None and now < blocked_until) or (
-            crash is not None and wall_s < crash.until_s
-        )
+        levels = fingerprints.levels(request_fingerprint)
+        if any(self.is_level_blocked(level, now, wall_s) for level in levels):
+            return True
+        level = self._level_convicted_by_control(levels, now, wall_s)
+        if level in levels:
+            self.block(level, now)
+        return level in levels
+
+    def is_level_blocked(self, level: str, now: float, wall_s: float) -> bool:
+        """Return whether a level is blocked, and no request of it has completed since.
 
-    def completed_recently(self, request_fingerprint: str, now: float) -> bool:
-        """Return whether a request with this fingerprint got a complete response lately."""
-        completed_at = self._completed.get(request_fingerprint)
+        What completed before the latest crash says nothing: a release may have changed endpoints.
+        """
+        completed_s = self._completed.get(level, float("-inf"))
+        began_s, end_s = self._blocked.get(level, (now, now))
+        if now < end_s and completed_s <= began_s:
+            return True
+        crash = self._crashes.get(level)
+        if crash is None or wall_s >= crash.until_s:
+            return False
+        latest_s = now - max(0.0, wall_s - crash.deaths[-1][1]) if crash.deaths else now
+        return completed_s <= latest_s
+
+    def _level_convicted_by_control(self, levels, now, wall_s):
+        """Return the level whose requests crashed endpoints at several entries, else None."""
+        alike = self._index.deaths(levels[-1])
+        if not alike:
+            return None
+        recent = [d for d in self._index.all_deaths() if wall_s - d.at_s < crash_record.WINDOW_S]
+        for latest in (death for death in recent if death in alike):
+            level = self._convicted_level(recent, latest, now)
+            if level in levels:
+                return level
+        return None
+
+    def completed_recently(self, level: str, now: float) -> bool:
+        """Return whether a request of a level got a complete response lately."""
+        completed_at = self._completed.get(level)
         return completed_at is not None and now - completed_at < COMPLETED_TRUST_S
 
+    def last_completion_s(self, level: str) -> float:
+        """Return when a request of a level was completed last, -inf if that is not known."""
+        return self._completed.get(level, float("-inf"))
+
     def dump(self) -> dict[str, int]:
         """Return the sizes of the tables, for the state dump."""
         return {
             "completed": len(self._completed),
             "suspects": len(self._deaths),
-            "blocked": len(self._blocked_until),
+            "blocked": len(self._blocked),
         }
--- a/oriolelock/entry/forwarding.py
+++ b/oriolelock/entry/forwarding.py
@@ -9,6 +9,7 @@
 
 import xxhash
 
+from oriolelock.admission import fingerprint as fingerprints
 from oriolelock.entry import caller_request
 
 __all__ = ["body_digest", "caller_headers", "endpoint_headers", "fingerprint"]
@@ -29,6 +30,10 @@
 REPLACED_REQUEST_HEADERS = frozenset(
     ["host", "content-length", "expect", "x-request-id", "x-deadline-ms", "x-attempt"]
 )
+# Those that callers commonly change when they send a request again.
+CHANGED_BY_REPEAT = REPLACED_REQUEST_HEADERS | frozenset(
+    ["idempotency-key", "date", "traceparent", "tracestate", "baggage", "b3"]
+)
 REMOVED_RESPONSE_HEADERS = frozenset(
     ["content-length", "x-request-id", "x-load", "x-state", "x-not-run"]
 )
@@ -72,9 +77,14 @@
 
 
 def fingerprint(parsed: caller_request.ParsedHeaders, req: caller_request.CallerRequest) -> str:
-    """Return the digest that stays the same when the request is resent with another key."""
-    path = req.target.partition("?")[0]
-    return _digest(parsed.service.encode(), parsed.operation.encode(), path.encode(), req.body)
+    """Return the fingerprint, which stays the same when the request is resent with another key."""
+    path, _, query = req.target.partition("?")
+    headers = [
+        (name.lower().encode(), value.encode())
+        for name, value in _filter(req.headers, CHANGED_BY_REPEAT)
+    ]
+    names = (parsed.service, parsed.operation, req.method, path)
+    return fingerprints.make(names, req.body, query.encode(), headers)
 
 
 def body_digest(parsed: caller_request.ParsedHeaders, req: caller_request.CallerRequest) -> str:
--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -9,7 +9,7 @@
 import random
 
 from oriolelock import clock, events
-from oriolelock.admission import quarantine
+from oriolelock.admission import fingerprint as fingerprints
 from oriolelock.dispatch import (
     chooser,
     decisions,
@@ -25,6 +25,7 @@
 from oriolelock.gateway import (
     connectivity,
     crash_blame,
+    forwarded,
     gossip,
     health_checks,
     limit_gossip,
@@ -225,10 +226,16 @@
             self._retries[service] = budget
         return budget
 
-    def fingerprint(self, service: str, route_name: str, req: messages.Request) -> str:
-        """Return a digest that is the same when a caller repeats the request."""
-        path = req.path.decode("latin-1")
-        return quarantine.fingerprint(service, route_name, path, req.body)
+    def fingerprint(self, service: str, req: messages.Request) -> str:
+        """Return the fingerprint of a request; see ``admission.fingerprint``."""
+        path, _, query = req.target.partition(b"?")
+        host = (req.header(b"host") or b"").lower()
+        return fingerprints.make(
+            (service, host, req.method, path),
+            req.body,
+            query,
+            forwarded.repeated_headers(req, self.words),
+        )
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Return whether a request has crashed endpoints and must not be forwarded."""
--- a/oriolelock/gateway/crash_blame.py
+++ b/oriolelock/gateway/crash_blame.py
@@ -8,6 +8,10 @@
     of them may have crashed it. So each is a suspect, and suspicions are kept in control's records
     apart from convictions: a request is quarantined once it was lost in three deaths, of more than
     one endpoint, without a complete response in between.
+
+    A request that is sent with another query or other headers each time is found by what its
+    copies have in common: the narrowest level of fingerprints is quarantined of which three
+    requests were lost and none has completed.
 """
 
 import collections
@@ -15,13 +19,16 @@
 import dataclasses
 
 from oriolelock import events
-from oriolelock.admission import quarantine
+from oriolelock.admission import crash_index, quarantine
+from oriolelock.admission import fingerprint as fingerprints
 from oriolelock.model import crash_record
 
 __all__ = ["CrashBlame", "suspicion_key"]
 
 MIN_DEATHS = 3
 MIN_ENDPOINTS = 2
+# So many losses in a row, as this entry sees, end the trust in a request that has completed before.
+MAX_TRUSTED_LOSSES = 1
 # Connections of a dead endpoint end within this time of each other, as far as this entry sees.
 LOSS_WINDOW_S = 2.0
 # Control may learn of a death this much later than this entry.
@@ -35,7 +42,7 @@
 
 log = events.Events("gateway")
 
-Deaths = tuple[tuple[str, float], ...]
+Deaths = tuple[crash_index.Death, ...]
 
 
 def suspicion_key(fingerprint: str) -> str:
@@ -61,16 +68,22 @@
         self._report = report
         self._quarantine = quarantine.Quarantine()
         self._crashes: collections.abc.Mapping[str, crash_record.CrashRecord] = {}
+        self._suspicions = crash_index.CrashIndex({})
         self._losses: dict[str, list[Loss]] = {}
         # The latest death of each endpoint.
         self._died_s: dict[str, float] = {}
-        # Deaths by fingerprint that this entry has seen, the latest last.
-        self._seen: collections.OrderedDict[str, Deaths] = collections.OrderedDict()
+        # Deaths by fingerprint that this entry has seen since the latest completion, the latest
+        # last.
+        self._seen: collections.OrderedDict[str, tuple[tuple[str, float], ...]] = (
+            collections.OrderedDict()
+        )
 
     def configure(self, crashes: collections.abc.Mapping[str, crash_record.CrashRecord]) -> None:
         """Apply the crash records of a new configuration."""
-        self._crashes = crashes
-        self._quarantine.configure(crashes)
+        if crashes is not self._crashes:
+            self._crashes = crashes
+            self._suspicions = crash_index.CrashIndex(crashes, SUSPICION_PREFIX)
+            self._quarantine.configure(_convictions(crashes))
 
     def record_completion(self, fingerprint: str, now: float) -> None:
         """Record that a request with this fingerprint got a complete response."""
@@ -79,14 +92,17 @@
 
     def is_blocked(self, fingerprint: str, now: float, wall_s: float) -> bool:
         """Return whether the request must be rejected as quarantined."""
-        return self._quarantine.is_blocked(fingerprint, now, wall_s)
+        return any(
+            self._quarantine.is_level_blocked(level, now, wall_s)
+            for level in fingerprints.levels(fingerprint)
+        )
 
     def may_retry(self, fingerprint: str, now: float, wall_s: float) -> bool:
         """Return whether the entry may retry a request that may have crashed an endpoint."""
-        if self._quarantine.completed_recently(fingerprint, now):
+        if self._is_trusted(fingerprint, now):
             return True
         deaths = self._deaths(fingerprint, now, wall_s)
-        is_suspect = bool(deaths) and now - deaths[-1][1] < crash_record.WINDOW_S
+        is_suspect = bool(deaths) and now - deaths[-1].at_s < crash_record.WINDOW_S
         return not is_suspect and not self.is_blocked(fingerprint, now, wall_s)
 
     def record_loss(self, endpoint: str, fingerprint: str, now: float, wall_s: float) -> None:
@@ -113,60 +129,117 @@
 
     def _blame(self, endpoint, now, wall_s):
         losses = self._losses.pop(endpoint, ())
-        fingerprints = tuple(dict.fromkeys(loss.fingerprint for loss in losses))
+        fingerprints_lost = tuple(dict.fromkeys(loss.fingerprint for loss in losses))
         if len(self._died_s) > MAX_RELATED_DEATHS:
             log.notable("endpoints-died-together", endpoints=len(self._died_s))
             return
-        trusted = [f for f in fingerprints if self._quarantine.completed_recently(f, now)]
-        suspects = [f for f in fingerprints if f not in trusted]
+        trusted = [f for f in fingerprints_lost if self._is_trusted(f, now)]
+        suspects = [f for f in fingerprints_lost if f not in trusted]
         suspects.sort(key=lambda f: -len(self._deaths(f, now, wall_s)))
         log.notable(
             "endpoint-died", endpoint=endpoint, suspects=len(suspects), trusted=len(trusted)
         )
+        for fingerprint in trusted:
+            self._remember(fingerprint, (endpoint, now))
         for fingerprint in suspects[:MAX_SUSPECTS]:
             self._suspect(fingerprint, endpoint, now, wall_s)
 
+    def _is_trusted(self, fingerprint, now):
+        """Return whether a request has completed lately, and was not lost in a row since."""
+        is_known = self._quarantine.completed_recently(fingerprint, now)
+        return is_known and len(self._seen.get(fingerprint, ())) < MAX_TRUSTED_LOSSES
+
     def _suspect(self, fingerprint, endpoint, now, wall_s):
+        death = crash_index.Death(fingerprint, endpoint, now)
         known = self._deaths(fingerprint, now, wall_s)
-        if _is_among((endpoint, now), known):
+        if _is_among(death, known):
             return
-        deaths = (*known, (endpoint, now))
-        self._remember(fingerprint, (*self._seen.get(fingerprint, ()), (endpoint, now)))
-        others = [name for name, _ in known if name != endpoint]
-        if len(deaths) < MIN_DEATHS or not others:
-            log.notable("crash-suspected", mark=fingerprint, endpoint=endpoint, deaths=len(deaths))
+        if self._quarantine.completed_recently(fingerprint, now):
+            # The deaths that were not reported while the request was trusted.
+            for name, _ in self._seen.get(fingerprint, ()):
+                self._report(suspicion_key(fingerprint), name)
+        self._remember(fingerprint, (endpoint, now))
+        level, deaths = self._convicted_level(death, known, now, wall_s)
+        if not level:
+            log.notable(
+                "crash-suspected", mark=fingerprint, endpoint=endpoint, deaths=len(known) + 1
+            )
             self._report(suspicion_key(fingerprint), endpoint)
             return
-        log.notable("request-quarantined", mark=fingerprint, endpoints=[n for n, _ in deaths])
-        self._quarantine.block(fingerprint, now)
-        # Control quarantines a request after the deaths of two endpoints.
-        for name in (others[-1], endpoint):
-            self._report(fingerprint, name)
-
-    def _remember(self, fingerprint, deaths):
+        log.notable(
+            "request-quarantined",
+            mark=level,
+            request=fingerprint,
+            endpoints=[death.endpoint for death in deaths],
+        )
+        self._quarantine.block(level, now)
+        # Control quarantines a level after the deaths of two endpoints.
+        other = next(d.endpoint for d in reversed(deaths) if d.endpoint != endpoint)
+        for name in (other, endpoint):
+            self._report(level, name)
+
+    def _convicted_level(self, death, known, now, wall_s):
+        """Return the narrowest level that a death convicts, and its deaths; else empty ones."""
+        deaths = (*known, death)
+        if _is_enough(deaths):
+            return death.fingerprint, deaths
+        level, deaths = crash_index.narrowest_level(
+            self._all_deaths(now, wall_s),
+            death,
+            _is_enough,
+            lambda name: self._quarantine.is_level_blocked(name, now, wall_s),
+            crash_record.SAME_DEATH_S + REPORT_DELAY_S,
+        )
+        completed_s = self._quarantine.last_completion_s(level)
+        if self._quarantine.completed_recently(level, now) or any(
+            death.at_s <= completed_s for death in deaths
+        ):
+            return "", ()
+        return level, deaths
+
+    def _all_deaths(self, now, wall_s):
+        """Return the deaths of all requests that are known here or in control."""
+        names = {death.fingerprint for death in self._suspicions.all_deaths()} | set(self._seen)
+        return [death for name in names for death in self._deaths(name, now, wall_s)]
+
+    def _remember(self, fingerprint, death):
+        deaths = (*self._seen.get(fingerprint, ()), death)
         self._seen[fingerprint] = deaths[-MIN_DEATHS:]
         self._seen.move_to_end(fingerprint)
         while len(self._seen) > MAX_TRACKED:
             self._seen.popitem(last=False)
 
     def _deaths(self, fingerprint, now, wall_s) -> Deaths:
-        """Return the deaths that are known here or in control, by monotonic time, latest last."""
-        seen = [
-            death
-            for death in self._seen.get(fingerprint, ())
-            if now - death[1] < crash_record.QUARANTINE_S
+        """Return the deaths that are known here or in control, by monotonic time, latest last.
+
+        Deaths before the latest completion that this entry has seen do not count.
+        """
+        found = [
+            crash_index.Death(fingerprint, name, at_s)
+            for name, at_s in self._seen.get(fingerprint, ())
+            if now - at_s < crash_record.QUARANTINE_S
         ]
+        completed_s = self._quarantine.last_completion_s(fingerprint)
         record = self._crashes.get(suspicion_key(fingerprint))
         for name, at_wall_s in record.deaths if record else ():
-            death = (name, now - max(0.0, wall_s - at_wall_s))
-            if not _is_among(death, seen):
-                seen.append(death)
-        return tuple(sorted(seen, key=lambda death: death[1]))
+            death = crash_index.Death(fingerprint, name, now - max(0.0, wall_s - at_wall_s))
+            if death.at_s > completed_s and not _is_among(death, found):
+                found.append(death)
+        return tuple(sorted(found, key=lambda death: death.at_s))
+
+
+def _convictions(crashes):
+    return {k: record for k, record in crashes.items() if not k.startswith(SUSPICION_PREFIX)}
+
+
+def _is_enough(deaths):
+    return len(deaths) >= MIN_DEATHS and len({d.endpoint for d in deaths}) >= MIN_ENDPOINTS
 
 
 def _is_among(death, deaths):
     """Return whether ``deaths`` contains a death of the same endpoint at about the same time."""
     return any(
-        death[0] == name and abs(death[1] - at_s) < crash_record.SAME_DEATH_S + REPORT_DELAY_S
-        for name, at_s in deaths
+        death.endpoint == other.endpoint
+        and abs(death.at_s - other.at_s) < crash_record.SAME_DEATH_S + REPORT_DELAY_S
+        for other in deaths
     )
--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -106,7 +106,7 @@
         self._service = service
         self._deadline_at_s, self._objective_s = deadline_at_s, objective_at_s
         self._key = forwarded.object_key(self._route.prefix, req.header(shared.words.object_key))
-        self._fingerprint = shared.fingerprint(self._service, self._route.name, req)
+        self._fingerprint = shared.fingerprint(self._service, req)
         if shared.is_quarantined(self._fingerprint):
             self._refuse(503, "quarantined", 1.0)
             return
--- a/oriolelock/gateway/forwarded.py
+++ b/oriolelock/gateway/forwarded.py
@@ -12,7 +12,7 @@
 from oriolelock.gateway import dialect as dialects
 from oriolelock.http1 import messages
 
-__all__ = ["object_key", "to_caller", "to_endpoint", "with_headers"]
+__all__ = ["object_key", "repeated_headers", "to_caller", "to_endpoint", "with_headers"]
 
 # Tables of objects are bounded by number, so their keys must be short.
 MAX_KEY_BYTES = 64
@@ -32,6 +32,10 @@
     )
 )
 
+# End-to-end headers that callers commonly change when they send a request again; the host counts
+# as part of the target.
+CHANGED_BY_REPEAT = frozenset((b"host", b"date", b"traceparent", b"tracestate", b"baggage", b"b3"))
+
 
 def object_key(route_prefix: str, value: bytes | None) -> str:
     """Return the key of the object that a request concerns, empty if it names none.
@@ -56,6 +60,12 @@
     ]
 
 
+def repeated_headers(req: messages.Request, dialect: dialects.Dialect) -> list[tuple[bytes, bytes]]:
+    """Return the headers that stay the same when a caller sends a request again."""
+    changed = {dialect.request_id, dialect.deadline_ms, dialect.expected_endpoint}
+    return _end_to_end(req.headers, CHANGED_BY_REPEAT | changed)
+
+
 def to_endpoint(
     req: messages.Request, dialect: dialects.Dialect, endpoint: str, left_s: float
 ) -> messages.Request:
--- a/tests/admission/test_quarantine.py
+++ b/tests/admission/test_quarantine.py
@@ -1,18 +1,14 @@
 """Guards against one request that crashes endpoint after endpoint, and against blocking the
 popular requests of a failed region."""
 
-from oriolelock.admission import quarantine
+import pytest
+
+from oriolelock.admission import fingerprint, quarantine
 from oriolelock.model import crash_record
 
 WALL_S = 1_000_000.0
 
 
-def test_fingerprint_covers_all_parts_and_their_boundaries():
-    reference = quarantine.fingerprint("s", "op", "/p", b"body")
-    others = [("so", "p", "/p", b"body"), ("s", "op", "/pb", b"ody"), ("s", "op", "/p", b"bodz")]
-    assert reference not in {quarantine.fingerprint(*parts) for parts in others}
-
-
 def test_one_death_stops_retries_and_two_block_for_the_quarantine():
     tracker = quarantine.Quarantine()
     assert tracker.record_death("f", "e", 0.0) and not tracker.may_retry("f", 1.0, WALL_S)
@@ -75,3 +71,82 @@
     assert not tracker.is_blocked("f", 1.0, WALL_S)
     tracker.record_death("f", "other", 0.2)
     assert tracker.is_blocked("f", 1.0, WALL_S)
+
+
+def request(path="/p", query=b"", caller=b""):
+    headers = [(b"caller", caller)] if caller else []
+    return fingerprint.make(("s", "op", "GET", path), b"", query, headers)
+
+
+CRASHING = request(query=b"q=bad")
+OTHERS = [
+    request(query=b"q=1"),
+    request(),
+    request(query=b"q=bad", caller=b"c2"),
+    request("/other", b"q=bad"),
+]
+
+
+@pytest.mark.parametrize("other", OTHERS)
+def test_completions_of_others_say_nothing_of_a_crashing_request(other):
+    """Guards against a crashing request that is trusted for the sake of others on its path."""
+    tracker = quarantine.Quarantine()
+    for second in (1.0, 2.0, 3.0):
+        tracker.record_completion(other, second - 0.5)
+        if not tracker.is_blocked(CRASHING, second, WALL_S):
+            tracker.record_death(CRASHING, f"e{second}", second)
+        assert not tracker.is_blocked(other, second + 0.1, WALL_S)
+    assert tracker.is_blocked(CRASHING, 3.0, WALL_S)
+
+
+def test_another_request_of_a_path_is_not_blocked_with_the_crashing_one():
+    tracker = quarantine.Quarantine()
+    tracker.record_death(CRASHING, "e1", 0.0)
+    tracker.record_death(CRASHING, "e2", 5.0)
+    assert tracker.is_blocked(CRASHING, 6.0, WALL_S)
+    assert not any(tracker.is_blocked(other, 6.0, WALL_S) for other in OTHERS)
+    # Nor is it by a death of its own.
+    tracker.record_death(OTHERS[0], "e3", 10.0)
+    assert not any(tracker.is_blocked(other, 11.0, WALL_S) for other in OTHERS)
+
+
+def test_a_crashing_request_whose_query_changes_is_blocked_at_one_entry_and_at_several():
+    tracker = quarantine.Quarantine()
+    tracker.record_death(request(query=b"n=1", caller=b"c"), "e1", 0.0)
+    tracker.record_death(request(query=b"n=2", caller=b"c"), "e2", 5.0)
+    assert tracker.is_blocked(request(query=b"n=3", caller=b"c"), 6.0, WALL_S)
+    assert not tracker.is_blocked(request(query=b"n=3", caller=b"d"), 6.0, WALL_S)
+    another = quarantine.Quarantine()
+    records = {}
+    for number in (1, 2):
+        name = request(query=b"n=%d" % number, caller=b"c")
+        records[name] = crash_record.CrashRecord(name, ((f"e{number}", WALL_S + number),), 0.0)
+    another.configure(records)
+    assert another.is_blocked(request(query=b"n=3", caller=b"c"), 6.0, WALL_S + 6.0)
+    assert not another.is_blocked(request(query=b"n=3", caller=b"d"), 6.0, WALL_S + 6.0)
+
+
+def test_a_quarantine_of_control_holds_where_the_request_completed_before_the_crashes():
+    """Guards against entries that go on with a request that crashes endpoints since a release."""
+    tracker = quarantine.Quarantine()
+    tracker.record_completion("f", 10.0)
+    record = crash_record.CrashRecord("f", (("a", WALL_S + 12), ("b", WALL_S + 14)), WALL_S + 614)
+    tracker.configure({"f": record})
+    assert tracker.is_blocked("f", 15.0, WALL_S + 15)
+    # It was on its way, and was served after all.
+    tracker.record_completion("f", 16.0)
+    assert not tracker.is_blocked("f", 17.0, WALL_S + 17)
+
+
+def test_a_request_that_control_convicted_takes_no_other_of_its_path_with_it():
+    tracker = quarantine.Quarantine()
+    other = request(query=b"q=1")
+    deaths = (("e1", WALL_S), ("e2", WALL_S + 3))
+    tracker.configure(
+        {
+            CRASHING: crash_record.CrashRecord(CRASHING, deaths, WALL_S + 603),
+            other: crash_record.CrashRecord(other, (("e3", WALL_S + 9),), 0.0),
+        }
+    )
+    assert tracker.is_blocked(CRASHING, 10.0, WALL_S + 10)
+    assert not any(tracker.is_blocked(name, 10.0, WALL_S + 10) for name in OTHERS)
--- a/tests/gateway/test_crash_blame.py
+++ b/tests/gateway/test_crash_blame.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from oriolelock.admission import fingerprint as fingerprints
 from oriolelock.admission import quarantine
 from oriolelock.gateway import crash_blame
 from oriolelock.model import changes, configuration, crash_record
@@ -40,12 +41,12 @@
 
     def crash(self, endpoint, lost, health_check_s=0.05):
         """End an endpoint; ``lost``: fingerprints of its requests, by entry."""
-        for entry, fingerprints in zip(self.entries, lost, strict=True):
-            for fingerprint in fingerprints:
+        for entry, names in zip(self.entries, lost, strict=True):
+            for fingerprint in names:
                 entry.record_loss(endpoint, fingerprint, self.now, WALL_S + self.now)
         self.pass_time(health_check_s)
-        for entry, fingerprints in zip(self.entries, lost, strict=True):
-            if fingerprints:
+        for entry, names in zip(self.entries, lost, strict=True):
+            if names:
                 entry.record_death(endpoint, self.now, WALL_S + self.now)
         self.pass_time(0.3)
 
@@ -68,8 +69,8 @@
             sound += 1
             rng.choice(lost).append(f"sound-{sound}")
         rng.choice(lost).append(CRASHER)
-        for fingerprints in lost:
-            rng.shuffle(fingerprints)
+        for names in lost:
+            rng.shuffle(names)
         fleet.crash(f"x{crash if rng.random() < 0.8 else 0}", lost)
         fleet.pass_time(rng.uniform(2.0, 20.0))
     if len({name for name, _ in fleet.cfg.crashes[crash_blame.suspicion_key(CRASHER)].deaths}) > 1:
@@ -109,6 +110,147 @@
     assert fleet.reports == 1
 
 
+def request(query=b"", caller=b"", path="/p"):
+    headers = [(b"caller", caller)] if caller else []
+    return fingerprints.make(("s", "host", "GET", path), b"", query, headers)
+
+
+BAD = request(b"q=bad", b"c1")
+
+
+def crash_in_turn(fleet, requests, others=(), seed=1):
+    """Play crashes by the requests, one every second, until one is refused; returns how many.
+
+    Each entry completes the ``others`` meanwhile, and some are lost with the endpoints.
+    """
+    rng = random.Random(seed)
+    for count, bad in enumerate(requests):
+        for entry in fleet.entries:
+            for other in others:
+                entry.record_completion(other, fleet.now)
+        entry = rng.choice(fleet.entries)
+        if entry.is_blocked(bad, fleet.now, WALL_S + fleet.now):
+            return count
+        lost = [[] for _ in fleet.entries]
+        lost[fleet.entries.index(entry)].append(bad)
+        for other in others:
+            if rng.random() < 0.3:
+                rng.choice(lost).append(other)
+        for names in lost:
+            rng.shuffle(names)
+        fleet.crash(f"x{count % 4}", lost)
+        fleet.pass_time(0.65)
+    return len(requests)
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("entries", [1, 2, 10])
+@pytest.mark.parametrize(
+    "others",
+    [
+        [request(b"q=%d" % n, b"c2") for n in range(20)],
+        [request(b"", b"c2")],
+        [request(b"q=bad", b"c%d" % n) for n in range(2, 9)],
+        [request(b"q=%d" % n, b"c1") for n in range(20)],
+        [request(b"bad=q", b"c1"), request(b"", b"c1")],
+    ],
+)
+def test_completions_of_others_on_a_path_do_not_clear_a_crashing_request(others, entries, seed):
+    """Guards against a crashing request that is trusted for the sake of others on its path."""
+    fleet = Fleet(entries)
+    assert crash_in_turn(fleet, [BAD] * 10, others, seed) == 3
+    fleet.pass_time(1.0)
+    assert fleet.is_blocked(BAD) == entries
+    # Nor does it take the others with it.
+    assert not any(fleet.is_blocked(other) for other in others)
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("entries", [1, 2, 10])
+@pytest.mark.parametrize(
+    ("make_bad", "others", "sound"),
+    [
+        # The query changes, and no other caller sends the same headers.
+        (lambda n: request(b"n=%d" % n, b"c1"), [request(b"q=1", b"c2")], request(b"n=99", b"c2")),
+        # The headers change, and no other caller sends the same query.
+        (lambda n: request(b"q=bad", b"t%d" % n), [request(b"q=1", b"c2")], request(b"q=2", b"t9")),
+        # Both change, on a path of their own.
+        (lambda n: request(b"n=%d" % n, b"t%d" % n), [request(path="/o")], request(path="/o2")),
+    ],
+)
+def test_a_crashing_request_that_changes_each_time_is_known_by_what_stays(
+    make_bad, others, sound, entries, seed
+):
+    """Guards against an identity that is cut too fine."""
+    fleet = Fleet(entries)
+    assert crash_in_turn(fleet, [make_bad(n) for n in range(10)], others, seed) == 3
+    fleet.pass_time(1.0)
+    assert fleet.is_blocked(make_bad(50)) == entries
+    assert not any(fleet.is_blocked(other) for other in (*others, sound))
+
+
+def test_a_crashing_request_that_changes_each_time_is_found_beside_retries_of_its_entry():
+    """Guards against a request that seems to be explained by its own retry."""
+    fleet = Fleet(2)
+    for number in range(3):
+        bad = request(b"n=%d" % number, b"c1")
+        fleet.crash(f"x{2 * number}", [[bad], []])
+        if number < 2:
+            fleet.crash(f"x{2 * number + 1}", [[bad], []])
+        fleet.pass_time(2.0)
+    assert fleet.is_blocked(request(b"n=9", b"c1")) == 2
+    assert fleet.is_blocked(request(b"n=9", b"c2")) == 0
+
+
+def test_requests_that_are_lost_at_once_say_nothing_of_their_path():
+    """One crash takes several requests of a path with it that nobody else uses."""
+    fleet = Fleet(2)
+    fleet.crash("x1", [[BAD, request(b"q=1")], [request(b"q=2"), request(b"q=3")]])
+    fleet.pass_time(2.0)
+    fleet.crash("x2", [[request(b"q=4")], [BAD]])
+    fleet.pass_time(2.0)
+    assert not any(fleet.is_blocked(request(b"q=%d" % n)) for n in range(1, 9))
+    fleet.crash("x3", [[BAD, request(b"q=5")], []])
+    fleet.pass_time(2.0)
+    assert fleet.is_blocked(BAD) == 2
+    assert not any(fleet.is_blocked(request(b"q=%d" % n)) for n in range(1, 9))
+
+
+@pytest.mark.parametrize("entries", [1, 2, 5])
+def test_a_request_that_completed_before_a_release_is_found_when_it_crashes_endpoints(entries):
+    """Guards against a trust that outlives all that it was based on."""
+    fleet = Fleet(entries)
+    for _ in range(20):
+        for entry in fleet.entries:
+            entry.record_completion(BAD, fleet.now)
+        fleet.pass_time(1.0)
+    crashes = 0
+    for number in range(30):
+        entry = fleet.entries[number % entries]
+        if entry.is_blocked(BAD, fleet.now, WALL_S + fleet.now):
+            break
+        lost = [[] for _ in fleet.entries]
+        lost[number % entries].append(BAD)
+        fleet.crash(f"x{number % 7}", lost)
+        fleet.pass_time(1.0)
+        crashes += 1
+    # Each entry trusts it once; what it loses next counts.
+    assert crashes <= entries + 2
+    assert fleet.is_blocked(BAD) == entries
+
+
+def test_a_popular_request_is_not_suspect_in_a_series_of_deaths_of_another_cause():
+    """Endpoints end one after the other, and a request that is always in flight with each."""
+    fleet = Fleet(3)
+    for number in range(12):
+        for entry in fleet.entries:
+            entry.record_completion("popular", fleet.now)
+        fleet.crash(f"x{number}", [["popular"], ["popular"], ["popular"]])
+        fleet.pass_time(1.0)
+    assert fleet.is_blocked("popular") == 0
+    assert fleet.reports == 0
+
+
 def test_endpoints_that_die_together_are_nobodys_fault():
     """A failure domain loses power: every popular request runs on some of its endpoints."""
     fleet = Fleet(1)
