--- a/oriolelock/control/instance_monitor.py
+++ b/oriolelock/control/instance_monitor.py
@@ -11,7 +11,14 @@
 import threading
 
 from oriolelock import clock, logs
-from oriolelock.control import failure_detector, instance_poller, replica, silence, unavailable
+from oriolelock.control import (
+    failure_detector,
+    instance_poller,
+    replica,
+    silence,
+    unavailable,
+    witnesses,
+)
 from oriolelock.control import messages as control_messages
 from oriolelock.distribution import messages, report_packing, reports
 from oriolelock.model import results
@@ -29,6 +36,8 @@
 SETTLE_S = 1.0
 # A change without a result is proposed again afterwards, if it still follows from the reports.
 COMMIT_TIMEOUT_S = 3.0
+# Rows of a message on silent entries, the longest silence first.
+MAX_TOLD = 500
 
 log = logs.get_logger("control.overseer")
 
@@ -52,6 +61,7 @@
         self._relay_due_s = 0.0
         self._leading_since_s: float | None = None
         self._silence = silence.Silence(cfg.name)
+        self._witnesses = witnesses.Witnesses()
         # By instance: the replica that relayed its latest report, its own name for subscribers.
         self._relayed_by: dict[str, str] = {}
         # The latest change of each entry, its future, and when it was proposed.
@@ -120,9 +130,9 @@
             self._replica.broadcast(report_packing.pack(self._reports.take_unrelayed(now).reports))
             self._report_metrics()
         self._detect_failures(now)
-        self._tell_of_silence()
+        self._tell_of_silence(now)
 
-    def _tell_of_silence(self):
+    def _tell_of_silence(self, now):
         """Tell the others of silent entries: they may have started after their last reports.
 
         Any of them may lead next, also when this replica, the leader, is lost.
@@ -130,9 +140,12 @@
         if self.lag_s():
             return
         silent_s = self._silence.counted_seconds()
-        late = failure_detector.find_late(self._replica.configuration(), silent_s)
+        late = failure_detector.find_late(
+            self._replica.configuration(), silent_s, self._witnesses.names(now)
+        )
         if late:
-            rows = tuple((name, silent_s[name]) for name in late)
+            longest = sorted(late, key=lambda name: -silent_s[name])[:MAX_TOLD]
+            rows = tuple((name, silent_s[name]) for name in longest)
             self._replica.broadcast(control_messages.SilentEntries(rows))
 
     def _detect_failures(self, now):
@@ -140,6 +153,7 @@
         is_leader = status.is_leader and status.is_caught_up
         entries = {m.name for m in cfg.members.values() if m.role == "entry"}
         members = self._replica.member_names()
+        self._witnesses.advance(entries, self._reports, now)
         self._silence.advance(entries, self._reports, self._relayed_by, members, is_leader, now)
         for name in set(self._relayed_by).difference(entries, members):
             self._relayed_by.pop(name, None)
@@ -152,11 +166,16 @@
             self._leading_since_s = now
         is_settled = now - self._leading_since_s >= SETTLE_S
         silent_s = self._silence.seconds(now) if is_settled else {}
+        heard = self._witnesses.names(now)
         detection = failure_detector.find_state_changes(
-            cfg, self._reports.ages(now), silent_s, self._reports.leaving()
+            cfg, self._reports.ages(now), silent_s, self._reports.leaving(), heard
         )
         if set(detection.held_back) - set(self.held_back):
-            log.warning("{} entries are silent at once and stay live.", len(detection.held_back))
+            log.warning(
+                "{} entries are silent at once and stay live, {} others were heard all the while.",
+                len(detection.held_back),
+                len(heard),
+            )
         self.held_back = detection.held_back
         for change in detection.changes:
             self._propose(change, now)
