Make an entry ready once all its parts have the configuration

Callers saw: right after an entry of the project's own interface had become ready, requests were answered 404 "unknown-service" and lookups were empty.

Cause: Uplink._install set the time of the confirmation, from which on is_ready was true, before on_config had given the configuration to the scheduler, the router and the directory.

Change: is_ready follows on_config; the configuration in use is readable while it is applied, as the entry for routes applies it in its loop, which decides by itself when it is ready. Loading a stored copy goes the same way.

Evidence: test_an_entry_is_ready_once_its_parts_have_the_configuration failed before, for both ways.

--- a/oriolelock/distribution/uplink.py
+++ b/oriolelock/distribution/uplink.py
@@ -102,6 +102,7 @@
             greeting, parents, lambda: self._holder.cfg, self._rng, self._take_spare_message
         )
         self._loaded_stored_copy = False
+        self._is_applied = False
         self._is_resyncing = False
         self._confirmed_s: float | None = None
         # The same, of the parent's latest confirmation.
@@ -133,13 +134,20 @@
 
         Neither its index nor its version ever decreases.
         """
-        return self._holder.cfg if self.is_ready else configuration.EMPTY
+        return self._holder.cfg if self._is_usable else configuration.EMPTY
 
     @property
-    def is_ready(self) -> bool:
-        """True once the configuration has been confirmed, or loaded from the stored copy."""
+    def _is_usable(self):
         return self._confirmed_s is not None or self._loaded_stored_copy
 
+    @property
+    def is_ready(self) -> bool:
+        """True once ``on_config`` has returned for a configuration in use, the first one.
+
+        It has been confirmed, or loaded from the stored copy.
+        """
+        return self._is_applied
+
     @property
     def parent(self) -> channel.Address | None:
         """The address of the connected parent, or None."""
@@ -178,7 +186,7 @@
             self._holder.cfg = cfg
             self._loaded_stored_copy = True
             self.recent.reset(cfg)
-            self._on_config(cfg)
+            self._apply(cfg)
         self._thread.start()
 
     def stop(self) -> None:
@@ -464,10 +472,10 @@
             self._resync(verdict, msg)
 
     def _install(self, cfg, msg, confirmed_s):
-        was_ready, held = self.is_ready, self._holder.cfg
+        was_usable, held = self._is_usable, self._holder.cfg
         is_changed = (cfg.index, cfg.version) != (held.index, held.version)
-        is_used = confirmed_s is not None or was_ready
-        is_new = is_used and (is_changed or not was_ready)
+        is_used = confirmed_s is not None or was_usable
+        is_new = is_used and (is_changed or not was_usable)
         if is_new and self._store:
             # Stored before use, so that a restart never returns to an older configuration.
             self._store.save(cfg)
@@ -479,10 +487,15 @@
             # Before the change is published, so that one message carries both.
             self.on_confirmed(self._confirmed_s)
         if is_new:
-            self._on_config(cfg)
+            self._apply(cfg)
         elif is_changed:
             log.info("configuration at index {} is held until a parent confirms it", cfg.index)
 
+    def _apply(self, cfg):
+        # Whoever finds this entry ready must find all its parts configured.
+        self._on_config(cfg)
+        self._is_applied = True
+
     def _hold(self, cfg, msg):
         self._holder.cfg = cfg
         if isinstance(msg, messages.Delta):
--- a/tests/distribution/test_uplink.py
+++ b/tests/distribution/test_uplink.py
@@ -356,6 +356,30 @@
     assert link.configuration.index == 5
 
 
+@pytest.mark.parametrize("is_stored", [False, True])
+def test_an_entry_is_ready_once_its_parts_have_the_configuration(parent, is_stored, tmp_path):
+    """Guards against requests that are refused since their service is not known yet."""
+    store = stored_copy.StoredCopy(str(tmp_path))
+    if is_stored:
+        store.save(parent.cfg)
+    seen = []
+    greeting = hello.Hello(1, fake_parent.CLUSTER, fake_parent.TOKEN, "a", "entry", "i")
+    link = uplink.Uplink(
+        lambda cfg: [parent.address],
+        greeting,
+        make_report,
+        on_config=lambda cfg: seen.append((link.is_ready, link.configuration.index)),
+        store=store,
+    )
+    link.start()
+    try:
+        waiting.until(lambda: link.is_ready)
+    finally:
+        link.stop()
+    # The configuration is in use while it is applied, as other threads may read it.
+    assert seen[0] == (False, 5)
+
+
 def test_configuration_that_is_not_confirmed_is_not_stored(connect, parent, tmp_path):
     """A stored copy makes an entry ready at once when it starts again."""
     parent.confirms = False
