Tell the end of a doubt again to an entry that is still in doubt

Callers saw: an endpoint that may have started again got no requests from one entry for longer than needed, as it checked it alone.

Cause: the end of a doubt is told for 5 s. An entry that saw further signs of the same end, and heard of the others only later, stayed in doubt under a number that was settled elsewhere; its reports changed nothing there, and were not answered.

Change: an entry that hears an older state than its own tells its own for 5 s more. The other entry then settles, or raises the doubt anew if its signs are later than what ended it.

--- a/oriolelock/dispatch/restarts.py
+++ b/oriolelock/dispatch/restarts.py
@@ -98,6 +98,8 @@
     signs_until_s: float = float("-inf")
     # Whether only a health check could end it.
     was_unchecked: bool = False
+    # Until when its end is told again, as another entry has not heard of it.
+    told_until_s: float = float("-inf")
 
 
 def endpoint_digest(instance: endpoint.Endpoint) -> int:
@@ -315,6 +317,8 @@
         if known is not None:
             rank, other_rank = (known.number, known.state), (report.number, report.state)
             if rank > other_rank or (rank == other_rank and known.state is State.SETTLED):
+                if rank > other_rank:
+                    known.told_until_s = now + SETTLED_TOLD_S
                 return False
         elif key not in self._listed and report.age_s > UNLISTED_MEMORY_S:
             return False
@@ -360,7 +364,11 @@
             self.report(digest, now)
             for digest, known in reversed(self._doubts.items())
             if digest in self._listed
-            and (known.state is not State.SETTLED or now - known.observed_s <= SETTLED_TOLD_S)
+            and (
+                known.state is not State.SETTLED
+                or now - known.observed_s <= SETTLED_TOLD_S
+                or now <= known.told_until_s
+            )
         ]
 
     def counts(self, now: float) -> dict[State, int]:
