--- a/oriolelock/platform/instances.py
+++ b/oriolelock/platform/instances.py
@@ -56,7 +56,9 @@
     columns = listed.get("columns") if isinstance(listed, dict) else None
     if isinstance(columns, list) and all(isinstance(name, str) for name in columns):
         rows = listed.get("rows")
-        for row in rows if isinstance(rows, list) else ():
+        if not isinstance(rows, list):
+            raise instance_list.ListUnreadable("no rows in the answer")
+        for row in rows:
             yield dict(zip(columns, row, strict=False)) if isinstance(row, list) else {}
     elif isinstance(listed, list):
         yield from (row if isinstance(row, dict) else {} for row in listed)
@@ -227,7 +229,9 @@
             asked = {**query, "pageToken": token} if token else query
             data, asked_s = self._call(asked)
             token = data.get("nextPageToken")
-            is_last = not isinstance(token, str) or not token
+            if not isinstance(token, str | None):
+                raise instance_list.ListUnreadable("the next page is not known")
+            is_last = not token
             found = self._endpoints(data)
             self._entries += len(found)
             self._page_entries = max(self._page_entries, len(found))
--- a/tests/platform/test_edge.py
+++ b/tests/platform/test_edge.py
@@ -170,6 +170,21 @@
     (b'"id"', b'"i-2\\r\\nX-Smuggled: 1"'),
     (b'"id"', b'"i-\xff"'),
     (b'"id"', b'"' + b"i" * 5000 + b'"'),
+    # No JSON: one entry must not make the whole list unreadable.
+    (b'"id"', b'"i-\x00\x8f\x1b"'),
+    (b'"id"', b'"i-\n2"'),
+    (b'"id"', b'"i-\\q2"'),
+    (b'"id"', b'"i-\\ud8"'),
+    (b'"id"', b'"i-"2"'),
+    (b'"id"', b"i-2"),
+    (b'"id"', b"'i-2'"),
+    (b'"slots"', b"0x9"),
+    (b'"slots"', b"09"),
+    (b'"slots"', b" "),
+    (b'"slots"', b"True"),
+    (b'"address"', b'"10.0.0.1:80" "10.0.0.2:80"'),
+    (b'"zone"', b'{"a":}'),
+    (b'"zone"', b"[1 2]"),
     (b'"zone"', b"[" * 100_000 + b"]" * 100_000),
     # Just within what the parser takes.
     (b'"coldRemaining"', b"[" * 900 + b"]" * 900),
@@ -200,7 +215,20 @@
     assert ("i-2" in found) == (field == b'"version"')
 
 
-@pytest.mark.parametrize("page", [b"not json", b"[]", b'{"instances":7}', b"\xff"])
+@pytest.mark.parametrize(
+    "page",
+    [
+        b"not json",
+        b"[]",
+        b'{"instances":7}',
+        b"\xff",
+        b'{"instances":{"columns":["id"],"rows":7},"nextPageToken":null}',
+        b'{"instances":{"columns":["id"],"rows":[]][[,]},"nextPageToken":null}',
+        b'{"instances":{"columns":["id"],"rows":[]},"nextPageToken":7}',
+        b'{"instances":{"columns":["id"],"rows":[]},"nextPageToken":"p}',
+        b'{"instances":{"columns":["id"],"rows":[["i-1"],["i-2"',
+    ],
+)
 def test_a_list_that_cannot_be_read_is_an_error(page):
     with pytest.raises(instance_list.ListUnreadable):
         list_of(page)
--- a/tests/wire/test_tolerant_json.py
+++ b/tests/wire/test_tolerant_json.py
@@ -1,8 +1,11 @@
 """Odd values don't make the rest of a text unreadable, nor reading it slow."""
 
+import json
 import time
 
+import hypothesis
 import pytest
+from hypothesis import strategies as st
 
 from oriolelock.wire import tolerant_json
 
@@ -38,3 +41,133 @@
     with pytest.raises(ValueError, match="."):
         tolerant_json.loads(b"[" * 5_000 + tail)
     assert time.process_time() - start_s < 5.0
+
+
+ROWS = [["svc", f"10.0.0.{n}:80", "z1", n, "ready", f"i-{n}"] for n in range(5)]
+
+
+def as_table(rows):
+    """Return the text of a page with encoded rows."""
+    listed = b",".join(rows)
+    return b'{"instances":{"columns":["a","b"],"rows":[' + listed + b']},"nextPageToken":"p"}'
+
+
+def as_list(rows):
+    return b"[" + b", ".join(rows) + b"]"
+
+
+def encoded(rows):
+    return [json.dumps(row).encode() for row in rows]
+
+
+ODD = [
+    b'["svc","10.0.0.9:80","z1",9,"ready","i-\x00\x8f\x1b"]',
+    b'["svc","10.0.0.9:80","z1",9,"ready","i-\\q"]',
+    b'["svc","10.0.0.9:80","z1",9,"ready","i-\\u12"]',
+    b'["svc","10.0.0.9:80","z1",9,"ready","i-"9"]',
+    b'["svc","10.0.0.9:80",z1,0x9,True,\'i-9\']',
+    b'["svc","10.0.0.9:80",,9,"ready",]',
+    b'["svc" "10.0.0.9:80"]',
+    b'{"id":"i-9","slots":}',
+    b'{id:"i-9"}',
+    b"\x00\xff\xfe",
+    b"<entry/>",
+    b"nul",
+    b'["svc",[[{"a":}]],"i-9"]',
+]
+UNBALANCED = [
+    b'["svc","10.0.0.9:80"]]',
+    b'["svc",["10.0.0.9:80"]',
+    b'["svc",{"10.0.0.9:80"]',
+    b'{"id":"i-9"',
+    b'["svc","10.0.0.9:80","i-9',
+]
+
+
+@pytest.mark.parametrize("make_text", [as_table, as_list])
+@pytest.mark.parametrize("position", [0, 2, 4])
+@pytest.mark.parametrize("odd", ODD)
+def test_one_odd_entry_leaves_the_others_readable(odd, position, make_text):
+    """Guards against a list that one entry makes unreadable for as long as it stays."""
+    rows = encoded(ROWS)
+    rows.insert(position, odd)
+    found = tolerant_json.loads(make_text(rows))
+    if make_text is as_table:
+        assert found["nextPageToken"] == "p"
+        found = found["instances"]["rows"]
+    assert [row for row in found if row in ROWS] == ROWS
+
+
+@pytest.mark.parametrize("make_text", [as_table, as_list])
+@pytest.mark.parametrize("odd", UNBALANCED)
+def test_an_entry_whose_brackets_do_not_match_leaves_the_others_readable(odd, make_text):
+    rows = encoded(ROWS)
+    rows.insert(2, odd)
+    try:
+        found = tolerant_json.loads(make_text(rows))
+    except ValueError:
+        # Then the previous list stays in use.
+        assert odd != UNBALANCED[0]
+        return
+    found = found["instances"]["rows"] if make_text is as_table else found
+    assert [row for row in found if row in ROWS] == ROWS
+
+
+@hypothesis.settings(max_examples=500, derandomize=True, database=None)
+@hypothesis.given(
+    st.integers(0, 4),
+    st.integers(0, 40),
+    st.integers(0, 6),
+    st.binary(max_size=6) | st.text('[]{},:"\\ab\n', max_size=6).map(str.encode),
+    st.sampled_from([as_table, as_list]),
+)
+def test_bytes_of_one_entry_take_one_other_away_at_most(row, start, length, replacement, make_text):
+    """Guards against a list that seems complete without entries that can't be told from gone.
+
+    Only brackets that match across two entries can take the next one away.
+    """
+    rows = encoded(ROWS)
+    # The brackets of the entry itself stay.
+    start = 1 + start % (len(rows[row]) - 2)
+    end = min(start + length, len(rows[row]) - 1)
+    rows[row] = rows[row][:start] + replacement + rows[row][end:]
+    try:
+        found = tolerant_json.loads(make_text(rows))
+    except ValueError:
+        return
+    found = found["instances"]["rows"] if make_text is as_table else found
+    if found is tolerant_json.UNREADABLE:
+        return
+    others = [item for number, item in enumerate(ROWS) if number != row]
+    kept = [item for item in found if item in others]
+    lost = [item for item in others if item not in kept]
+    has_brackets = any(byte in b"[]{}" for byte in replacement)
+    assert not lost or (has_brackets and len(lost) == 1)
+    assert kept == [item for item in others if item not in lost]
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"[" + b'["a",\x01"],' * 100_000 + b"[1]]",
+        b"[" + b'["a" "b"],' * 100_000 + b"[1]]",
+        b"[" + b"[" * 60 + b'"a" "b"' + b"]" * 60 + b",1]" + b" " * 500_000,
+        b'["' + b'" ' * 300_000 + b"]",
+    ],
+)
+def test_odd_text_takes_linear_time(text):
+    start_s = time.process_time()
+    try:
+        tolerant_json.loads(text)
+    except ValueError:
+        pass
+    assert time.process_time() - start_s < 5.0
+
+
+@pytest.mark.parametrize(
+    "text", [b'{"rows":[["a"],["b\x01"]', b'{"rows":[["a\\q"],["b"', b'[["a" 1],["b"]']
+)
+def test_a_text_that_was_cut_off_is_refused(text):
+    """Guards against a page that seems complete."""
+    with pytest.raises(ValueError, match="."):
+        tolerant_json.loads(text)
