Don't blame requests for ends of endpoints that may have one cause

Found by rereading: several copies of a popular request that were lost with a failure domain counted as losses in a row, so that it was refused for ten minutes; so was a path whose few requests ran there.

Cause: a loss counted against a trusted request whenever no answer had come since the one before, also if both copies had been sent before the first was lost; and ends of different endpoints counted as independent at any distance.

Change: a loss is in a row only if the request was sent after the loss before it. At the wider levels, ends within 2 s of each other count as one.

Evidence: test_a_request_that_is_lost_with_a_failure_domain_stays_trusted and test_requests_that_are_lost_with_a_failure_domain_say_nothing_of_their_path failed before, for 2 or 3 and 8 endpoints.

A request that changes each time and comes once a second is now found at its fifth crash in place of its third.

--- a/oriolelock/admission/crash_index.py
+++ b/oriolelock/admission/crash_index.py
@@ -52,13 +52,15 @@
     is_enough: collections.abc.Callable[[list[Death]], bool],
     is_convicted: collections.abc.Callable[[str], bool],
     same_death_s: float,
+    one_cause_s: float,
 ) -> tuple[str, list[Death]]:
     """Return the narrowest level above single requests that ``latest`` convicts, and its deaths.
 
     Both are empty if there is none. A level is suspect by what its requests have in common, so
-    that each request and each end of an endpoint counts once. The end of an endpoint at which
-    another request was lost that was lost several times does not count: that one explains it.
-    Nor do requests that are convicted themselves, by ``is_convicted(fingerprint)``.
+    that each request counts once, and so do ends of endpoints within ``one_cause_s`` of each other,
+    which may have one cause. Reports of one end differ by ``same_death_s`` at most. An end at which
+    another request was lost that was lost several times does not count: that one explains it. Nor
+    do requests that are convicted themselves, by ``is_convicted(fingerprint)``.
     """
     repeated = _of_repeated_requests((*deaths, latest), same_death_s)
     if is_convicted(latest.fingerprint) or _is_explained(latest, repeated, same_death_s):
@@ -72,6 +74,7 @@
                 and not _is_explained(death, repeated, same_death_s)
                 and not any(
                     other.fingerprint == death.fingerprint
+                    or abs(other.at_s - death.at_s) < one_cause_s
                     or _is_same_end(death, other, same_death_s)
                     for other in chosen
                 )
--- a/oriolelock/admission/quarantine.py
+++ b/oriolelock/admission/quarantine.py
@@ -106,6 +106,7 @@
             lambda found: len(found) >= crash_record.QUARANTINE_DEATHS,
             self._is_convicted,
             crash_record.SAME_DEATH_S,
+            crash_record.SAME_DEATH_S,
         )
         return "" if level and self.completed_recently(level, now) else level
 
--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -367,13 +367,16 @@
         return delay_s * self._rng.uniform(1.0, 1.5)
 
     def record_lost(
-        self, view: endpoint_view.EndpointView, fingerprint: str, reason: str, now: float
+        self, view: endpoint_view.EndpointView, fingerprint: str, sent_s: float, now: float
     ) -> None:
-        """Record a connection lost during a request; a health check shows if the endpoint died."""
+        """Record a connection lost during a request; a health check shows if the endpoint died.
+
+        ``sent_s``: when the request was sent, monotonic.
+        """
         self.metrics.count("answers_lost")
         view.record_disconnect(now)
         if not self.connectivity.is_cut_off(view.endpoint.service):
-            self._blame.record_loss(view.endpoint.name, fingerprint, now, clock.wall_s())
+            self._blame.record_loss(view.endpoint.name, fingerprint, sent_s, now, clock.wall_s())
         is_due = not view.health_check_pending and not view.needs_health_check
         if is_due and not view.is_paused(now):
             self.loop.call_later(LOST_CHECK_DELAY_S, lambda: self._check_after_loss(view))
--- a/oriolelock/gateway/crash_blame.py
+++ b/oriolelock/gateway/crash_blame.py
@@ -27,8 +27,6 @@
 
 MIN_DEATHS = 3
 MIN_ENDPOINTS = 2
-# So many losses in a row, as this entry sees, end the trust in a request that has completed before.
-MAX_TRUSTED_LOSSES = 1
 # Connections of a dead endpoint end within this time of each other, as far as this entry sees.
 LOSS_WINDOW_S = 2.0
 # Control may learn of a death this much later than this entry.
@@ -52,9 +50,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Loss:
-    """A request that was lost with its connection, at monotonic time ``at_s``."""
+    """A request that was sent and lost with its connection, at monotonic times."""
 
     fingerprint: str
+    sent_s: float
     at_s: float
 
 
@@ -99,16 +98,22 @@
 
     def may_retry(self, fingerprint: str, now: float, wall_s: float) -> bool:
         """Return whether the entry may retry a request that may have crashed an endpoint."""
-        if self._is_trusted(fingerprint, now):
+        was_lost_in_row = len(self._seen.get(fingerprint, ())) > 1
+        if self._quarantine.completed_recently(fingerprint, now) and not was_lost_in_row:
             return True
         deaths = self._deaths(fingerprint, now, wall_s)
         is_suspect = bool(deaths) and now - deaths[-1].at_s < crash_record.WINDOW_S
         return not is_suspect and not self.is_blocked(fingerprint, now, wall_s)
 
-    def record_loss(self, endpoint: str, fingerprint: str, now: float, wall_s: float) -> None:
-        """Record that a request was lost with its connection to an endpoint."""
+    def record_loss(
+        self, endpoint: str, fingerprint: str, sent_s: float, now: float, wall_s: float
+    ) -> None:
+        """Record that a request was lost with its connection to an endpoint.
+
+        ``sent_s``: when it was sent there, monotonic.
+        """
         self._forget_old(now)
-        self._losses.setdefault(endpoint, []).append(Loss(fingerprint, now))
+        self._losses.setdefault(endpoint, []).append(Loss(fingerprint, sent_s, now))
         if endpoint in self._died_s:
             self._blame(endpoint, now, wall_s)
 
@@ -133,21 +138,27 @@
         if len(self._died_s) > MAX_RELATED_DEATHS:
             log.notable("endpoints-died-together", endpoints=len(self._died_s))
             return
-        trusted = [f for f in fingerprints_lost if self._is_trusted(f, now)]
+        sent_s = {loss.fingerprint: loss.sent_s for loss in losses}
+        trusted = [f for f in fingerprints_lost if self._is_trusted(f, sent_s[f], now)]
         suspects = [f for f in fingerprints_lost if f not in trusted]
         suspects.sort(key=lambda f: -len(self._deaths(f, now, wall_s)))
         log.notable(
             "endpoint-died", endpoint=endpoint, suspects=len(suspects), trusted=len(trusted)
         )
         for fingerprint in trusted:
-            self._remember(fingerprint, (endpoint, now))
+            if fingerprint not in self._seen:
+                self._remember(fingerprint, (endpoint, now))
         for fingerprint in suspects[:MAX_SUSPECTS]:
             self._suspect(fingerprint, endpoint, now, wall_s)
 
-    def _is_trusted(self, fingerprint, now):
-        """Return whether a request has completed lately, and was not lost in a row since."""
-        is_known = self._quarantine.completed_recently(fingerprint, now)
-        return is_known and len(self._seen.get(fingerprint, ())) < MAX_TRUSTED_LOSSES
+    def _is_trusted(self, fingerprint, sent_s, now):
+        """Return whether a request has completed lately, and was not lost twice in a row since.
+
+        Copies that ran at the same time may be lost by one cause, such as the end of a domain.
+        """
+        seen = self._seen.get(fingerprint, ())
+        is_in_row = bool(seen) and sent_s > seen[-1][1]
+        return self._quarantine.completed_recently(fingerprint, now) and not is_in_row
 
     def _suspect(self, fingerprint, endpoint, now, wall_s):
         death = crash_index.Death(fingerprint, endpoint, now)
@@ -189,6 +200,7 @@
             _is_enough,
             lambda name: self._quarantine.is_level_blocked(name, now, wall_s),
             crash_record.SAME_DEATH_S + REPORT_DELAY_S,
+            LOSS_WINDOW_S,
         )
         completed_s = self._quarantine.last_completion_s(level)
         if self._quarantine.completed_recently(level, now) or any(
--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -236,7 +236,7 @@
         view = self._decision.view
         self._may_have_run = True
         self._tried |= {view.endpoint.name}
-        self._core.record_lost(view, self._fingerprint, result.reason, now)
+        self._core.record_lost(view, self._fingerprint, self._sent_s, now)
         if self._route.idempotent and self._may_retry(now):
             self._attempt()
             return
