Pass on the text of list elements that were taken in by an odd one

Found by rereading: an element with a number out of range that an unbalanced one before it had taken in was written as JSON again, which raises TypeError, so that the reading of the list ended. Its text is used now; test_an_element_that_another_one_has_taken_in_may_have_odd_values_itself failed before in a trial with the old function.

--- a/oriolelock/wire/tolerant_json.py
+++ b/oriolelock/wire/tolerant_json.py
@@ -37,7 +37,7 @@
 OPENING = re.compile(r"[\[{]")
 # Looked at in one part.
 MAX_OPENINGS = 8
-# Each takes some 50 us.
+# A text with more is refused, as reading it takes long.
 MAX_ODD = 5000
 BRACKETS = {"]": "[", "}": "{"}
 # Between two elements of a list that are lists or objects themselves.
@@ -164,7 +164,8 @@
         for start, end in container.parts:
             value_start = start + _offset(self._text[start:end])
             values.append(self._read_value(value_start, end, children))
-            values += _swallowed(self._text[value_start:end])
+            if swallowed := _swallowed(self._text[value_start:end]):
+                values.append(_parse_part(swallowed))
         return values
 
     def _read_members(self, container, children):
@@ -190,14 +191,13 @@
 
 
 def _swallowed(part):
-    """Return the element, if any, that a part without an end of its own has taken in."""
-    if _parse_part(part) is not UNREADABLE:
-        return []
-    for opening in itertools.islice(OPENING.finditer(part, 1), MAX_OPENINGS):
-        value = _parse_part(part[opening.start() :])
-        if value is not UNREADABLE:
-            return [value]
-    return []
+    """Return the text of the element, if any, that a part without an end has taken in."""
+    if _parse_part(part) is UNREADABLE:
+        for opening in itertools.islice(OPENING.finditer(part, 1), MAX_OPENINGS):
+            rest = part[opening.start() :]
+            if _parse_part(rest) is not UNREADABLE:
+                return rest
+    return ""
 
 
 def _parse_part(text):
@@ -218,7 +218,7 @@
         if _find_containers(part) is not None:
             between.append(part)
         else:
-            between += ["null", *map(json.dumps, _swallowed(part))]
+            between += ["null", *filter(None, (_swallowed(part),))]
     return ",".join([parts[0], *between, *parts[1:][-1:]])
 
 
--- a/tests/wire/test_tolerant_json.py
+++ b/tests/wire/test_tolerant_json.py
@@ -164,6 +164,11 @@
     assert time.process_time() - start_s < 5.0
 
 
+def test_an_element_that_another_one_has_taken_in_may_have_odd_values_itself():
+    found = tolerant_json.loads(b'[["a"],{"b":[,["c",1e999],["d"]]')
+    assert found[-2:] == [["c", tolerant_json.OUT_OF_RANGE], ["d"]]
+
+
 @pytest.mark.parametrize(
     "text", [b'{"rows":[["a"],["b\x01"]', b'{"rows":[["a\\q"],["b"', b'[["a" 1],["b"]']
 )
