--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -33,19 +33,26 @@
 LARGE = {"entries": 180, "controls": 11, "endpoints": 40, "callers": 40, "replace": True}
 
 
+# An entry of another writer, which is no JSON.
+ODD_ROW = b'["s","127.0.0.1:9","z1",4,"ready","odd-\x00"\x1b"\\q]'
+
+
 class _List:
-    """The platform's list of endpoints."""
+    """The platform's list of endpoints, with ``odd_rows`` among those that can be read."""
 
-    def __init__(self, host, endpoints):
+    def __init__(self, host, endpoints, odd_rows=()):
         class Handler(http.server.BaseHTTPRequestHandler):
             def do_GET(self):  # noqa: N802
                 rows = [
                     ["s", f"{e.host}:{e.port}", f"z{n % 2 + 1}", endpoint.SLOTS, e.state, e.name]
                     for n, e in enumerate(endpoints)
                 ]
-                columns = ["service", "address", "zone", "slots", "state", "id"]
-                data = {"instances": {"columns": columns, "rows": rows}, "nextPageToken": None}
-                body = json.dumps(data).encode()
+                columns = json.dumps(
+                    ["service", "address", "zone", "slots", "state", "id"]
+                ).encode()
+                texts = [*odd_rows, *(json.dumps(row).encode() for row in rows)]
+                listed = b'{"columns":%s,"rows":[%s]}' % (columns, b",".join(texts))
+                body = b'{"instances":%s,"nextPageToken":null}' % listed
                 self.send_response(200)
                 self.send_header("Content-Length", str(len(body)))
                 self.end_headers()
@@ -62,12 +69,12 @@
         self._server.server_close()
 
 
-def _take_net(seed, endpoints):
+def _take_net(seed, endpoints, odd_rows=()):
     """Return a part of the loopback range that no other soak uses, and the list served there."""
     for offset in range(NETS):
         net = 10 + (seed + offset) % NETS
         try:
-            return net, _List(f"127.{net}.4.1", endpoints)
+            return net, _List(f"127.{net}.4.1", endpoints, odd_rows)
         except OSError:
             # Another soak on this machine has it.
             continue
@@ -82,7 +89,7 @@
         self.book = ledger.Ledger()
         self._seed = seed
         self.endpoints: list[endpoint.Endpoint] = []
-        net, self._listing = _take_net(seed, self.endpoints)
+        net, self._listing = _take_net(seed, self.endpoints, (ODD_ROW,))
         self.endpoints += [
             endpoint.Endpoint(f"e{n}", f"127.{net}.3.{n + 1}", PORT_ENDPOINT, self.book, seed + n)
             for n in range(endpoints)
