--- a/oriolelock/dispatch/endpoint_view.py
+++ b/oriolelock/dispatch/endpoint_view.py
@@ -42,8 +42,8 @@
 # How long an endpoint is not used that the instance list shows as leaving, according to a replica.
 # The configuration says so by then; else the replica repeats it.
 LISTED_HOLD_S = 10.0
-# Longest time for which an endpoint may turn requests away.
-MAX_PAUSE_S = 60.0
+# Longest time for which an endpoint may turn requests away; a new start ends it.
+MAX_PAUSE_S = 3600.0
 # Until the next request to an endpoint that took none, while the first one is under way.
 RESUME_WAIT_S = 0.1
 
--- a/tests/gateway/test_paused_endpoint.py
+++ b/tests/gateway/test_paused_endpoint.py
@@ -56,6 +56,13 @@
     assert view.pause_s(endpoint_view.MAX_PAUSE_S + 0.1) == 0.0
 
 
+def test_an_endpoint_may_turn_requests_away_for_minutes():
+    """Guards against requests that come back before the end of the time that was named."""
+    view = endpoint_view.EndpointView(builders.make_endpoint("x"))
+    view.record_pause(600.0, 0.0)
+    assert view.is_paused(599.0)
+
+
 def test_a_shorter_time_does_not_end_a_longer_one():
     view = endpoint_view.EndpointView(builders.make_endpoint("x"))
     view.record_pause(5.0, 0.0)
