--- a/tests/wire/test_tolerant_json.py
+++ b/tests/wire/test_tolerant_json.py
@@ -49,7 +49,7 @@
 def as_table(rows):
     """Return the text of a page with encoded rows."""
     listed = b",".join(rows)
-    return b'{"instances":{"columns":["a","b"],"rows":[' + listed + b']},"nextPageToken":"p"}'
+    return b'{"listed":{"names":["a","b"],"rows":[' + listed + b']},"next":"p"}'
 
 
 def as_list(rows):
@@ -93,8 +93,8 @@
     rows.insert(position, odd)
     found = tolerant_json.loads(make_text(rows))
     if make_text is as_table:
-        assert found["nextPageToken"] == "p"
-        found = found["instances"]["rows"]
+        assert found["next"] == "p"
+        found = found["listed"]["rows"]
     assert [row for row in found if row in ROWS] == ROWS
 
 
@@ -109,7 +109,7 @@
         # Then the previous list stays in use.
         assert odd != UNBALANCED[0]
         return
-    found = found["instances"]["rows"] if make_text is as_table else found
+    found = found["listed"]["rows"] if make_text is as_table else found
     assert [row for row in found if row in ROWS] == ROWS
 
 
@@ -135,7 +135,7 @@
         found = tolerant_json.loads(make_text(rows))
     except ValueError:
         return
-    found = found["instances"]["rows"] if make_text is as_table else found
+    found = found["listed"]["rows"] if make_text is as_table else found
     if found is tolerant_json.UNREADABLE:
         return
     others = [item for number, item in enumerate(ROWS) if number != row]
