--- a/oriolelock/control/host.py
+++ b/oriolelock/control/host.py
@@ -13,7 +13,7 @@
 import threading
 
 from oriolelock import clock, logs
-from oriolelock.consensus import events, messages, node, outputs
+from oriolelock.consensus import events, messages, node, outputs, quorum
 from oriolelock.control import (
     applier,
     commands,
@@ -270,8 +270,13 @@
         self._cfg.changed(self._cfg.group)
 
     def _take_snapshot_or_transfer(self, now):
-        if self._leader.is_self and self._snapshot_policy.should_transfer(now):
+        # A single voter has nobody to wait for, and the log would grow meanwhile.
+        has_other_voters = len(quorum.voters(self._node.membership)) > 1
+        if self._leader.is_self and has_other_voters and self._snapshot_policy.should_transfer(now):
             return node.step(self._node, events.Transfer(), now)
+        return self._take_snapshot(now)
+
+    def _take_snapshot(self, now):
         started_s = clock.monotonic_s()
         data, index = self._state_machine.encode(), self._applier.applied
         term, membership = self._applier.applied_term, self._applier.membership
--- a/tests/control/test_memory_of_changes.py
+++ b/tests/control/test_memory_of_changes.py
@@ -4,6 +4,7 @@
 again and again for their memory.
 """
 
+import time
 import tracemalloc
 
 from oriolelock.consensus import snapshots
@@ -118,3 +119,17 @@
         assert harness.view().table == make_table(80)
     finally:
         harness.stop()
+
+
+def test_log_is_bounded_by_bytes_if_snapshots_are_slow_and_nobody_else_can_lead(
+    tmp_path, monkeypatch
+):
+    """Guards against a leader that waits for a successor that it doesn't have."""
+    save_snapshot = test_host.FailingStore.save_snapshot
+
+    def save_slowly(store, *args):
+        time.sleep(1.2 * snapshot_policy.MAX_LEADER_PAUSE_S)
+        save_snapshot(store, *args)
+
+    monkeypatch.setattr(test_host.FailingStore, "save_snapshot", save_slowly)
+    test_log_of_a_replica_is_bounded_by_bytes(tmp_path)
