Take refused health checks for signs that an endpoint has ended

Cause: a refused connection of a request raises a doubt that all entries hear of, that of a health check only took the endpoint out at the entry that made it. Both are recorded in the same way now, also while the endpoint is in doubt.

--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -394,7 +394,9 @@
     def _check_death(self, view, outcome):
         # An endpoint that accepts connections and is too busy to answer has not died.
         if outcome is health_checks.Outcome.REFUSED:
-            self._record_death(view, clock.monotonic_s())
+            now = clock.monotonic_s()
+            self.restarts.signs.record_refused(view, now)
+            self._record_death(view, now)
 
     def _record_death(self, view, now):
         if view.is_leaving or view.endpoint.state != "live":
--- a/tests/gateway/test_restart_cases.py
+++ b/tests/gateway/test_restart_cases.py
@@ -3,12 +3,14 @@
 ``RESTART_CASE_SEEDS=10`` plays each with more seeds.
 """
 
+import functools
 import os
 import random
 
 import logbook
 import pytest
 
+from oriolelock import clock
 from oriolelock.dispatch import restarts
 from oriolelock.gateway import restart_gossip
 from tests.gateway import simulated_fleet, test_restarting_endpoints
@@ -210,6 +212,47 @@
     check(play(seed, monkeypatch, script, keeps_rows=False, tells_starts=False))
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_refused_health_check_of_one_entry_is_told_to_the_others(seed, monkeypatch):
+    """Guards against an end that only a health check has shown, to the entry that made it."""
+    states = {}
+
+    def record_state(entry, item):
+        now, selector = clock.monotonic_s(), entry.process.core.chooser
+        digest = selector.views[item.name].restart_digest
+        states[entry.name] = selector.restarts.state(digest, now)
+
+    def script(fleet):
+        item, first = fleet.endpoints[0], fleet.entries[0]
+        selector = first.process.core.chooser
+        digest = selector.views[item.name].restart_digest
+        fleet.restart(item, 3.0)
+        first.process.within(lambda: selector.restarts.mark_unsure(digest, clock.monotonic_s()))
+        for entry in fleet.entries:
+            record = functools.partial(record_state, entry, item)
+            fleet.network.later(2.5, lambda entry=entry, do=record: entry.process.within(do))
+
+    fleet = play(seed, monkeypatch, script, load=0.001, idle_s=0.3)
+    assert len(states) == len(fleet.entries)
+    assert all(state.is_open for state in states.values()), states
+    check(fleet)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_endpoint_that_refuses_one_entry_goes_on_to_serve_the_others(seed, monkeypatch):
+    def script(fleet):
+        item, refused = fleet.endpoints[0], fleet.entries[0]
+        accept = item.accept
+        item.accept = lambda conn: None if conn.process is refused.process else accept(conn)
+
+    fleet = play(seed, monkeypatch, script, load=0.6)
+    counts = {
+        item.name: sum(BEGIN_S < arrival.at_s < END_S for arrival in item.arrivals)
+        for item in fleet.endpoints
+    }
+    assert counts["x0"] > 0.5 * sum(counts.values()) / len(counts), counts
+
+
 def test_the_plays_show_entries_that_know_nothing_of_restarts(monkeypatch):
     """Without the means against it, the same plays break the bound."""
     monkeypatch.setattr(restarts.Restarts, "raise_doubt", lambda *_, **__: False)
