Tell others of ends of most endpoints before endpoints count as unsure

Cause: an entry that lost the connections to most endpoints marked those that it had not heard lately as unsure, and told others of a suspicion only if the endpoint was not marked yet. So it told none of these, and the votes of several entries that raise a doubt were missing. Endpoints whose connections ended are left to their signs now.

Evidence: test_endpoints_are_not_unsure_before_their_ends_are_told failed before and passes now.

--- a/oriolelock/gateway/restart_signs.py
+++ b/oriolelock/gateway/restart_signs.py
@@ -127,10 +127,11 @@
         is_own = len(ended) >= MIN_OWN_FAULTS and len(ended) >= OWN_FAULT_RATIO * open_count
         if is_own:
             log.notable("connections-lost", endpoints=len(ended), others=open_count)
-            for view in self._chooser.views.values():
+            for name, view in self._chooser.views.items():
                 # Those without a connection may have ended as well.
-                if not view.contact.is_fresh(now):
+                if name not in ended and not view.contact.is_fresh(now):
                     self._chooser.restarts.mark_unsure(view.restart_digest, now)
+        # Others are told of those that are not marked as unsure yet.
         for name, suspect in ended.items():
             self._idle_signs_s.pop(name, None)
             if suspect.idle_s is not None:
--- a/tests/gateway/test_restart_signs.py
+++ b/tests/gateway/test_restart_signs.py
@@ -51,11 +51,18 @@
         cfg = builders.configure([builders.make_endpoint(f"x{n}") for n in range(endpoints)])
         self.chooser = builders.make_chooser(cfg)
         self.found = []
-        self.signs = restart_signs.RestartSigns(
-            self.loop,
-            self.chooser,
-            lambda view, *sign: self.found.append((view.endpoint.name, *sign)),
-        )
+        # Endpoints of which the entry was unsure before their sign.
+        self.unsure_before = []
+        self.signs = restart_signs.RestartSigns(self.loop, self.chooser, self._record)
+
+    def _record(self, view, *sign):
+        self.found.append((view.endpoint.name, *sign))
+        if self.is_unsure(view.endpoint.name):
+            self.unsure_before.append(view.endpoint.name)
+
+    def is_unsure(self, name):
+        digest = self.view(name).restart_digest
+        return self.chooser.restarts.unsure_age_s(digest, self.loop.now) is not None
 
     def view(self, name):
         return self.chooser.views[name]
@@ -169,6 +176,17 @@
     assert not any(is_clear for *_, is_clear in rig.found)
 
 
+def test_endpoints_are_not_unsure_before_their_ends_are_told(rig):
+    """Guards against ends of most endpoints that an entry keeps to itself."""
+    conns = rig.connect("x0", "x1", "x2", "x3", "x4", "x5")
+    rig.loop.advance(1.0)
+    for conn in conns[:5]:
+        conn.end()
+    assert rig.judged() == ["x0", "x1", "x2", "x3", "x4"]
+    assert rig.unsure_before == []
+    assert rig.is_unsure("x6") and rig.is_unsure("x7")
+
+
 def test_many_refusals_are_unclear_signs(rig):
     for n in range(6):
         rig.signs.record_refused(rig.view(f"x{n}"), rig.loop.now)
