--- a/tests/control/test_group_watch.py
+++ b/tests/control/test_group_watch.py
@@ -114,6 +114,8 @@
             group.start(number, True)
         group.wait_for_voters(3)
         replica = group.running[0]
+        # The others may have a leader of whom this one has not heard yet.
+        waiting.until(lambda: replica.replica.status().leader != "")
         waiting.until(lambda: "voters_reachable 3\n" in replica.metrics_text())
         lines = replica.metrics_text().splitlines()
         for line in ("voters 3", "voters_needed 2", "learners 0", "has_majority 1"):
