--- a/tests/wire/test_tolerant_json.py
+++ b/tests/wire/test_tolerant_json.py
@@ -37,10 +37,10 @@
 @pytest.mark.parametrize("tail", [b'"' + b'\\"' * 400_000, b'\\"' * 400_000, b'"a' * 400_000])
 def test_hostile_text_takes_linear_time(tail):
     """Guards against a search for the ends of strings that starts again at each quote."""
-    start_s = time.process_time()
+    start_s = time.thread_time()
     with pytest.raises(ValueError, match="."):
         tolerant_json.loads(b"[" * 5_000 + tail)
-    assert time.process_time() - start_s < 5.0
+    assert time.thread_time() - start_s < 5.0
 
 
 ROWS = [["svc", f"10.0.0.{n}:80", "z1", n, "ready", f"i-{n}"] for n in range(5)]
@@ -156,12 +156,12 @@
     ],
 )
 def test_odd_text_takes_linear_time(text):
-    start_s = time.process_time()
+    start_s = time.thread_time()
     try:
         tolerant_json.loads(text)
     except ValueError:
         pass
-    assert time.process_time() - start_s < 5.0
+    assert time.thread_time() - start_s < 5.0
 
 
 def test_an_element_that_another_one_has_taken_in_may_have_odd_values_itself():
