Search for levels that crash endpoints once per change, and not past what a narrower one explains

Two faults of in one search, found by reading it again. - Callers of the product's own entries waited for seconds: for each request on a path of which many requests were lost, all crash records were searched again for each of these, under the lock of the entry's steering.

The gateway uses the same search, once for each end of an endpoint in place of once for each suspect. test_many_requests_of_a_path_that_were_lost_at_once_do_not_slow_down_the_next_ones and both test_crashes_of_a_request_that_is_known_say_nothing_of_others_on_its_path failed before.

--- a/oriolelock/admission/fingerprint.py
+++ b/oriolelock/admission/fingerprint.py
@@ -13,12 +13,13 @@
 
 import xxhash
 
-__all__ = ["ANY", "is_at_level", "levels", "make", "shared_part"]
+__all__ = ["ANY", "LEVELS", "is_wide", "levels", "make"]
 
-# Characters of the parts; the first one is of all that requests of any level share.
+# Characters of the parts; the first one stands for what the requests of all levels share.
 SHARED_LENGTH = 16
 DETAIL_LENGTH = 8
 LENGTH = SHARED_LENGTH + 2 * DETAIL_LENGTH
+LEVELS = 4
 # In place of the digest of a part that may differ.
 ANY = "-" * DETAIL_LENGTH
 
@@ -62,14 +63,9 @@
     )
 
 
-def shared_part(key: str) -> str:
-    """Return the part that all levels of a fingerprint share."""
-    return key[:SHARED_LENGTH]
-
-
-def is_at_level(fingerprint: str, level: str) -> bool:
-    """Return whether a level comprises the request with this fingerprint."""
-    return level in levels(fingerprint)
+def is_wide(level: str) -> bool:
+    """Return whether a level comprises more than one request."""
+    return len(level) == LENGTH and ANY in _split(level)
 
 
 def _split(key):
--- a/oriolelock/admission/quarantine.py
+++ b/oriolelock/admission/quarantine.py
@@ -21,6 +21,11 @@
 IGNORED_DEATHS_WINDOW_S = 5.0
 MAX_COMPLETED = 20_000
 MAX_SUSPECTS = 1000
+# Between two searches for levels that crash endpoints, which take some milliseconds.
+REVIEW_INTERVAL_S = 0.5
+CRITERIA = crash_index.Criteria(
+    crash_record.QUARANTINE_DEATHS, 1, crash_record.SAME_DEATH_S, crash_record.SAME_DEATH_S
+)
 
 
 class Quarantine:
@@ -40,13 +45,14 @@
         # By level: when the quarantine began and ends.
         self._blocked: collections.OrderedDict[str, tuple[float, float]] = collections.OrderedDict()
         self._crashes: collections.abc.Mapping[str, crash_record.CrashRecord] = {}
-        self._index = crash_index.CrashIndex({})
+        self._is_review_due = False
+        self._reviewed_s = float("-inf")
 
     def configure(self, crashes: collections.abc.Mapping[str, crash_record.CrashRecord]) -> None:
         """Apply the crash records of a new configuration."""
         if crashes is not self._crashes:
             self._crashes = crashes
-            self._index = crash_index.CrashIndex(crashes)
+            self._is_review_due = True
 
     def record_completion(self, request_fingerprint: str, now: float) -> None:
         """Record that a request with this fingerprint got a complete response."""
@@ -79,40 +85,42 @@
         self._deaths[request_fingerprint] = deaths[-crash_record.QUARANTINE_DEATHS :]
         if len(deaths) >= crash_record.QUARANTINE_DEATHS:
             self.block(request_fingerprint, now)
-        else:
-            self._block_wider_level(request_fingerprint, now)
+        self._is_review_due = True
         for table in (self._deaths, self._first_ignored_death):
             while len(table) > MAX_SUSPECTS:
                 table.popitem(last=False)
         return True
 
-    def _block_wider_level(self, request_fingerprint, now):
-        """Block the narrowest level whose requests crashed endpoints, each of them once."""
+    def _review(self, now, wall_s):
+        """Block the levels that crash endpoints by what is known here, or to control."""
+        if not self._is_review_due or now < self._reviewed_s + REVIEW_INTERVAL_S:
+            return
+        self._is_review_due, self._reviewed_s = False, now
         seen = [
             crash_index.Death(name, endpoint, at_s)
             for name, deaths in self._deaths.items()
             for endpoint, at_s in deaths
             if now - at_s < crash_record.WINDOW_S
         ]
-        latest = next(d for d in reversed(seen) if d.fingerprint == request_fingerprint)
-        level = self._convicted_level(seen, latest, now)
-        if level:
-            self.block(level, now)
-
-    def _convicted_level(self, deaths, latest, now):
-        level, _ = crash_index.narrowest_level(
-            deaths,
-            latest,
-            lambda found: len(found) >= crash_record.QUARANTINE_DEATHS,
-            self._is_convicted,
-            crash_record.SAME_DEATH_S,
-            crash_record.SAME_DEATH_S,
-        )
-        return "" if level and self.completed_recently(level, now) else level
+        told = [
+            death
+            for death in crash_index.deaths_in_records(self._crashes)
+            if wall_s - death.at_s < crash_record.WINDOW_S
+        ]
+        for deaths in (seen, told):
+            for level in crash_index.convicted_levels(
+                deaths, CRITERIA, lambda name: self._is_convicted(name, now, wall_s)
+            ):
+                if not self.completed_recently(level, now):
+                    self.block(level, now)
 
-    def _is_convicted(self, request_fingerprint):
-        crash = self._crashes.get(request_fingerprint)
-        return request_fingerprint in self._blocked or (crash is not None and crash.until_s > 0.0)
+    def _is_convicted(self, request_fingerprint, now, wall_s):
+        for level in fingerprints.levels(request_fingerprint):
+            crash = self._crashes.get(level)
+            is_told = crash is not None and wall_s < crash.until_s
+            if is_told or now < self._blocked.get(level, (now, now))[1]:
+                return True
+        return False
 
     def block(self, level: str, now: float) -> None:
         """Reject the requests of a level from now on, for ``QUARANTINE_S``."""
@@ -135,47 +143,32 @@
 
     def is_blocked(self, request_fingerprint: str, now: float, wall_s: float) -> bool:
         """Return whether the request must be rejected as quarantined."""
+        return self.blocked_s(request_fingerprint, now, wall_s) > 0.0
+
+    def blocked_s(self, request_fingerprint: str, now: float, wall_s: float) -> float:
+        """Return for how many seconds the request must still be rejected, 0 if it need not be."""
+        self._review(now, wall_s)
         if not self._blocked and not self._crashes:
-            return False
+            return 0.0
         levels = fingerprints.levels(request_fingerprint)
-        if any(self.is_level_blocked(level, now, wall_s) for level in levels):
-            return True
-        level = self._level_convicted_by_control(levels, now, wall_s)
-        if level in levels:
-            self.block(level, now)
-        return level in levels
-
-    def is_level_blocked(self, level: str, now: float, wall_s: float) -> bool:
-        """Return whether a level is blocked, and no request of it has completed since.
+        return max(self.level_blocked_s(level, now, wall_s) for level in levels)
 
-        What completed before the latest crash says nothing: a release may have changed endpoints.
-        """
-        completed_s = self._completed.get(level, float("-inf"))
+    def level_blocked_s(self, level: str, now: float, wall_s: float) -> float:
+        """Return for how many seconds a level is still blocked, 0 if it is not."""
+        # What completed before the latest crash says nothing: a release may have changed endpoints.
+        completed_s = self.last_completion_s(level)
         began_s, end_s = self._blocked.get(level, (now, now))
-        if now < end_s and completed_s <= began_s:
-            return True
+        left_s = end_s - now if completed_s <= began_s else 0.0
         crash = self._crashes.get(level)
-        if crash is None or wall_s >= crash.until_s:
-            return False
-        latest_s = now - max(0.0, wall_s - crash.deaths[-1][1]) if crash.deaths else now
-        return completed_s <= latest_s
-
-    def _level_convicted_by_control(self, levels, now, wall_s):
-        """Return the level whose requests crashed endpoints at several entries, else None."""
-        alike = self._index.deaths(levels[-1])
-        if not alike:
-            return None
-        recent = [d for d in self._index.all_deaths() if wall_s - d.at_s < crash_record.WINDOW_S]
-        for latest in (death for death in recent if death in alike):
-            level = self._convicted_level(recent, latest, now)
-            if level in levels:
-                return level
-        return None
+        if crash is not None:
+            latest_s = now - max(0.0, wall_s - crash.deaths[-1][1]) if crash.deaths else now
+            if completed_s <= latest_s:
+                left_s = max(left_s, crash.until_s - wall_s)
+        return max(0.0, left_s)
 
     def completed_recently(self, level: str, now: float) -> bool:
         """Return whether a request of a level got a complete response lately."""
-        completed_at = self._completed.get(level)
-        return completed_at is not None and now - completed_at < COMPLETED_TRUST_S
+        return now - self.last_completion_s(level) < COMPLETED_TRUST_S
 
     def last_completion_s(self, level: str) -> float:
         """Return when a request of a level was completed last, -inf if that is not known."""
--- a/oriolelock/entry/flow.py
+++ b/oriolelock/entry/flow.py
@@ -116,10 +116,9 @@
         if not op.idempotent and not parsed.key:
             return outcomes.NotRun("key-missing")
         fingerprint = forwarding.fingerprint(parsed, req)
-        if self._steering.is_blocked(fingerprint, now, wall_s):
-            crash = cfg.crashes.get(fingerprint)
-            left_s = crash.until_s - wall_s if crash else 0.0
-            return outcomes.NotRun("quarantined", 1000 * max(1.0, left_s))
+        blocked_s = self._steering.blocked_s(fingerprint, now, wall_s)
+        if blocked_s > 0.0:
+            return outcomes.NotRun("quarantined", 1000 * max(1.0, blocked_s))
         deadline_s = now + min(parsed.deadline_ms, op.timeout_ms) / 1000
         return _CheckedRequest(req, parsed, request_id, op, fingerprint, deadline_s)
 
--- a/oriolelock/entry/steering.py
+++ b/oriolelock/entry/steering.py
@@ -266,10 +266,10 @@
                 return False
             return self._budget.try_retry(service, now)
 
-    def is_blocked(self, fingerprint: str, now: float, wall_s: float) -> bool:
-        """Return whether the request is quarantined."""
+    def blocked_s(self, fingerprint: str, now: float, wall_s: float) -> float:
+        """Return for how many seconds the request is quarantined, 0 if it is not."""
         with self._lock:
-            return self._quarantine.is_blocked(fingerprint, now, wall_s)
+            return self._quarantine.blocked_s(fingerprint, now, wall_s)
 
     def dump(self) -> dict:
         """Return the state for operators."""
--- a/oriolelock/gateway/core.py
+++ b/oriolelock/gateway/core.py
@@ -237,9 +237,12 @@
             forwarded.repeated_headers(req, self.words),
         )
 
-    def is_quarantined(self, fingerprint: str) -> bool:
-        """Return whether a request has crashed endpoints and must not be forwarded."""
-        return self._blame.is_blocked(fingerprint, clock.monotonic_s(), clock.wall_s())
+    def quarantined_s(self, fingerprint: str) -> float:
+        """Return for how many seconds a request that has crashed endpoints must not be forwarded.
+
+        0 if it may be.
+        """
+        return self._blame.blocked_s(fingerprint, clock.monotonic_s(), clock.wall_s())
 
     def may_retry(self, fingerprint: str) -> bool:
         """Return whether a request that may have crashed an endpoint may be retried."""
--- a/oriolelock/gateway/crash_blame.py
+++ b/oriolelock/gateway/crash_blame.py
@@ -11,7 +11,7 @@
 
     A request that is sent with another query or other headers each time is found by what its
     copies have in common: the narrowest level of fingerprints is quarantined of which three
-    requests were lost and none has completed.
+    requests were lost and none has completed (``admission.crash_index``).
 """
 
 import collections
@@ -37,6 +37,9 @@
 MAX_SUSPECTS = 16
 MAX_TRACKED = 1000
 SUSPICION_PREFIX = "suspect-"
+CRITERIA = crash_index.Criteria(
+    MIN_DEATHS, MIN_ENDPOINTS, crash_record.SAME_DEATH_S + REPORT_DELAY_S, LOSS_WINDOW_S
+)
 
 log = events.Events("gateway")
 
@@ -67,7 +70,6 @@
         self._report = report
         self._quarantine = quarantine.Quarantine()
         self._crashes: collections.abc.Mapping[str, crash_record.CrashRecord] = {}
-        self._suspicions = crash_index.CrashIndex({})
         self._losses: dict[str, list[Loss]] = {}
         # The latest death of each endpoint.
         self._died_s: dict[str, float] = {}
@@ -81,7 +83,6 @@
         """Apply the crash records of a new configuration."""
         if crashes is not self._crashes:
             self._crashes = crashes
-            self._suspicions = crash_index.CrashIndex(crashes, SUSPICION_PREFIX)
             self._quarantine.configure(_convictions(crashes))
 
     def record_completion(self, fingerprint: str, now: float) -> None:
@@ -91,8 +92,12 @@
 
     def is_blocked(self, fingerprint: str, now: float, wall_s: float) -> bool:
         """Return whether the request must be rejected as quarantined."""
-        return any(
-            self._quarantine.is_level_blocked(level, now, wall_s)
+        return self.blocked_s(fingerprint, now, wall_s) > 0.0
+
+    def blocked_s(self, fingerprint: str, now: float, wall_s: float) -> float:
+        """Return for how many seconds the request must still be rejected, 0 if it need not be."""
+        return max(
+            self._quarantine.level_blocked_s(level, now, wall_s)
             for level in fingerprints.levels(fingerprint)
         )
 
@@ -150,6 +155,8 @@
                 self._remember(fingerprint, (endpoint, now))
         for fingerprint in suspects[:MAX_SUSPECTS]:
             self._suspect(fingerprint, endpoint, now, wall_s)
+        if suspects:
+            self._convict_levels(now, wall_s)
 
     def _is_trusted(self, fingerprint, sent_s, now):
         """Return whether a request has completed lately, and was not lost twice in a row since.
@@ -170,49 +177,50 @@
             for name, _ in self._seen.get(fingerprint, ()):
                 self._report(suspicion_key(fingerprint), name)
         self._remember(fingerprint, (endpoint, now))
-        level, deaths = self._convicted_level(death, known, now, wall_s)
-        if not level:
-            log.notable(
-                "crash-suspected", mark=fingerprint, endpoint=endpoint, deaths=len(known) + 1
-            )
-            self._report(suspicion_key(fingerprint), endpoint)
+        deaths = (*known, death)
+        if CRITERIA.are_met(deaths):
+            self._convict(fingerprint, deaths, now)
             return
+        log.notable("crash-suspected", mark=fingerprint, endpoint=endpoint, deaths=len(deaths))
+        self._report(suspicion_key(fingerprint), endpoint)
+
+    def _convict_levels(self, now, wall_s):
+        """Quarantine requests that change each time by what they have in common."""
+        levels = crash_index.convicted_levels(
+            self._all_deaths(now, wall_s),
+            CRITERIA,
+            lambda fingerprint: self.is_blocked(fingerprint, now, wall_s),
+        )
+        for level, deaths in levels.items():
+            completed_s = self._quarantine.last_completion_s(level)
+            is_trusted = self._quarantine.completed_recently(level, now)
+            if not is_trusted and all(death.at_s > completed_s for death in deaths):
+                self._convict(level, deaths, now)
+
+    def _convict(self, level, deaths, now):
         log.notable(
             "request-quarantined",
             mark=level,
-            request=fingerprint,
+            request=deaths[-1].fingerprint,
             endpoints=[death.endpoint for death in deaths],
         )
         self._quarantine.block(level, now)
         # Control quarantines a level after the deaths of two endpoints.
-        other = next(d.endpoint for d in reversed(deaths) if d.endpoint != endpoint)
-        for name in (other, endpoint):
+        latest = deaths[-1].endpoint
+        other = next(d.endpoint for d in reversed(deaths) if d.endpoint != latest)
+        for name in (other, latest):
             self._report(level, name)
 
-    def _convicted_level(self, death, known, now, wall_s):
-        """Return the narrowest level that a death convicts, and its deaths; else empty ones."""
-        deaths = (*known, death)
-        if _is_enough(deaths):
-            return death.fingerprint, deaths
-        level, deaths = crash_index.narrowest_level(
-            self._all_deaths(now, wall_s),
-            death,
-            _is_enough,
-            lambda name: self._quarantine.is_level_blocked(name, now, wall_s),
-            crash_record.SAME_DEATH_S + REPORT_DELAY_S,
-            LOSS_WINDOW_S,
-        )
-        completed_s = self._quarantine.last_completion_s(level)
-        if self._quarantine.completed_recently(level, now) or any(
-            death.at_s <= completed_s for death in deaths
-        ):
-            return "", ()
-        return level, deaths
-
     def _all_deaths(self, now, wall_s):
         """Return the deaths of all requests that are known here or in control."""
-        names = {death.fingerprint for death in self._suspicions.all_deaths()} | set(self._seen)
-        return [death for name in names for death in self._deaths(name, now, wall_s)]
+        told = {
+            key.removeprefix(SUSPICION_PREFIX)
+            for key in self._crashes
+            if key.startswith(SUSPICION_PREFIX)
+        }
+        return [
+            death for name in told | set(self._seen) for death in self._deaths(name, now, wall_s)
+        ]
 
     def _remember(self, fingerprint, death):
         deaths = (*self._seen.get(fingerprint, ()), death)
@@ -244,10 +252,6 @@
     return {k: record for k, record in crashes.items() if not k.startswith(SUSPICION_PREFIX)}
 
 
-def _is_enough(deaths):
-    return len(deaths) >= MIN_DEATHS and len({d.endpoint for d in deaths}) >= MIN_ENDPOINTS
-
-
 def _is_among(death, deaths):
     """Return whether ``deaths`` contains a death of the same endpoint at about the same time."""
     return any(
--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -107,7 +107,8 @@
         self._deadline_at_s, self._objective_s = deadline_at_s, objective_at_s
         self._key = forwarded.object_key(self._route.prefix, req.header(shared.words.object_key))
         self._fingerprint = shared.fingerprint(self._service, req)
-        if shared.is_quarantined(self._fingerprint):
+        quarantined_s = shared.quarantined_s(self._fingerprint)
+        if quarantined_s > 0.0:
             self._refuse(503, "quarantined", 1.0)
             return
         self._timer = shared.loop.call_at(self._deadline_at_s, self._on_deadline)
--- a/tests/admission/test_fingerprint.py
+++ b/tests/admission/test_fingerprint.py
@@ -47,11 +47,11 @@
 )
 def test_levels_leave_out_the_query_and_the_headers(change, shared):
     assert common_levels(make(), make(**change)) == shared
-    assert [fingerprint.is_at_level(make(**change), lvl) for lvl in fingerprint.levels(make())] == (
+    assert [lvl in fingerprint.levels(make(**change)) for lvl in fingerprint.levels(make())] == (
         shared
     )
 
 
 def test_fingerprints_of_older_builds_have_one_level():
     assert fingerprint.levels("f") == ("f",)
-    assert fingerprint.is_at_level("f", "f") and not fingerprint.is_at_level("f", "g")
+    assert fingerprint.levels("f") == ("f",)
--- a/tests/admission/test_quarantine.py
+++ b/tests/admission/test_quarantine.py
@@ -1,6 +1,8 @@
 """Guards against one request that crashes endpoint after endpoint, and against blocking the
 popular requests of a failed region."""
 
+import time
+
 import pytest
 
 from oriolelock.admission import fingerprint, quarantine
@@ -158,3 +160,38 @@
     for number in range(8):
         tracker.record_death(request(query=b"n=%d" % number), f"e{number}", 0.1 * number)
     assert not tracker.is_blocked(request(query=b"n=9"), 2.0, WALL_S)
+
+
+def make_records(requests, interval_s):
+    """Return crash records of requests that were lost one after the other, from ``WALL_S`` on."""
+    return {
+        name: crash_record.CrashRecord(name, ((f"e{n}", WALL_S + n * interval_s),), 0.0)
+        for n, name in enumerate(requests)
+    }
+
+
+def test_many_requests_of_a_path_that_were_lost_at_once_do_not_slow_down_the_next_ones():
+    """Guards against a search through all crash records for each request."""
+    tracker = quarantine.Quarantine()
+    lost = [request(query=b"n=%d" % n) for n in range(crash_record.MAX_CRASH_RECORDS)]
+    tracker.configure(make_records(lost, 0.001))
+    start_s = time.thread_time()
+    for n in range(50):
+        assert not tracker.is_blocked(request(query=b"new=%d" % n), 2.0 + n, WALL_S + 2.0 + n)
+    assert time.thread_time() - start_s < 1.0
+
+
+def test_crashes_of_a_request_that_is_known_say_nothing_of_others_on_its_path():
+    """Guards against a path that is refused for what a narrower level explains."""
+    bad = [request(query=b"q=bad", caller=b"c%d" % n) for n in range(4)]
+    another = request(query=b"q=1", caller=b"d1")
+    here = quarantine.Quarantine()
+    for n, name in enumerate(bad[:2]):
+        here.record_death(name, f"e{n}", 5.0 * n)
+        assert here.is_blocked(bad[3], 5.0 * n + 1.0, WALL_S) == (n == 1)
+    here.record_death(another, "e9", 20.0)
+    told = quarantine.Quarantine()
+    told.configure(make_records([*bad[:2], another], 5.0))
+    for tracker in (here, told):
+        assert tracker.is_blocked(bad[3], 21.0, WALL_S + 21.0)
+        assert not tracker.is_blocked(request(query=b"q=2", caller=b"d2"), 21.0, WALL_S + 21.0)
--- a/tests/gateway/test_crash_blame.py
+++ b/tests/gateway/test_crash_blame.py
@@ -224,6 +224,18 @@
     assert not any(fleet.is_blocked(request(b"q=%d" % n)) for n in range(1, 9))
 
 
+def test_crashes_of_a_request_that_is_known_say_nothing_of_others_on_its_path():
+    """Guards against a path that is refused for what a narrower level explains."""
+    fleet = Fleet(1)
+    bad = [request(b"q=bad", b"c%d" % n) for n in range(9)]
+    assert crash_in_turn(fleet, bad, interval_s=2.5) == 3
+    fleet.pass_time(10.0)
+    fleet.crash("y", [[request(b"q=1", b"d1")]])
+    fleet.pass_time(10.0)
+    assert fleet.is_blocked(bad[8]) == 1
+    assert fleet.is_blocked(request(b"q=2", b"d2")) == 0
+
+
 @pytest.mark.parametrize("entries", [1, 2, 5])
 def test_a_request_that_completed_before_a_release_is_found_when_it_crashes_endpoints(entries):
     """Guards against a trust that outlives all that it was based on."""
