Refuse no path for crashes elsewhere where others of it complete

Sound requests were refused for ten minutes at entries that had completed others of their path seconds before: an entry that sees only the crashing requests convicts all that share the path, and control tells the others, where what completed before the latest crash did not count. That is right for a request itself, which a release may have changed; of a wider level other requests go on completing. So an entry that has completed one of a wide level in the last 60 s does not refuse that level, by the same rule by which it does not convict it.

test_a_level_that_control_blocks_is_not_refused_where_others_of_it_complete and test_a_path_is_not_refused_where_others_of_it_complete failed before. The price: a crashing request that changes each time goes on at entries with sound traffic on the same path.

--- a/oriolelock/admission/quarantine.py
+++ b/oriolelock/admission/quarantine.py
@@ -155,6 +155,9 @@
 
     def level_blocked_s(self, level: str, now: float, wall_s: float) -> float:
         """Return for how many seconds a level is still blocked, 0 if it is not."""
+        # Other requests of a wide level complete while some crash endpoints.
+        if fingerprints.is_wide(level) and self.completed_recently(level, now):
+            return 0.0
         # What completed before the latest crash says nothing: a release may have changed endpoints.
         completed_s = self.last_completion_s(level)
         began_s, end_s = self._blocked.get(level, (now, now))
--- a/tests/admission/test_quarantine.py
+++ b/tests/admission/test_quarantine.py
@@ -195,3 +195,15 @@
     for tracker in (here, told):
         assert tracker.is_blocked(bad[3], 21.0, WALL_S + 21.0)
         assert not tracker.is_blocked(request(query=b"q=2", caller=b"d2"), 21.0, WALL_S + 21.0)
+
+
+def test_a_level_that_control_blocks_is_not_refused_where_others_of_it_complete():
+    """Guards against sound requests that are refused for crashes at entries they don't come to."""
+    tracker = quarantine.Quarantine()
+    level = fingerprint.levels(CRASHING)[-1]
+    tracker.record_completion(request(query=b"q=1"), 5.0)
+    deaths = (("a", WALL_S + 8), ("b", WALL_S + 12))
+    tracker.configure({level: crash_record.CrashRecord(level, deaths, WALL_S + 612)})
+    assert not tracker.is_blocked(request(query=b"q=2"), 13.0, WALL_S + 13)
+    later_s = 6.0 + quarantine.COMPLETED_TRUST_S
+    assert tracker.is_blocked(request(query=b"q=2"), later_s, WALL_S + later_s)
--- a/tests/gateway/test_crash_blame.py
+++ b/tests/gateway/test_crash_blame.py
@@ -236,6 +236,20 @@
     assert fleet.is_blocked(request(b"q=2", b"d2")) == 0
 
 
+def test_a_path_is_not_refused_where_others_of_it_complete():
+    """Guards against sound requests that are refused for crashes at entries they don't come to."""
+    fleet = Fleet(2)
+    for number in range(3):
+        fleet.entries[1].record_completion(request(b"q=%d" % number, b"d"), fleet.now)
+        fleet.pass_time(4.0)
+        fleet.crash(f"x{number}", [[request(b"n=%d" % number, b"t%d" % number)], []])
+        fleet.pass_time(1.0)
+    another = request(b"q=new", b"d")
+    assert [e.is_blocked(another, fleet.now, fleet.wall_s) for e in fleet.entries] == [True, False]
+    fleet.pass_time(quarantine.COMPLETED_TRUST_S)
+    assert fleet.is_blocked(another) == 2
+
+
 @pytest.mark.parametrize("entries", [1, 2, 5])
 def test_a_request_that_completed_before_a_release_is_found_when_it_crashes_endpoints(entries):
     """Guards against a trust that outlives all that it was based on."""
