Remember completed levels beside requests, not in their place

Levels have a table of their own. test_wide_levels_take_no_room_from_requests_that_completed failed before.

--- a/oriolelock/admission/quarantine.py
+++ b/oriolelock/admission/quarantine.py
@@ -37,6 +37,8 @@
 
     def __init__(self):
         self._completed: collections.OrderedDict[str, float] = collections.OrderedDict()
+        # The same of levels that comprise several requests, of which some are always in use.
+        self._completed_levels: collections.OrderedDict[str, float] = collections.OrderedDict()
         self._first_ignored_death: collections.OrderedDict[str, float] = collections.OrderedDict()
         # The latest deaths per fingerprint, as (endpoint, time).
         self._deaths: collections.OrderedDict[str, list[tuple[str, float]]] = (
@@ -57,11 +59,15 @@
     def record_completion(self, request_fingerprint: str, now: float) -> None:
         """Record that a request with this fingerprint got a complete response."""
         for level in fingerprints.levels(request_fingerprint):
-            self._completed[level] = now
-            self._completed.move_to_end(level)
+            table = self._completions(level)
+            table[level] = now
+            table.move_to_end(level)
+            while len(table) > MAX_COMPLETED:
+                table.popitem(last=False)
         self._first_ignored_death.pop(request_fingerprint, None)
-        while len(self._completed) > MAX_COMPLETED:
-            self._completed.popitem(last=False)
+
+    def _completions(self, level):
+        return self._completed_levels if fingerprints.is_wide(level) else self._completed
 
     def record_death(self, request_fingerprint: str, endpoint: str, now: float) -> bool:
         """Record that an endpoint crashed while running the request.
@@ -175,12 +181,12 @@
 
     def last_completion_s(self, level: str) -> float:
         """Return when a request of a level was completed last, -inf if that is not known."""
-        return self._completed.get(level, float("-inf"))
+        return self._completions(level).get(level, float("-inf"))
 
     def dump(self) -> dict[str, int]:
         """Return the sizes of the tables, for the state dump."""
         return {
-            "completed": len(self._completed),
+            "completed": len(self._completed) + len(self._completed_levels),
             "suspects": len(self._deaths),
             "blocked": len(self._blocked),
         }
--- a/tests/admission/test_quarantine.py
+++ b/tests/admission/test_quarantine.py
@@ -207,3 +207,12 @@
     assert not tracker.is_blocked(request(query=b"q=2"), 13.0, WALL_S + 13)
     later_s = 6.0 + quarantine.COMPLETED_TRUST_S
     assert tracker.is_blocked(request(query=b"q=2"), later_s, WALL_S + later_s)
+
+
+def test_wide_levels_take_no_room_from_requests_that_completed():
+    """Guards against requests that are forgotten sooner since their levels are remembered."""
+    tracker = quarantine.Quarantine()
+    names = [request(query=b"n=%d" % n, caller=b"c%d" % n) for n in range(quarantine.MAX_COMPLETED)]
+    for name in names:
+        tracker.record_completion(name, 1.0)
+    assert all(tracker.completed_recently(name, 2.0) for name in names)
