--- a/oriolelock/gateway/flow.py
+++ b/oriolelock/gateway/flow.py
@@ -109,7 +109,7 @@
         self._fingerprint = shared.fingerprint(self._service, req)
         quarantined_s = shared.quarantined_s(self._fingerprint)
         if quarantined_s > 0.0:
-            self._refuse(503, "quarantined", 1.0)
+            self._refuse(503, "quarantined", quarantined_s)
             return
         self._timer = shared.loop.call_at(self._deadline_at_s, self._on_deadline)
         self._exchange.on_gone = self._on_caller_gone
--- a/tests/admission/test_quarantine.py
+++ b/tests/admission/test_quarantine.py
@@ -209,6 +209,18 @@
     assert tracker.is_blocked(request(query=b"q=2"), later_s, WALL_S + later_s)
 
 
+def test_the_time_left_is_told_for_each_level():
+    tracker = quarantine.Quarantine()
+    level = fingerprint.levels(CRASHING)[1]
+    tracker.configure({level: crash_record.CrashRecord(level, (("a", WALL_S),), WALL_S + 600)})
+    assert tracker.blocked_s(CRASHING, 100.0, WALL_S + 100) == 500.0
+    assert tracker.blocked_s(CRASHING, 650.0, WALL_S + 650) == 0.0
+    assert tracker.blocked_s(request(query=b"q=1"), 100.0, WALL_S + 100) == 0.0
+    tracker.record_death(OTHERS[0], "e1", 700.0)
+    tracker.record_death(OTHERS[0], "e2", 705.0)
+    assert tracker.blocked_s(OTHERS[0], 715.0, WALL_S) == crash_record.QUARANTINE_S - 10.0
+
+
 def test_wide_levels_take_no_room_from_requests_that_completed():
     """Guards against requests that are forgotten sooner since their levels are remembered."""
     tracker = quarantine.Quarantine()
--- a/tests/gateway/test_flow.py
+++ b/tests/gateway/test_flow.py
@@ -263,6 +263,16 @@
     assert gateway.forwarded_requests() == 0
 
 
+def test_quarantined_request_is_refused_with_the_time_that_is_left(gateway, monkeypatch):
+    """Guards against callers that come back each second for ten minutes."""
+    gateway.add_endpoint("x", succeeding)
+    gateway.configure()
+    monkeypatch.setattr(gateway.core, "quarantined_s", lambda fingerprint: 432.0)
+    status, head, _ = gateway.send(b"/safe/1")
+    assert (status, b"retry-after: 432.00" in head) == (503, True)
+    assert gateway.forwarded_requests() == 0
+
+
 def test_callers_of_an_entry_without_a_configuration_are_told_to_wait_longer_and_longer(gateway):
     """Answers to the load after a restart of everything: callers come back once.
 
