Read lists around odd entries with less memory and time

Read again: each element of a list was parsed twice, each time with a decoder made anew, and the positions of all values were kept as pairs. What is read is unchanged, by the tests of tests/wire.

--- a/oriolelock/wire/tolerant_json.py
+++ b/oriolelock/wire/tolerant_json.py
@@ -58,15 +58,22 @@
 UNREADABLE = _Odd("unreadable value")
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(slots=True)
 class _Container:
-    """A list or object from ``start`` to ``end``; ``parts``: where its elements begin and end."""
+    """A list or object from ``start`` to ``end``; ``part_ends``: where its elements end."""
 
     start: int
     end: int = 0
-    parts: list[tuple[int, int]] = dataclasses.field(default_factory=list)
+    part_ends: list[int] = dataclasses.field(default_factory=list)
     children: list["_Container"] = dataclasses.field(default_factory=list)
 
+    def parts(self):
+        """Yield where each element begins and ends."""
+        start = self.start + 1
+        for end in self.part_ends:
+            yield start, end
+            start = end + 1
+
 
 def loads(data: bytes) -> object:
     """Return the value in ``data``; raises ValueError if it is not JSON.
@@ -78,7 +85,7 @@
     """
     text = _prune(data.decode("utf-8", errors="replace"))
     try:
-        return _parse(text)
+        return _DECODER.decode(text)
     except ValueError as exc:
         root = _find_containers(text)
         if root is None:
@@ -93,16 +100,6 @@
         return value
 
 
-def _parse(text):
-    return json.loads(
-        text,
-        parse_int=_parse_integer,
-        parse_float=_parse_float,
-        parse_constant=lambda name: OUT_OF_RANGE,
-        strict=False,
-    )
-
-
 def _find_containers(text):
     """Return the container that is the whole text; None if its brackets do not match."""
     opened: list[_Container] = []
@@ -118,23 +115,18 @@
                 return None
             closed = opened.pop()
             closed.end = token.end()
-            _add_part(closed, token.start())
+            closed.part_ends.append(token.start())
             if opened:
                 opened[-1].children.append(closed)
             else:
                 root = closed
         elif char == "," and opened:
-            _add_part(opened[-1], token.start())
+            opened[-1].part_ends.append(token.start())
     if opened or root is None or text[: root.start].strip() or text[root.end :].strip():
         return None
     return root
 
 
-def _add_part(container, end):
-    start = container.parts[-1][1] + 1 if container.parts else container.start + 1
-    container.parts.append((start, end))
-
-
 class _LenientReader:
     """Reads a text around the parts that are no JSON, up to ``MAX_ODD`` of them."""
 
@@ -145,7 +137,7 @@
     def read(self, container):
         """Return the list or object, with ``UNREADABLE`` for what is no JSON in it."""
         try:
-            return _parse(self._text[container.start : container.end])
+            return _DECODER.decode(self._text[container.start : container.end])
         except ValueError:
             self._odd += 1
         if self._odd > MAX_ODD:
@@ -161,7 +153,11 @@
 
     def _read_elements(self, container, children):
         values: list = []
-        for start, end in container.parts:
+        for start, end in container.parts():
+            value = _parse_part(self._text[start:end])
+            if value is not UNREADABLE:
+                values.append(value)
+                continue
             value_start = start + _offset(self._text[start:end])
             values.append(self._read_value(value_start, end, children))
             if swallowed := _swallowed(self._text[value_start:end]):
@@ -169,7 +165,7 @@
         return values
 
     def _read_members(self, container, children):
-        for start, end in container.parts:
+        for start, end in container.parts():
             part = self._text[start:end]
             key_start = _offset(part)
             key = LENIENT_TOKEN.match(part, key_start)
@@ -191,18 +187,17 @@
 
 
 def _swallowed(part):
-    """Return the text of the element, if any, that a part without an end has taken in."""
-    if _parse_part(part) is UNREADABLE:
-        for opening in itertools.islice(OPENING.finditer(part, 1), MAX_OPENINGS):
-            rest = part[opening.start() :]
-            if _parse_part(rest) is not UNREADABLE:
-                return rest
+    """Return the text of the element, if any, that an unreadable part without an end took in."""
+    for opening in itertools.islice(OPENING.finditer(part, 1), MAX_OPENINGS):
+        rest = part[opening.start() :]
+        if _parse_part(rest) is not UNREADABLE:
+            return rest
     return ""
 
 
 def _parse_part(text):
     try:
-        return _parse(text)
+        return _DECODER.decode(text)
     except ValueError:
         return UNREADABLE
 
@@ -247,3 +242,11 @@
         raise ValueError("unbalanced brackets")
     kept.append(text[position:])
     return "".join(kept)
+
+
+_DECODER = json.JSONDecoder(
+    parse_int=_parse_integer,
+    parse_float=_parse_float,
+    parse_constant=lambda name: OUT_OF_RANGE,
+    strict=False,
+)
