Don't serve events of sockets that were closed or changed in the same turn of the loop

The loop looks up each event before it is served: the same socket has to be watched by the same callback.

--- a/oriolelock/http1/loop.py
+++ b/oriolelock/http1/loop.py
@@ -106,11 +106,17 @@
             # what they limit may have happened.
             now = clock.monotonic_s()
             for key, events in ready:
-                self._run_callback(key.data, events)
+                if self._is_watched(key):
+                    self._run_callback(key.data, events)
             self._run_timers(now)
             for _ in range(len(self._pending_calls)):
                 self._run_callback(self._pending_calls.popleft())
 
+    def _is_watched(self, key):
+        """Return whether an earlier callback has not closed the socket, or watches it otherwise."""
+        current = self._selector.get_map().get(key.fd)
+        return current is not None and current.fileobj is key.fileobj and current.data == key.data
+
     def _next_timeout_s(self):
         if self._pending_calls:
             return 0.0
