--- a/tests/consensus/simulated.py
+++ b/tests/consensus/simulated.py
@@ -7,9 +7,19 @@
 
 import dataclasses
 
+import hypothesis
+
 from oriolelock.consensus import events, messages, node, node_settings, persistent_state, quorum
 
 EMPTY = messages.Membership(())
+# A series that fails is not made smaller: its seed tells nothing of its length.
+RANDOM = hypothesis.settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    phases=[hypothesis.Phase.explicit, hypothesis.Phase.generate],
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/consensus/test_joint_memberships.py
+++ b/tests/consensus/test_joint_memberships.py
@@ -19,14 +19,7 @@
 RECOVERY_S = 15.0
 # The steps of an exchange are spread over some hundred milliseconds each.
 SLOW = {"delay": 0.5, "sync": 0.4}
-RANDOM = hypothesis.settings(
-    max_examples=60,
-    derandomize=True,
-    database=None,
-    deadline=None,
-    phases=[hypothesis.Phase.explicit, hypothesis.Phase.generate],
-    suppress_health_check=list(hypothesis.HealthCheck),
-)
+RANDOM = hypothesis.settings(simulated.RANDOM, max_examples=60)
 
 
 def replicas(names, voter=True):
--- a/tests/consensus/test_replacements.py
+++ b/tests/consensus/test_replacements.py
@@ -18,15 +18,7 @@
 COMMIT_S = 4.0
 CALM_S = 30.0
 
-# A series that fails is not made smaller: its seed tells nothing of its length.
-RANDOM = hypothesis.settings(
-    max_examples=20,
-    derandomize=True,
-    database=None,
-    deadline=None,
-    phases=[hypothesis.Phase.explicit, hypothesis.Phase.generate],
-    suppress_health_check=list(hypothesis.HealthCheck),
-)
+RANDOM = hypothesis.settings(simulated.RANDOM, max_examples=20)
 SEEDS = st.integers(0, 2**32)
 
 
