Give up endless responses before sound ones whose size is known

Callers saw 502 for a sound response of 4 MiB while eleven endpoints sent without end: when all responses that are being received pass 32 MiB, the largest was given up, and beside eleven of 2.6 MiB each that was the sound one.

Cause: size alone decided which response is given up.

A response that announced its size ends by itself; one without may not.

--- a/oriolelock/http1/outbound.py
+++ b/oriolelock/http1/outbound.py
@@ -160,6 +160,7 @@
         req = self._request
         self._protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._head: h11.Response | None = None
+        self._is_size_known = False
         self._head_bytes = 0
         self._informational_responses = 0
         self._budget.release(self)
@@ -305,6 +306,11 @@
                     return
             elif isinstance(event, h11.Response):
                 self._head = event
+                names = [name for name, _ in event.headers]
+                # An encoding overrides the length (RFC 9112, section 6.3).
+                self._is_size_known = (
+                    b"content-length" in names and b"transfer-encoding" not in names
+                )
                 if self._announced_body_bytes() > self._max_body_bytes:
                     self._finish(transfers.Lost("response too large"))
                     return
@@ -317,7 +323,7 @@
                 if self._pieces > MAX_SMALL_PIECES + len(self._body) // MIN_PIECE_BYTES:
                     self._finish(transfers.Lost("response in too many pieces"))
                     return
-                self._budget.add(self, len(event.data), self._give_up)
+                self._budget.add(self, len(event.data), self._give_up, self._is_size_known)
             elif isinstance(event, h11.EndOfMessage):
                 self._complete_response()
                 return
--- a/tests/http1/test_endless_responses.py
+++ b/tests/http1/test_endless_responses.py
@@ -151,6 +151,48 @@
     assert len(result.response.body) == size
 
 
+@pytest.mark.parametrize("kind", ENDLESS_BODIES)
+def test_response_that_is_larger_than_each_endless_one_is_complete(running, kind):
+    """It was given up, as the largest of all, when its endpoint sent faster than the others."""
+    size, count = 4 * 2**20, 11
+    # So that their number brings all together beyond the limit before one of them is larger.
+    share = (buffer_budget.MAX_TOTAL_BYTES - size) // count + 65536
+    is_given_up = threading.Event()
+    first, repeated = ENDLESS[kind]
+
+    def send_without_end(conn, head, body):
+        try:
+            conn.sendall(first)
+            for _ in range(share // 65536):
+                conn.sendall(repeated)
+            is_given_up.wait(LIMIT_S)
+            while True:
+                conn.sendall(repeated)
+        except OSError:
+            is_given_up.set()
+            return False
+
+    def respond(conn, head, body):
+        conn.sendall(HEAD + b"Content-Length: %d\r\n\r\n" % size + b"y" * (size - 1))
+        is_given_up.wait(LIMIT_S)
+        conn.sendall(b"y")
+
+    endless = raw_endpoint.RawEndpoint(send_without_end)
+    sound = raw_endpoint.RawEndpoint(respond)
+    budget = buffer_budget.BufferBudget()
+    with concurrent.futures.ThreadPoolExecutor(count) as pool:
+        conn = test_outbound.connect(running, sound.address, budget)
+        for _ in range(count):
+            pool.submit(
+                lambda: test_outbound.send(
+                    running, test_outbound.connect(running, endless.address, budget)
+                )
+            )
+        result = test_outbound.send(running, conn)
+    assert isinstance(result, transfers.Answered)
+    assert len(result.response.body) == size
+
+
 def count_served(running, endpoint, duration_s):
     """Return how many requests an endpoint answers, one after another."""
     served, end_s = 0, time.monotonic() + duration_s
