Try connections again that end as soon as they are open

What callers would see: an entry that looks for a parent without end, or a control replica that never sends to another one again until it is restarted, after a peer ended a connection right after the opening handshake (killed, or closed at once).

Cause: the thread of the connection that receives closes its socket once the peer has ended it. Setting the send timeout of a connection that ended so early raised OSError, which no caller of channel.connect knows as an error of the connection. The connecting thread of PeerLink ended for good; the attempt of a search ended without an outcome, for which ParentRace waits without end.

The channel now raises ChannelClosed, and an attempt reports an outcome however it ends.

--- a/oriolelock/distribution/parent_race.py
+++ b/oriolelock/distribution/parent_race.py
@@ -186,6 +186,11 @@
         except (wire_errors.WireError, errors.DistributionError) as exc:
             if not self._is_over:
                 log.warning("connection to {}:{} failed: {}", *address, exc)
+        finally:
+            # The race waits for each attempt.
+            self._report(outcome)
+
+    def _report(self, outcome):
         with self._lock:
             if not self._is_over:
                 self._outcomes.put(outcome)
--- a/oriolelock/wire/channel.py
+++ b/oriolelock/wire/channel.py
@@ -51,7 +51,10 @@
 
 
 class Channel:
-    """One end of a connection. ``send`` may be called from several threads."""
+    """One end of a connection. ``send`` may be called from several threads.
+
+    Raises ChannelClosed if the connection has ended since it was opened.
+    """
 
     def __init__(self, conn: websockets.sync.connection.Connection, peer: hello.Hello | None):
         self._conn = conn
@@ -173,7 +176,11 @@
     """
     seconds = int(SEND_TIMEOUT_S)
     timeval = struct.pack("@ll", seconds, int((SEND_TIMEOUT_S - seconds) * 1e6))
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, timeval)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, timeval)
+    except OSError as exc:
+        # The thread of the connection that receives closes the socket as soon as it has ended.
+        raise errors.ChannelClosed(f"ended after it was opened: {exc}") from exc
 
 
 def connect(
@@ -235,8 +242,8 @@
 
     ``count`` increments the counter with the given name.
     """
-    channel = Channel(conn, None)
     try:
+        channel = Channel(conn, None)
         greeting = channel.recv(CONNECT_TIMEOUT_S)
         error = _handshake_error(greeting, cluster, token)
         channel.send(hello.HelloReply(name, error))
--- a/tests/control/test_peer_link.py
+++ b/tests/control/test_peer_link.py
@@ -10,6 +10,7 @@
 from oriolelock.wire import channel, errors, hello
 from tests import waiting
 from tests.control import cluster, test_seeds
+from tests.wire import ending_connections
 
 TOKEN = "token-for-tests"
 
@@ -69,6 +70,13 @@
     waiting.until(lambda: link.last_heard_s > first_s)
 
 
+def test_a_link_connects_again_after_a_connection_that_ends_at_once(peer, link, monkeypatch):
+    """The thread that connects ended, so that the replica never heard of the peer again."""
+    ending_connections.end_first(monkeypatch, 2)
+    link.start()
+    waiting.until(lambda: link.connected)
+
+
 def test_silence_is_counted_while_the_connection_lasts(peer, link, monkeypatch):
     """A peer that hangs keeps its connection until the timeout of the channel."""
     monkeypatch.setattr(channel, "PEER_TIMEOUT_S", 0.3)
--- a/tests/distribution/test_parent_race.py
+++ b/tests/distribution/test_parent_race.py
@@ -1,11 +1,15 @@
 """Guards against parents that count as unfit although they had no time to confirm."""
 
+import concurrent.futures
 import threading
 
-from oriolelock.distribution import parent_finder, parent_race
-from oriolelock.wire import hello
+import pytest
+
+from oriolelock.distribution import errors, parent_finder, parent_race
+from oriolelock.wire import channel, hello
 from tests import fake_parent
 from tests.distribution import held_link
+from tests.wire import ending_connections
 
 GREETING = hello.Hello(1, fake_parent.CLUSTER, fake_parent.TOKEN, "a", "entry", "i")
 
@@ -74,3 +78,36 @@
         silent.close()
         late.close()
         parent.close()
+
+
+def end_of_race(address):
+    """Return what a race for one parent raises; fails if it goes on for 10 s."""
+    stopping = threading.Event()
+    race = parent_race.ParentRace(GREETING, 5, 1.0, 0.1)
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        fut = pool.submit(race.run, [address], stopping)
+        try:
+            return fut.exception(10)
+        finally:
+            stopping.set()
+
+
+@pytest.mark.filterwarnings("ignore::pytest.PytestUnhandledThreadExceptionWarning")
+def test_a_race_ends_when_its_attempts_end_in_an_unexpected_way(monkeypatch):
+    """It waited for them without end, so that the entry looked for no other parent."""
+
+    def connect(*args, **kwargs):
+        raise RuntimeError("unexpected")
+
+    monkeypatch.setattr(channel, "connect", connect)
+    assert isinstance(end_of_race(("127.0.0.1", 9)), errors.Disconnected)
+
+
+def test_a_race_ends_when_connections_end_as_soon_as_they_are_open(monkeypatch):
+    """Guards against the same, by what was seen: the socket was closed before its first use."""
+    parent = fake_parent.FakeParent(fake_parent.make_config())
+    ending_connections.end_first(monkeypatch, 100)
+    try:
+        assert isinstance(end_of_race(parent.address), errors.Disconnected)
+    finally:
+        parent.close()
--- a/tests/wire/test_channel.py
+++ b/tests/wire/test_channel.py
@@ -6,6 +6,7 @@
 
 from oriolelock import clock
 from oriolelock.wire import channel, errors, heartbeat, hello
+from tests.wire import ending_connections
 
 GREETING = hello.Hello(hello.PROTOCOL_VERSION, "test", "token", "a", "entry")
 
@@ -110,3 +111,34 @@
     server.shutdown()
     thread.join()
     assert metrics == ["wire.refused"]
+
+
+def test_a_connection_that_ends_as_soon_as_it_is_open_is_an_error_of_the_channel(
+    connected_pair, monkeypatch
+):
+    """It was an OSError, which ended the threads that connect to replicas and to parents."""
+    address = connected_pair[0]._conn.socket.getpeername()[:2]
+    ending_connections.end_first(monkeypatch, 1)
+    with pytest.raises(errors.ChannelClosed):
+        channel.connect(address, GREETING)
+
+
+def test_an_accepted_connection_that_has_ended_is_not_accepted():
+    accepted, handled = [], threading.Event()
+
+    def handle(conn):
+        conn.socket.close()
+        try:
+            accepted.append(channel.accept(conn, "b", "test", "token"))
+        finally:
+            handled.set()
+
+    server = channel.serve(("127.0.0.1", 0), handle)
+    thread = threading.Thread(target=server.serve_forever)
+    thread.start()
+    with pytest.raises(errors.ChannelClosed):
+        channel.connect(server.socket.getsockname()[:2], GREETING)
+    assert handled.wait(10)
+    server.shutdown()
+    thread.join()
+    assert accepted == [None]
