--- a/tests/wire/test_channel.py
+++ b/tests/wire/test_channel.py
@@ -14,8 +14,6 @@
 @pytest.fixture
 def connected_pair(monkeypatch):
     """Return both ends of a connection with short timeouts: client, then server."""
-    monkeypatch.setattr(channel, "HEARTBEAT_INTERVAL_S", 0.05)
-    monkeypatch.setattr(channel, "PEER_TIMEOUT_S", 0.3)
     accepted_channels = []
     stop_event = threading.Event()
 
@@ -29,6 +27,9 @@
     client = channel.connect(server.socket.getsockname()[:2], GREETING)
     while not accepted_channels:
         stop_event.wait(0.01)
+    # Not before: the threads of the handshake may be woken late.
+    monkeypatch.setattr(channel, "HEARTBEAT_INTERVAL_S", 0.05)
+    monkeypatch.setattr(channel, "PEER_TIMEOUT_S", 0.3)
     yield client, accepted_channels[0]
     stop_event.set()
     client.close()
