Keep connecting to a replica after any failure

What operators would see: a replica that sends another one nothing until it is restarted, although both run.

The other threads that run for as long as the process does guard their rounds already.

test_a_link_connects_again_after_an_unexpected_failure failed before ("condition not met in time") and passes now.

--- a/oriolelock/control/peer_link.py
+++ b/oriolelock/control/peer_link.py
@@ -101,10 +101,8 @@
     def _run_connection(self):
         backoff_s, limit_s = BACKOFF_MIN_S, CONNECT_MIN_S
         while not self._stopping.is_set():
-            try:
-                conn = channel.connect(self._peer.link_address, self._make_hello(), limit_s)
-            except errors.WireError as exc:
-                self._log_error(str(exc))
+            conn = self._connect(limit_s)
+            if conn is None:
                 self._stopping.wait(backoff_s * self._rng.uniform(0.5, 1.0))
                 backoff_s = min(2 * backoff_s, BACKOFF_MAX_S)
                 limit_s = min(2 * limit_s, CONNECT_MAX_S)
@@ -120,6 +118,17 @@
             self._last_heard_s = conn.last_received_s
             self._channel = None
 
+    def _connect(self, limit_s):
+        """Return a new connection, or None if there is none."""
+        try:
+            return channel.connect(self._peer.link_address, self._make_hello(), limit_s)
+        except errors.WireError as exc:
+            self._log_error(str(exc))
+        except Exception:
+            # If the thread ended, the peer would get no further messages.
+            log.exception("no connection to {}", self._peer.name)
+        return None
+
     def _receive_heartbeats(self, conn):
         """Receive heartbeats until the connection fails."""
         try:
--- a/tests/control/test_peer_link.py
+++ b/tests/control/test_peer_link.py
@@ -77,6 +77,20 @@
     waiting.until(lambda: link.connected)
 
 
+def test_a_link_connects_again_after_an_unexpected_failure(peer, link, monkeypatch):
+    """Guards against the same for any exception, such as one of a thread that can't start."""
+    connect, failures = channel.connect, iter([RuntimeError("can't start new thread")])
+
+    def fail_first(*args, **kwargs):
+        for failure in failures:
+            raise failure
+        return connect(*args, **kwargs)
+
+    monkeypatch.setattr(channel, "connect", fail_first)
+    link.start()
+    waiting.until(lambda: link.connected)
+
+
 def test_silence_is_counted_while_the_connection_lasts(peer, link, monkeypatch):
     """A peer that hangs keeps its connection until the timeout of the channel."""
     monkeypatch.setattr(channel, "PEER_TIMEOUT_S", 0.3)
