--- a/oriolelock/http1/buffer_budget.py
+++ b/oriolelock/http1/buffer_budget.py
@@ -14,9 +14,11 @@
 # Responses are copied when they are complete, so that a process needs about twice as much.
 MAX_TOTAL_BYTES = 32 * 1024 * 1024
 
+_size = operator.attrgetter("size")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Holding:
+class _Holding:
     """Bytes of one response that is being received."""
 
     size: int
@@ -35,7 +37,7 @@
     def __init__(self, max_bytes: int = MAX_TOTAL_BYTES):
         self._max_bytes = max_bytes
         self._total_bytes = 0
-        self._holders: dict[object, Holding] = {}
+        self._holders: dict[object, _Holding] = {}
 
     def add(
         self,
@@ -49,7 +51,7 @@
         ``is_size_known``: whether the response announced its size.
         """
         held = self._holders[holder].size if holder in self._holders else 0
-        self._holders[holder] = Holding(held + count, is_size_known, give_up)
+        self._holders[holder] = _Holding(held + count, is_size_known, give_up)
         self._total_bytes += count
         if self._total_bytes > self._max_bytes:
             self._largest().give_up()
@@ -65,6 +67,3 @@
         if 2 * sum(held.size for held in unknown) > self._max_bytes:
             return max(unknown, key=_size)
         return max(self._holders.values(), key=_size)
-
-
-_size = operator.attrgetter("size")
--- a/tests/wire/test_channel.py
+++ b/tests/wire/test_channel.py
@@ -1,5 +1,6 @@
 """Guards against closing connections whose ends are both alive."""
 
+import contextlib
 import threading
 
 import pytest
@@ -95,6 +96,19 @@
     assert send_errors
 
 
+@contextlib.contextmanager
+def serving(handle):
+    """Serve connections by ``handle(conn)``; yield the address."""
+    server = channel.serve(("127.0.0.1", 0), handle)
+    thread = threading.Thread(target=server.serve_forever)
+    thread.start()
+    try:
+        yield server.socket.getsockname()[:2]
+    finally:
+        server.shutdown()
+        thread.join()
+
+
 def test_refused_handshakes_are_counted():
     """Guards against uncounted refusals of a wrong version or garbage on the internal port."""
     metrics, handled = [], threading.Event()
@@ -103,24 +117,18 @@
         channel.accept(conn, "b", "other cluster", "token", metrics.append)
         handled.set()
 
-    server = channel.serve(("127.0.0.1", 0), handle)
-    thread = threading.Thread(target=server.serve_forever)
-    thread.start()
-    with pytest.raises(errors.HandshakeRefused):
-        channel.connect(server.socket.getsockname()[:2], GREETING)
-    assert handled.wait(10)
-    server.shutdown()
-    thread.join()
+    with serving(handle) as address:
+        with pytest.raises(errors.HandshakeRefused):
+            channel.connect(address, GREETING)
+        assert handled.wait(10)
     assert metrics == ["wire.refused"]
 
 
-def test_a_connection_that_ends_as_soon_as_it_is_open_is_an_error_of_the_channel(
-    connected_pair, monkeypatch
-):
+def test_a_connection_that_ends_as_soon_as_it_is_open_is_an_error_of_the_channel(monkeypatch):
     """It was an OSError, which ended the threads that connect to replicas and to parents."""
-    address = connected_pair[0]._conn.socket.getpeername()[:2]
     ending_connections.end_first(monkeypatch, 1)
-    with pytest.raises(errors.ChannelClosed):
+    accepting = serving(lambda conn: channel.accept(conn, "b", "test", "token"))
+    with accepting as address, pytest.raises(errors.ChannelClosed):
         channel.connect(address, GREETING)
 
 
@@ -134,12 +142,8 @@
         finally:
             handled.set()
 
-    server = channel.serve(("127.0.0.1", 0), handle)
-    thread = threading.Thread(target=server.serve_forever)
-    thread.start()
-    with pytest.raises(errors.ChannelClosed):
-        channel.connect(server.socket.getsockname()[:2], GREETING)
-    assert handled.wait(10)
-    server.shutdown()
-    thread.join()
+    with serving(handle) as address:
+        with pytest.raises(errors.ChannelClosed):
+            channel.connect(address, GREETING)
+        assert handled.wait(10)
     assert accepted == [None]
