Own interface keeps responses of known size beside endless ones

Callers of the project's own interface would lose a sound response of 4 MB beside some 30 endless ones: when all together pass 96 MB, a transfer above an equal share can't grow, and each endless one may stay below it.

Cause: size alone decided which response is given up.

While transfers of unknown size hold more than half of the limit, those that announced their size share the other half. Endless ones are given up at their next growth as before.

--- a/oriolelock/endpoints/connection.py
+++ b/oriolelock/endpoints/connection.py
@@ -18,6 +18,8 @@
 
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 MAX_RESPONSE_HEADER_BYTES = 64 * 1024
+CONTENT_LENGTH = re.compile(rb"content-length\s*:", re.IGNORECASE)
+TRANSFER_ENCODING = re.compile(rb"transfer-encoding\s*:", re.IGNORECASE)
 # No request asks for another protocol. libcurl would take what follows for a body without an end.
 PROTOCOL_SWITCH = re.compile(rb"HTTP/\S*\s+101")
 # Upper bound for one poll, so that libcurl's timers are checked even if a callback was missed.
@@ -36,6 +38,7 @@
     header_lines: list[bytes] = dataclasses.field(default_factory=list)
     header_bytes: int = 0
     headers_end: bool = False
+    is_size_known: bool = False
     body: bytearray = dataclasses.field(default_factory=bytearray)
     budget: response_budget.ResponseBudget = response_budget.SHARED
     error: int = 0
@@ -63,12 +66,20 @@
         if not self.headers_end:  # otherwise a trailer after the body
             self.header_lines.append(line)
             self.headers_end = line in (b"\r\n", b"\n")
+            if self.headers_end:
+                # An encoding overrides the length (RFC 9112, section 6.3).
+                self.is_size_known = any(map(CONTENT_LENGTH.match, self.header_lines)) and not any(
+                    map(TRANSFER_ENCODING.match, self.header_lines)
+                )
         return len(line)
 
     def add_body(self, data: bytes) -> int:
         """Add a part of the body, up to the limits of one and of all responses."""
         size = len(self.body) + len(data)
-        if size > MAX_RESPONSE_BYTES or not self.budget.resize(id(self), size):
+        is_allowed = size <= MAX_RESPONSE_BYTES and self.budget.resize(
+            id(self), size, self.is_size_known
+        )
+        if not is_allowed:
             self.too_large = True
             return 0
         self.body += data
